--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, fault injection and experiments.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/coordination/src/fold.rs
@@ -0,0 +1,136 @@
+//! Folds release notes into the configuration, in order and whatever their order of arrival.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{
+    config::Config,
+    error::NoteError,
+    history::{History, Verdict},
+    note::ReleaseNote,
+    sequence::Sequence,
+};
+
+/// Current configuration, the notes folded last and notes that wait for a gap to close.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    config: Arc<Config>,
+    history: History,
+    pending: BTreeMap<Sequence, Arc<[u8]>>,
+}
+
+/// Something that the fold decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FoldEvent {
+    /// A note is in force.
+    Accepted(Sequence),
+    /// A note used up its sequence and changed nothing.
+    Refused(Sequence, Arc<str>),
+    /// A snapshot replaced the configuration.
+    Installed(Sequence),
+}
+
+/// Notes that wait for a gap to close.
+const MAX_PENDING: usize = 1024;
+
+impl Fold {
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// Returns the sequence in force.
+    #[must_use]
+    pub fn sequence(&self) -> Sequence {
+        self.config.sequence
+    }
+
+    /// Returns the log of folded notes.
+    #[must_use]
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Returns the sequence that is missing while later notes wait for it.
+    #[must_use]
+    pub fn gap(&self) -> Option<Sequence> {
+        (!self.pending.is_empty()).then(|| self.sequence().next())
+    }
+
+    /// Takes one note in and folds all notes that are next in order.
+    pub fn offer(&mut self, sequence: Sequence, text: Arc<[u8]>) -> Vec<FoldEvent> {
+        if sequence > self.sequence() {
+            self.pending.entry(sequence).or_insert(text);
+            if self.pending.len() > MAX_PENDING {
+                self.pending.pop_last();
+            }
+        }
+        self.fold_pending()
+    }
+
+    /// Replaces the configuration by a newer snapshot; an older or equal one is ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that the snapshot breaks; nothing is installed then.
+    pub fn install(&mut self, snapshot: Config) -> Result<Vec<FoldEvent>, NoteError> {
+        if snapshot.sequence <= self.sequence() {
+            return Ok(Vec::new());
+        }
+        snapshot.validate()?;
+        let sequence = snapshot.sequence;
+        self.pending = self.pending.split_off(&sequence.next());
+        self.history.clear();
+        self.config = Arc::new(snapshot);
+        let mut events = vec![FoldEvent::Installed(sequence)];
+        events.extend(self.fold_pending());
+        Ok(events)
+    }
+
+    fn fold_pending(&mut self) -> Vec<FoldEvent> {
+        let mut events = Vec::new();
+        while let Some(text) = self.pending.remove(&self.sequence().next()) {
+            events.push(self.fold_next(text));
+        }
+        events
+    }
+
+    fn fold_next(&mut self, text: Arc<[u8]>) -> FoldEvent {
+        let sequence = self.sequence().next();
+        match apply_text(&self.config, sequence, &text) {
+            Ok(config) => {
+                self.replace(config);
+                self.history.push(sequence, text, Verdict::Accepted);
+                FoldEvent::Accepted(sequence)
+            }
+            Err(err) => {
+                let reason: Arc<str> = err.to_string().into();
+                let mut config = Config::clone(&self.config);
+                config.sequence = sequence;
+                self.replace(config);
+                let verdict = Verdict::Refused(Arc::clone(&reason));
+                self.history.push(sequence, text, verdict);
+                FoldEvent::Refused(sequence, reason)
+            }
+        }
+    }
+
+    fn replace(&mut self, config: Config) {
+        assert!(
+            config.sequence > self.config.sequence,
+            "configuration must never go back"
+        );
+        self.config = Arc::new(config);
+    }
+}
+
+fn apply_text(config: &Config, sequence: Sequence, text: &[u8]) -> Result<Config, NoteError> {
+    let note = ReleaseNote::parse(text)?;
+    if note.note != sequence {
+        return Err(NoteError::WrongSequence {
+            named: note.note,
+            published: sequence,
+        });
+    }
+    config.apply(&note)
+}
--- /dev/null
+++ b/crates/coordination/src/history.rs
@@ -0,0 +1,77 @@
+//! Bounded log of folded notes, from which deltas for peers are taken.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use crate::sequence::Sequence;
+
+/// What became of a note.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The note is in force.
+    Accepted,
+    /// The note changed nothing, for the reason given.
+    Refused(Arc<str>),
+}
+
+/// The newest folded notes, oldest first, without gaps.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    entries: VecDeque<Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    sequence: Sequence,
+    text: Arc<[u8]>,
+    verdict: Verdict,
+}
+
+/// Notes that the history keeps.
+const MAX_ENTRIES: usize = 256;
+/// Bytes of note text that the history keeps.
+const MAX_BYTES: usize = 8 << 20;
+
+impl History {
+    /// Returns the verdict on a note, if it is still known.
+    #[must_use]
+    pub fn verdict(&self, sequence: Sequence) -> Option<&Verdict> {
+        self.entries
+            .iter()
+            .find(|entry| entry.sequence == sequence)
+            .map(|entry| &entry.verdict)
+    }
+
+    /// Returns the notes after `have`, or `None` when the history does not reach back so far.
+    #[must_use]
+    pub fn since(&self, have: Sequence) -> Option<Vec<(Sequence, Arc<[u8]>)>> {
+        let first = self.entries.front()?.sequence;
+        if have.next() < first {
+            return None;
+        }
+        let newer = self.entries.iter().filter(|entry| entry.sequence > have);
+        Some(
+            newer
+                .map(|entry| (entry.sequence, Arc::clone(&entry.text)))
+                .collect(),
+        )
+    }
+
+    pub(crate) fn push(&mut self, sequence: Sequence, text: Arc<[u8]>, verdict: Verdict) {
+        self.entries.push_back(Entry {
+            sequence,
+            text,
+            verdict,
+        });
+        while self.entries.len() > MAX_ENTRIES || self.bytes() > MAX_BYTES {
+            self.entries.pop_front();
+        }
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.entries.clear();
+    }
+
+    fn bytes(&self) -> usize {
+        self.entries.iter().map(|entry| entry.text.len()).sum()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,26 @@
+//! Decisions for distributing configuration and admitting calls in a service mesh.
+//!
+//! The crate performs no I/O: time and randomness are passed in by the caller,
+//! so every decision can be replayed from a seed.
+
+mod config;
+mod drain;
+mod error;
+mod fold;
+mod history;
+mod name;
+mod note;
+mod sequence;
+mod vm;
+
+pub use crate::{
+    config::{Config, Route, Service, Upstream},
+    drain::{DrainAction, DrainList, DrainOrder, DrainScope},
+    error::NoteError,
+    fold::{Fold, FoldEvent},
+    history::{History, Verdict},
+    name::{DomainName, RegionName, RouteName, ServiceName, UpstreamName, VmName},
+    note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    sequence::Sequence,
+    vm::{Incarnation, VmEntry, VmList, VmState},
+};
--- /dev/null
+++ b/crates/coordination/src/name.rs
@@ -0,0 +1,77 @@
+//! Shared immutable names of the things that an operator can refer to.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a VM.
+    VmName
+);
+name_type!(
+    /// Name of a failure domain.
+    DomainName
+);
+name_type!(
+    /// Name of a region.
+    RegionName
+);
+name_type!(
+    /// Name of a service.
+    ServiceName
+);
+name_type!(
+    /// Name of a route.
+    RouteName
+);
+name_type!(
+    /// Name of an upstream.
+    UpstreamName
+);
--- /dev/null
+++ b/crates/coordination/src/vm.rs
@@ -0,0 +1,79 @@
+//! The platform's list of VMs and the identity of a process on a VM.
+
+use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::{DomainName, RegionName, VmName};
+
+/// The platform's lagging list of live and leaving VMs.
+///
+/// Lists are ordered by `number`, which the platform increases with each change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmList {
+    /// Increasing number of the list.
+    pub number: u64,
+    /// Entries of the list.
+    pub vms: Vec<Arc<VmEntry>>,
+}
+
+impl VmList {
+    /// Returns the entry of a VM by name.
+    #[must_use]
+    pub fn get(&self, vm: &VmName) -> Option<&Arc<VmEntry>> {
+        self.vms.iter().find(|entry| entry.vm == *vm)
+    }
+
+    /// Returns the entries indexed by VM name.
+    #[must_use]
+    pub fn by_name(&self) -> BTreeMap<VmName, Arc<VmEntry>> {
+        self.vms
+            .iter()
+            .map(|entry| (entry.vm.clone(), Arc::clone(entry)))
+            .collect()
+    }
+}
+
+/// One VM of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Failure domain in which the VM runs.
+    pub domain: DomainName,
+    /// Region of the failure domain.
+    pub region: RegionName,
+    /// Address on which the VM's node accepts other nodes.
+    pub address: SocketAddr,
+    /// State that the platform reports for the VM.
+    #[serde(default)]
+    pub state: VmState,
+}
+
+/// State that the platform reports for a VM.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// The VM runs.
+    #[default]
+    Live,
+    /// The VM is about to be taken away.
+    Leaving,
+}
+
+/// Identity of one process on a VM; a replacement on the same address has a higher one.
+///
+/// The value is the start time in microseconds since the Unix epoch, read once.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/node/src/daemon.rs
@@ -0,0 +1,83 @@
+//! Command line and run of the daemon.
+
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
+
+use clap::Parser;
+use log::error;
+
+use crate::{
+    admin::Admin,
+    error::NodeError,
+    ingress::Ingress,
+    kernel::{Context, Kernel},
+    lifecycle::Lifecycle,
+    peers::Peers,
+    settings::Settings,
+    sidecar::Sidecar,
+    source::Source,
+    transport::Transport,
+};
+
+/// Runs one node of wagtaillever.
+#[derive(Debug, Parser)]
+#[command(name = "wagtailleverd", version)]
+pub struct Arguments {
+    /// Settings file.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Checks the settings and ends.
+    #[arg(long)]
+    check: bool,
+}
+
+/// Exit code when the settings are refused.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code when the node can't start or fails.
+const EXIT_FAILED: u8 = 1;
+
+/// Runs the daemon and returns its exit code: 0 after a graceful stop, 2 for
+/// settings that are refused, 1 for any other failure.
+#[must_use]
+pub fn run(arguments: Arguments) -> ExitCode {
+    let settings = match Settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("error: {err}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: settings are valid", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    env_logger::Builder::new()
+        .parse_filters(&settings.log)
+        .init();
+    match actix::System::new().block_on(run_node(Arc::new(settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            error!("{err}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+async fn run_node(settings: Arc<Settings>) -> Result<(), NodeError> {
+    let context = Context::new(settings);
+    let mut kernel = Kernel::new(context.clone());
+    kernel
+        .add(Admin::default())
+        .add(Transport::default())
+        .add(Peers::default())
+        .add(Source::default())
+        .add(Sidecar::default())
+        .add(Ingress::default());
+    let lifecycle = Lifecycle::starting(context.view().clone());
+    kernel.start().await?;
+    let lifecycle = lifecycle.joining();
+    let lifecycle = lifecycle.serving();
+    context.stop_requested().await;
+    let _lifecycle = lifecycle.stopping();
+    kernel.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,27 @@
+//! The node of wagtaillever: one small process in the slot of each upstream VM.
+//!
+//! A node is a micro-kernel with services that find each other by name. The
+//! thin daemon `wagtailleverd` reads the settings and runs [`run`].
+
+#![allow(dead_code, unused_imports, unreachable_pub)]
+
+mod admin;
+mod daemon;
+mod error;
+mod ingress;
+mod kernel;
+mod lifecycle;
+mod peers;
+mod settings;
+mod sidecar;
+mod source;
+mod timeline;
+mod transport;
+mod view;
+mod wire;
+
+pub use crate::{
+    daemon::{Arguments, run},
+    error::NodeError,
+    settings::{Limits, Policies, Settings, SettingsError},
+};
--- /dev/null
+++ b/crates/node/src/lifecycle.rs
@@ -0,0 +1,57 @@
+//! Life cycle of a node as typestate.
+
+use std::marker::PhantomData;
+
+use crate::view::{Phase, ViewCell};
+
+/// The node's services start.
+pub(crate) struct Starting;
+/// The node learns from its peers what is in force.
+pub(crate) struct Joining;
+/// The node takes work.
+pub(crate) struct Serving;
+/// The node finishes the work in hand and takes no more.
+pub(crate) struct Stopping;
+
+/// A node in the state `S`; only the transitions defined here exist.
+pub(crate) struct Lifecycle<S> {
+    view: ViewCell,
+    state: PhantomData<S>,
+}
+
+impl<S> Lifecycle<S> {
+    fn enter<T>(self, phase: Phase) -> Lifecycle<T> {
+        self.view.set_phase(phase);
+        Lifecycle {
+            view: self.view,
+            state: PhantomData,
+        }
+    }
+
+    /// Enters the stop, from any state.
+    pub(crate) fn stopping(self) -> Lifecycle<Stopping> {
+        self.enter(Phase::Stopping)
+    }
+}
+
+impl Lifecycle<Starting> {
+    /// Returns the life cycle of a process that just started.
+    pub(crate) fn starting(view: ViewCell) -> Self {
+        Self {
+            view,
+            state: PhantomData,
+        }
+    }
+
+    /// Enters joining after all services started.
+    pub(crate) fn joining(self) -> Lifecycle<Joining> {
+        self.enter(Phase::Joining)
+    }
+}
+
+impl Lifecycle<Joining> {
+    /// Enters service after the highest known sequence was learnt.
+    pub(crate) fn serving(self) -> Lifecycle<Serving> {
+        self.enter(Phase::Serving)
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,73 @@
+//! Settings of a node, read from a YAML file.
+
+mod error;
+mod limits;
+mod policies;
+
+pub use self::{error::SettingsError, limits::Limits, policies::Policies};
+
+use std::{
+    fs,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
+
+use serde::Deserialize;
+use snafu::ResultExt;
+use wagtaillever_coordination::{DomainName, RegionName, VmName};
+
+use crate::settings::error::{ReadSnafu, SyntaxSnafu};
+
+/// Settings of a node.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// VM on which the node runs.
+    pub vm: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Region of the failure domain.
+    pub region: RegionName,
+    /// Address from which the node opens connections to other nodes.
+    pub address: IpAddr,
+    /// Address on which callers are served.
+    pub callers: SocketAddr,
+    /// Address on which other nodes are accepted.
+    pub peers: SocketAddr,
+    /// Address of the admin interface; loopback unless set otherwise.
+    pub admin: SocketAddr,
+    /// Token that guards admin requests that change anything.
+    #[serde(default)]
+    pub token: Option<String>,
+    /// Addresses of the platform's configuration service.
+    #[serde(default)]
+    pub platform: Vec<SocketAddr>,
+    /// Addresses of nodes to start from, until the list of VMs is known.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Limits of the node.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Policies that experiments switch off; all are on by default.
+    #[serde(default)]
+    pub policies: Policies,
+    /// Log filter, as `env_logger` reads it.
+    #[serde(default = "default_log")]
+    pub log: String,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the line and what was expected.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+        serde_yaml_ng::from_str(&text).context(SyntaxSnafu { path })
+    }
+}
+
+fn default_log() -> String {
+    "info".into()
+}
--- /dev/null
+++ b/crates/node/src/transport.rs
@@ -0,0 +1,13 @@
+//! `h2` connections between nodes and `bincode` frames on their streams.
+
+mod client;
+mod error;
+mod frame;
+mod server;
+
+pub(crate) use self::{
+    client::{Connection, connect},
+    error::TransportError,
+    frame::{FrameReader, FrameWriter},
+    server::{StreamHandler, Transport},
+};
--- /dev/null
+++ b/crates/node/src/transport/frame.rs
@@ -0,0 +1,159 @@
+//! Length-prefixed `bincode` frames and raw bytes on one `h2` stream.
+
+use std::future::poll_fn;
+
+use bincode::{Decode, Encode, config};
+use bytes::{Buf, Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+
+use crate::transport::error::TransportError;
+
+/// Bytes of the length in front of a frame.
+const PREFIX_BYTES: usize = 4;
+/// Largest frame in bytes: a value of the platform and its head.
+const MAX_FRAME_BYTES: usize = (1 << 20) + (64 << 10);
+
+/// Reads frames and raw bytes from a stream, and gives back the flow-control window.
+pub(crate) struct FrameReader {
+    stream: RecvStream,
+    buffer: BytesMut,
+}
+
+impl FrameReader {
+    /// Returns a reader of a stream.
+    pub(crate) fn new(stream: RecvStream) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Reads the next frame; `None` stands for the regular end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream breaks, ends within a frame or holds a bad one.
+    pub(crate) async fn frame<T: Decode<()>>(&mut self) -> Result<Option<T>, TransportError> {
+        while self.buffer.len() < PREFIX_BYTES {
+            if !self.fill().await? {
+                return self.end();
+            }
+        }
+        let bytes = u32::from_be_bytes([
+            self.buffer[0],
+            self.buffer[1],
+            self.buffer[2],
+            self.buffer[3],
+        ]) as usize;
+        if bytes > MAX_FRAME_BYTES {
+            return Err(TransportError::TooLarge { bytes });
+        }
+        while self.buffer.len() < PREFIX_BYTES + bytes {
+            if !self.fill().await? {
+                return Err(TransportError::Ended);
+            }
+        }
+        self.buffer.advance(PREFIX_BYTES);
+        let frame = self.buffer.split_to(bytes);
+        let (value, _) = bincode::decode_from_slice(&frame, config::standard())?;
+        Ok(Some(value))
+    }
+
+    /// Reads raw bytes; `None` stands for the regular end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream breaks.
+    pub(crate) async fn bytes(&mut self) -> Result<Option<Bytes>, TransportError> {
+        if self.buffer.is_empty() && !self.fill().await? {
+            return Ok(None);
+        }
+        Ok(Some(self.buffer.split().freeze()))
+    }
+
+    async fn fill(&mut self) -> Result<bool, TransportError> {
+        let Some(data) = self.stream.data().await else {
+            return Ok(false);
+        };
+        let data = data?;
+        self.stream.flow_control().release_capacity(data.len())?;
+        self.buffer.extend_from_slice(&data);
+        Ok(true)
+    }
+
+    fn end<T>(&self) -> Result<Option<T>, TransportError> {
+        if self.buffer.is_empty() {
+            return Ok(None);
+        }
+        Err(TransportError::Ended)
+    }
+}
+
+/// Writes frames and raw bytes to a stream as its flow-control window allows.
+pub(crate) struct FrameWriter {
+    stream: SendStream<Bytes>,
+}
+
+impl FrameWriter {
+    /// Returns a writer to a stream.
+    pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream }
+    }
+
+    /// Writes one frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream breaks or the frame is too large.
+    pub(crate) async fn frame<T: Encode>(&mut self, value: &T) -> Result<(), TransportError> {
+        self.bytes(encode_frame(value)?).await
+    }
+
+    /// Writes raw bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream breaks.
+    pub(crate) async fn bytes(&mut self, mut bytes: Bytes) -> Result<(), TransportError> {
+        while !bytes.is_empty() {
+            self.stream.reserve_capacity(bytes.len());
+            let granted = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let granted = granted.ok_or(TransportError::Ended)??;
+            let part = bytes.split_to(granted.min(bytes.len()));
+            self.stream.send_data(part, false)?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream in the regular way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream is broken.
+    pub(crate) fn end(mut self) -> Result<(), TransportError> {
+        self.stream.send_data(Bytes::new(), true)?;
+        Ok(())
+    }
+
+    /// Resets the stream, so that the other side sees it end early.
+    pub(crate) fn reset(mut self) {
+        self.stream.send_reset(h2::Reason::CANCEL);
+    }
+
+    /// Waits until the other side resets the stream.
+    pub(crate) async fn closed(&mut self) {
+        let _ = poll_fn(|cx| self.stream.poll_reset(cx)).await;
+    }
+}
+
+fn encode_frame<T: Encode>(value: &T) -> Result<Bytes, TransportError> {
+    let body = bincode::encode_to_vec(value, config::standard())?;
+    let bytes = body.len();
+    if bytes > MAX_FRAME_BYTES {
+        return Err(TransportError::TooLarge { bytes });
+    }
+    let mut frame = BytesMut::with_capacity(PREFIX_BYTES + bytes);
+    frame.extend_from_slice(&u32::try_from(bytes).unwrap_or(u32::MAX).to_be_bytes());
+    frame.extend_from_slice(&body);
+    Ok(frame.freeze())
+}
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Tasks of the workspace.
+
+fn main() {}
