Lay out the bench as a library with subcommands

The stand-ins and experiments need a place to grow side by side: one file a subcommand, a thin command, and a verdict that maps to the exit code.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,9 @@
-//! Stand-ins, fault injection and experiments.
+//! Thin command of the bench.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    wagtaillever_bench::run(wagtaillever_bench::Arguments::parse())
+}
--- /dev/null
+++ b/crates/bench/src/subcommand.rs
@@ -0,0 +1,57 @@
+//! Subcommands of the bench, one file each.
+
+mod chaos;
+mod converge;
+mod demo;
+mod platform;
+
+use std::process::ExitCode;
+
+use crate::error::BenchError;
+
+/// What to run.
+#[derive(Debug, clap::Subcommand)]
+pub(crate) enum Subcommand {
+    /// Serves the platform stand-in until it is interrupted.
+    Platform(platform::Platform),
+    /// Runs a deployment on loopback and shows the whole path of a note and of calls.
+    Demo(demo::Demo),
+    /// Measures how fast and at what cost release notes come into force.
+    Converge(converge::Converge),
+    /// Runs a random schedule of faults and checks what must always hold.
+    Chaos(chaos::Chaos),
+}
+
+impl Subcommand {
+    /// Runs the subcommand.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the subcommand can't be run.
+    pub(crate) async fn run(self) -> Result<Verdict, BenchError> {
+        match self {
+            Self::Platform(platform) => platform.run().await,
+            Self::Demo(demo) => demo.run().await,
+            Self::Converge(converge) => converge.run().await,
+            Self::Chaos(chaos) => chaos.run().await,
+        }
+    }
+}
+
+/// Whether all that a subcommand checks held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// All held.
+    Held,
+    /// Something did not.
+    Broken,
+}
+
+impl From<Verdict> for ExitCode {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::Held => Self::SUCCESS,
+            Verdict::Broken => Self::FAILURE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/subcommand/chaos.rs
@@ -0,0 +1,18 @@
+//! Subcommand `chaos`.
+
+use crate::{error::BenchError, subcommand::Verdict};
+
+/// Arguments of `chaos`.
+#[derive(Debug, clap::Args)]
+pub(crate) struct Chaos {}
+
+impl Chaos {
+    /// Runs the subcommand.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the subcommand can't be run.
+    pub(crate) async fn run(self) -> Result<Verdict, BenchError> {
+        Ok(Verdict::Broken)
+    }
+}
