Choose the owner of an idempotency key by rendezvous hash

Only one sidecar may decide on a key, and every ingress has to find the same one without asking. `key_owner` ranks the upstreams that the configuration gives the service, within the failure domain that the key names if it has any there, whatever their state. Keys are parsed to one normal spelling, so another spelling is not another key.

Property tests: the owner is within the key's failure domain, and a withdrawal moves only the keys of the withdrawn upstream.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod fold;
 mod history;
+mod key;
 mod name;
 mod note;
 mod sequence;
@@ -19,6 +20,7 @@
     error::NoteError,
     fold::{Fold, FoldEvent},
     history::{History, Verdict},
+    key::{IdempotencyKey, KeyError, key_owner},
     name::{DomainName, RegionName, RouteName, ServiceName, UpstreamName, VmName},
     note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
     sequence::Sequence,
