Add the platform stand-in

Nodes read and watch the platform's configuration service; tests and experiments need one that counts calls and can fail.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod arguments;
 mod error;
+pub mod platform;
 mod subcommand;
 
 pub use crate::{
