Answer operators over HTTP from the node

The node had no way to be looked into. The admin service now serves health, readiness, status, a note's spread, metrics, the time line and drain orders on its own thread; an actor on the main thread answers what needs the other services. Orders need the bearer token of the settings, which is compared in constant time; without a token they are refused with 403 and the reason.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod key;
 mod name;
 mod note;
+mod report;
 mod sequence;
 mod vm;
 
@@ -23,6 +24,10 @@
     key::{IdempotencyKey, KeyError, key_owner},
     name::{DomainName, RegionName, RouteName, ServiceName, UpstreamName, VmName},
     note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    report::{
+        DomainReport, LaggardReport, NoteReport, NoteVerdict, PeerReport, RefusedReport,
+        SpreadReport, StatusReport,
+    },
     sequence::Sequence,
     vm::{Incarnation, VmEntry, VmList, VmState},
 };
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -1,26 +1,78 @@
-//! Service that answers operators.
+//! Service that answers operators over HTTP.
 
+mod exporter;
+mod queries;
+mod routes;
+#[cfg(test)]
+mod tests;
+mod token;
+
+use std::net::TcpListener;
+
+use actix::Actor;
+use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use futures_util::future::LocalBoxFuture;
+use log::info;
+use snafu::ResultExt;
 
-use crate::kernel::{Context, Service, StartError};
+use crate::{
+    admin::{exporter::Exporter, queries::Queries, routes::Shared, token::Guard},
+    kernel::{BindSnafu, Context, Service, StartError},
+};
 
 /// Service that answers operators.
 #[derive(Default)]
-pub(crate) struct Admin {}
+pub(crate) struct Admin {
+    server: Option<ServerHandle>,
+}
+
+/// Threads that answer operators.
+const WORKERS: usize = 1;
+/// Connections of operators that are held open at once.
+const MAX_CONNECTIONS: usize = 64;
+/// Longest time in seconds that a stop waits for answers in hand.
+const STOP_WAIT_S: u64 = 1;
 
 impl Service for Admin {
     fn name(&self) -> &'static str {
         "admin"
     }
 
-    fn start<'a>(
-        &'a mut self,
-        _context: &'a Context,
-    ) -> LocalBoxFuture<'a, Result<(), StartError>> {
-        Box::pin(async move { Ok(()) })
+    fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>> {
+        Box::pin(async move {
+            let address = context.settings().admin;
+            let listener = TcpListener::bind(address).context(BindSnafu { address })?;
+            let shared = Shared {
+                view: context.view().clone(),
+                timeline: context.timeline().clone(),
+                queries: Queries::new(context.clone()).start(),
+                exporter: Exporter::install(),
+                guard: Guard::new(context.settings().token.clone()),
+            };
+            let server = HttpServer::new(move || {
+                App::new()
+                    .app_data(web::Data::new(shared.clone()))
+                    .configure(routes::configure)
+            })
+            .workers(WORKERS)
+            .max_connections(MAX_CONNECTIONS)
+            .disable_signals()
+            .shutdown_timeout(STOP_WAIT_S)
+            .listen(listener)
+            .context(BindSnafu { address })?
+            .run();
+            info!("operators are answered on {address}");
+            self.server = Some(server.handle());
+            actix_rt::spawn(server);
+            Ok(())
+        })
     }
 
     fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(async move {})
+        Box::pin(async move {
+            if let Some(server) = self.server.take() {
+                server.stop(true).await;
+            }
+        })
     }
 }
--- /dev/null
+++ b/crates/node/src/admin/tests.rs
@@ -0,0 +1,140 @@
+use actix::Actor;
+use actix_web::{App, http::StatusCode, test, web::Data};
+use serde_json::{Value, json};
+
+use super::{exporter::Exporter, queries::Queries, routes, routes::Shared, token::Guard};
+use crate::{kernel::Context, settings::Settings, view::Phase};
+
+const SETTINGS: &str = "
+vm: vm-1
+domain: modica
+region: sicily
+address: 127.0.0.1
+callers: 127.0.0.1:0
+peers: 127.0.0.1:0
+admin: 127.0.0.1:0
+";
+
+/// One request to an admin interface and its expected answer.
+struct Case {
+    context: Context,
+    token: Option<&'static str>,
+}
+
+impl Case {
+    fn new() -> Self {
+        let settings: Settings = serde_yaml_ng::from_str(SETTINGS).unwrap();
+        Self {
+            context: Context::new(settings.into()),
+            token: None,
+        }
+    }
+
+    fn phase(self, phase: Phase) -> Self {
+        self.context.view().set_phase(phase);
+        self
+    }
+
+    fn token(mut self, token: &'static str) -> Self {
+        self.token = Some(token);
+        self
+    }
+
+    async fn send(&self, request: test::TestRequest) -> (StatusCode, Value) {
+        let shared = Shared {
+            view: self.context.view().clone(),
+            timeline: self.context.timeline().clone(),
+            queries: Queries::new(self.context.clone()).start(),
+            exporter: Exporter::install(),
+            guard: Guard::new(self.token.map(String::from)),
+        };
+        let app = App::new()
+            .app_data(Data::new(shared))
+            .configure(routes::configure);
+        let app = test::init_service(app).await;
+        let response = test::call_service(&app, request.to_request()).await;
+        let status = response.status();
+        let body = test::read_body(response).await;
+        (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+    }
+
+    async fn get(&self, path: &str) -> (StatusCode, Value) {
+        self.send(test::TestRequest::get().uri(path)).await
+    }
+
+    async fn order(&self, bearer: Option<&str>, body: Value) -> (StatusCode, Value) {
+        let mut request = test::TestRequest::post().uri("/drains").set_json(body);
+        if let Some(bearer) = bearer {
+            request = request.insert_header(("authorization", format!("Bearer {bearer}")));
+        }
+        self.send(request).await
+    }
+}
+
+fn drain_modica() -> Value {
+    json!({"number": 4, "scope": {"domain": "modica"}, "action": "drain"})
+}
+
+#[actix_web::test]
+async fn readiness_follows_the_phase() {
+    let (status, body) = Case::new().get("/ready").await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(body["reason"], "the services start");
+    let (status, body) = Case::new().phase(Phase::Serving).get("/ready").await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(body["ready"], true);
+}
+
+#[actix_web::test]
+async fn status_names_the_node() {
+    let (status, body) = Case::new().get("/status").await;
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(body["vm"], "vm-1");
+    assert_eq!(body["domain"], "modica");
+    assert_eq!(body["note"], 0);
+}
+
+#[actix_web::test]
+async fn orders_need_the_token() {
+    let (status, body) = Case::new().order(Some("secret"), drain_modica()).await;
+    assert_eq!(status, StatusCode::FORBIDDEN, "{body}");
+    let case = Case::new().token("secret");
+    let (status, _) = case.order(None, drain_modica()).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    let (status, _) = case.order(Some("secreT"), drain_modica()).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    let (status, _) = case.order(Some("secret-and-more"), drain_modica()).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    assert_eq!(case.context.view().load().drains.highest(), 0);
+}
+
+#[actix_web::test]
+async fn an_order_comes_into_force_once() {
+    let case = Case::new().token("secret");
+    for _ in 0..2 {
+        let (status, body) = case.order(Some("secret"), drain_modica()).await;
+        assert_eq!(status, StatusCode::OK);
+        assert_eq!(body, json!([drain_modica()]));
+    }
+    let (_, events) = case.get("/timeline?after=0.0").await;
+    assert_eq!(events.as_array().unwrap().len(), 1);
+    assert_eq!(events[0]["event"], "order_applied");
+}
+
+#[actix_web::test]
+async fn malformed_requests_are_refused() {
+    let case = Case::new().token("secret");
+    let (status, _) = case.order(Some("secret"), json!({"number": 1})).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    let (status, _) = case.get("/timeline?after=x.y").await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
+
+#[actix_web::test]
+async fn metrics_are_prometheus_text() {
+    let case = Case::new();
+    case.get("/health").await;
+    metrics::counter!("admin_test_total").increment(1);
+    let text = Exporter::install().render();
+    assert!(text.contains("admin_test_total 1"), "{text}");
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -33,6 +33,18 @@
     Stopping,
 }
 
+impl Phase {
+    /// Returns the name of the phase.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Joining => "joining",
+            Self::Serving => "serving",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
 /// Shared cell that holds the newest view; safe to use from all threads.
 #[derive(Clone, Debug)]
 pub(crate) struct ViewCell {
