Give operators a command for notes, status, time line and drains

Operators had no way to check a note before handing it over, to see the fleet or to take a failure domain out. The command checks, folds and compares notes, merges what all reachable nodes report, and gives drain orders; a node that is out of reach is named on standard error, costs exit code 4 and hides no other.

--- /dev/null
+++ b/crates/cli/src/command/note/diff.rs
@@ -0,0 +1,146 @@
+//! `wagtaillever note diff`
+
+use std::{
+    collections::BTreeMap,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use clap::Args;
+use serde::Serialize;
+use serde_json::Value;
+use wagtaillever_coordination::{Config, Sequence};
+
+use super::input;
+use crate::{error::CliError, output, output::Exit};
+
+/// Arguments of `note diff`.
+#[derive(Debug, Args)]
+pub(crate) struct Diff {
+    /// Base to compare with.
+    old: PathBuf,
+    /// Note that would change it (`.yaml`), or a newer base (`.json`).
+    new: PathBuf,
+}
+
+#[derive(Serialize)]
+struct Difference {
+    from: Sequence,
+    to: Sequence,
+    services: Changed,
+    routes: Changed,
+    upstreams: Changed,
+}
+
+#[derive(Default, Serialize)]
+struct Changed {
+    added: BTreeMap<String, Value>,
+    changed: BTreeMap<String, Change>,
+    withdrawn: BTreeMap<String, Value>,
+}
+
+#[derive(Serialize)]
+struct Change {
+    from: Value,
+    to: Value,
+}
+
+impl Diff {
+    pub(crate) fn run(&self, json: bool) -> Result<Exit, CliError> {
+        let old = input::read_base(Some(&self.old))?;
+        let new = read_new(&old, &self.new)?;
+        let difference = Difference {
+            from: old.sequence,
+            to: new.sequence,
+            services: compare(&old.services, &new.services)?,
+            routes: compare(&old.routes, &new.routes)?,
+            upstreams: compare(&old.upstreams, &new.upstreams)?,
+        };
+        output::print(json, &difference, render)?;
+        Ok(Exit::Done)
+    }
+}
+
+fn read_new(old: &Config, path: &Path) -> Result<Config, CliError> {
+    if path
+        .extension()
+        .is_some_and(|extension| extension == "json")
+    {
+        return input::read_base(Some(path));
+    }
+    let (_, config) = input::apply(old, path)?;
+    Ok(config)
+}
+
+fn compare<N, T>(old: &BTreeMap<N, Arc<T>>, new: &BTreeMap<N, Arc<T>>) -> Result<Changed, CliError>
+where
+    N: Ord + ToString,
+    T: PartialEq + Serialize,
+{
+    let mut changed = Changed::default();
+    for (name, thing) in new {
+        let value = serde_json::to_value(thing)?;
+        match old.get(name) {
+            None => {
+                changed.added.insert(name.to_string(), value);
+            }
+            Some(known) if known != thing => {
+                let from = serde_json::to_value(known)?;
+                let change = Change { from, to: value };
+                changed.changed.insert(name.to_string(), change);
+            }
+            Some(_) => {}
+        }
+    }
+    for (name, thing) in old.iter().filter(|(name, _)| !new.contains_key(*name)) {
+        let value = serde_json::to_value(thing)?;
+        changed.withdrawn.insert(name.to_string(), value);
+    }
+    Ok(changed)
+}
+
+fn render(difference: &Difference) -> String {
+    let kinds = [
+        ("service", &difference.services),
+        ("route", &difference.routes),
+        ("upstream", &difference.upstreams),
+    ];
+    let heading = format!("from note {} to note {}\n", difference.from, difference.to);
+    let lines = kinds
+        .iter()
+        .map(|(kind, changed)| render_changed(kind, changed));
+    [heading].into_iter().chain(lines).collect()
+}
+
+fn render_changed(kind: &str, changed: &Changed) -> String {
+    let added = changed.added.iter();
+    let added = added.map(|(name, value)| format!("+ {kind} {name} {value}\n"));
+    let altered = changed.changed.iter();
+    let altered = altered.map(|(name, change)| format!("~ {kind} {name}{}\n", fields(change)));
+    let withdrawn = changed.withdrawn.keys();
+    let withdrawn = withdrawn.map(|name| format!("- {kind} {name}\n"));
+    added.chain(altered).chain(withdrawn).collect()
+}
+
+/// Returns the fields that differ.
+fn fields(change: &Change) -> String {
+    let (Value::Object(from), Value::Object(to)) = (&change.from, &change.to) else {
+        return String::new();
+    };
+    let mut names: Vec<_> = from.keys().chain(to.keys()).collect();
+    names.sort();
+    names.dedup();
+    let differing = names
+        .into_iter()
+        .filter(|name| from.get(*name) != to.get(*name));
+    let value = |value: Option<&Value>| value.map_or("none".to_string(), Value::to_string);
+    differing
+        .map(|name| {
+            format!(
+                " {name}: {} -> {}",
+                value(from.get(name)),
+                value(to.get(name))
+            )
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/cli/src/command/note/input.rs
@@ -0,0 +1,42 @@
+//! Files that the subcommands of `note` read.
+
+use std::{fs, path::Path};
+
+use snafu::ResultExt;
+use wagtaillever_coordination::{Config, ReleaseNote, Sequence};
+
+use crate::error::{CliError, NoteSnafu, ReadSnafu};
+
+/// Reads a file.
+pub(crate) fn read(path: &Path) -> Result<Vec<u8>, CliError> {
+    fs::read(path).context(ReadSnafu { path })
+}
+
+/// Reads a base, or returns the empty one at sequence 0.
+pub(crate) fn read_base(path: Option<&Path>) -> Result<Config, CliError> {
+    let Some(path) = path else {
+        return Ok(Config::default());
+    };
+    let text = read(path)?;
+    Config::parse(&text).context(NoteSnafu { path })
+}
+
+/// Reads a note and applies it to a configuration.
+pub(crate) fn apply(config: &Config, path: &Path) -> Result<(ReleaseNote, Config), CliError> {
+    let text = read(path)?;
+    let note = ReleaseNote::parse(&text).context(NoteSnafu { path })?;
+    let next = config.apply(&note).context(NoteSnafu { path })?;
+    Ok((note, next))
+}
+
+/// Reads a note and the sequence number under which it stands: the number that
+/// is its file name, or else the one that the note names.
+pub(crate) fn read_numbered(path: &Path) -> Result<(Sequence, Vec<u8>), CliError> {
+    let text = read(path)?;
+    let stem = path.file_stem().and_then(|stem| stem.to_str());
+    if let Some(number) = stem.and_then(|stem| stem.parse().ok()) {
+        return Ok((Sequence(number), text));
+    }
+    let note = ReleaseNote::parse(&text).context(NoteSnafu { path })?;
+    Ok((note.note, text))
+}
--- /dev/null
+++ b/crates/cli/src/command/note/status.rs
@@ -0,0 +1,87 @@
+//! `wagtaillever note status`
+
+use clap::Args;
+use wagtaillever_coordination::{NoteReport, NoteVerdict, SpreadReport};
+
+use crate::{error::CliError, nodes::Nodes, output, output::Exit, table::Table};
+
+/// Arguments of `note status`.
+#[derive(Debug, Args)]
+pub(crate) struct Status {
+    /// Sequence number of the note.
+    sequence: u64,
+}
+
+impl Status {
+    pub(crate) async fn run(&self, json: bool, nodes: &Nodes) -> Result<Exit, CliError> {
+        let path = format!("/notes/{}", self.sequence);
+        let answers = nodes.get::<NoteReport>(&path).await?;
+        let exit = answers.exit();
+        let report = merge(answers.found.into_iter().map(|(_, report)| report));
+        if let Some(report) = report {
+            output::print(json, &report, render)?;
+        }
+        Ok(exit)
+    }
+}
+
+/// Takes the best known verdict and, for each failure domain, the newest spread.
+fn merge(reports: impl Iterator<Item = NoteReport>) -> Option<NoteReport> {
+    reports.reduce(|mut merged, report| {
+        if weight(report.verdict) > weight(merged.verdict) {
+            merged.verdict = report.verdict;
+            merged.reason = report.reason;
+        }
+        for (domain, spread) in report.fleet {
+            let known = merged.fleet.entry(domain).or_default();
+            if is_newer(&spread, known) {
+                *known = spread;
+            }
+        }
+        merged
+    })
+}
+
+/// A note reaches nodes and never leaves them, so the larger count is the newer one.
+fn is_newer(spread: &SpreadReport, known: &SpreadReport) -> bool {
+    (spread.reached, spread.nodes) > (known.reached, known.nodes)
+}
+
+fn weight(verdict: NoteVerdict) -> u8 {
+    match verdict {
+        NoteVerdict::Pending => 0,
+        NoteVerdict::Folded => 1,
+        NoteVerdict::Accepted => 2,
+        NoteVerdict::Refused => 3,
+    }
+}
+
+fn render(report: &NoteReport) -> String {
+    let mut table = Table::new(&["DOMAIN", "NODES", "IN FORCE", "BEHIND"]);
+    for (domain, spread) in &report.fleet {
+        let behind = spread.laggards.iter();
+        let behind = behind.map(|laggard| format!("{} ({})", laggard.vm, laggard.reason));
+        table.row([
+            domain.to_string(),
+            spread.nodes.to_string(),
+            spread.reached.to_string(),
+            behind.collect::<Vec<_>>().join(", "),
+        ]);
+    }
+    format!("{}\n{}", describe(report), table.render())
+}
+
+fn describe(report: &NoteReport) -> String {
+    let note = report.note;
+    match report.verdict {
+        NoteVerdict::Accepted => format!("note {note} is accepted"),
+        NoteVerdict::Folded => {
+            format!("note {note} is passed; its verdict is no longer kept by these nodes")
+        }
+        NoteVerdict::Pending => format!("note {note} has not reached these nodes"),
+        NoteVerdict::Refused => {
+            let reason = report.reason.as_deref().unwrap_or("no reason is known");
+            format!("note {note} is refused and changed nothing: {reason}")
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/timeline.rs
@@ -0,0 +1,90 @@
+//! `wagtaillever timeline`
+
+use std::fmt::Write;
+
+use clap::Args;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::{error::CliError, nodes::Nodes, output, output::Exit};
+
+/// Arguments of `timeline`.
+#[derive(Debug, Args)]
+pub(crate) struct Timeline {
+    /// Shows only events of this release note.
+    #[arg(long)]
+    note: Option<u64>,
+    /// Shows only events of this call.
+    #[arg(long)]
+    call: Option<String>,
+    /// Shows only events on this VM.
+    #[arg(long)]
+    vm: Option<String>,
+    /// Shows only events after this time stamp, as <wall_ms>.<counter>.
+    #[arg(long, default_value = "0.0")]
+    after: String,
+}
+
+/// Time stamp of a hybrid logical clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct Stamp {
+    wall_ms: u64,
+    counter: u32,
+}
+
+/// One event of one process; what it holds besides depends on its kind.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Event {
+    at: Stamp,
+    vm: String,
+    #[serde(default)]
+    incarnation: u64,
+    event: String,
+    #[serde(flatten)]
+    details: Map<String, Value>,
+}
+
+impl Timeline {
+    pub(crate) async fn run(&self, json: bool, nodes: &Nodes) -> Result<Exit, CliError> {
+        let path = format!("/timeline?after={}", self.after);
+        let answers = nodes.get::<Vec<Event>>(&path).await?;
+        let exit = answers.exit();
+        let events = answers.found.into_iter().flat_map(|(_, events)| events);
+        let events = merge(events.filter(|event| self.shows(event)));
+        output::print(json, &events, |events| render(events))?;
+        Ok(exit)
+    }
+
+    fn shows(&self, event: &Event) -> bool {
+        let is_note = |note: &u64| event.details.get("note").and_then(Value::as_u64) == Some(*note);
+        let is_call = |call: &String| event.details.get("call").is_some_and(|held| held == call);
+        self.note.as_ref().is_none_or(is_note)
+            && self.call.as_ref().is_none_or(is_call)
+            && self.vm.as_ref().is_none_or(|vm| event.vm == *vm)
+    }
+}
+
+fn merge(events: impl Iterator<Item = Event>) -> Vec<Event> {
+    let mut events: Vec<_> = events.collect();
+    events.sort_by(|a, b| (a.at, &a.vm, a.incarnation).cmp(&(b.at, &b.vm, b.incarnation)));
+    events.dedup();
+    events
+}
+
+fn render(events: &[Event]) -> String {
+    let width = events.iter().map(|event| event.vm.len()).max().unwrap_or(0);
+    let mut text = String::new();
+    for event in events {
+        let Stamp { wall_ms, counter } = event.at;
+        let _ = write!(
+            text,
+            "{wall_ms}.{counter:<3} {:width$} {}",
+            event.vm, event.event
+        );
+        for (key, value) in &event.details {
+            let _ = write!(text, " {key}={value}");
+        }
+        text.push('\n');
+    }
+    text
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate performs no I/O: time and randomness are passed in by the caller,
 //! so every decision can be replayed from a seed.
 
+mod base;
 mod config;
 mod drain;
 mod error;
@@ -16,6 +17,7 @@
 mod vm;
 
 pub use crate::{
+    base::{Base, BaseIndex, Publication},
     config::{Config, Route, Service, Upstream},
     drain::{DrainAction, DrainList, DrainOrder, DrainScope},
     error::NoteError,
