--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -41,7 +41,10 @@
         let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
         let width = |column: usize| {
             let cells = self.rows.iter().filter_map(|row| row.get(column));
-            cells.map(|cell: &String| cell.chars().count()).max().unwrap_or(0)
+            cells
+                .map(|cell: &String| cell.chars().count())
+                .max()
+                .unwrap_or(0)
         };
         (0..columns).map(width).collect()
     }
