Add the stand-in of an upstream and open-loop callers; take hyper towards upstreams

Cause: an answer that breaks off must be told from a whole one, and 'did not run' must be true. Change: a stand-in with slots, cold start, crashes and exact counts; callers with Poisson arrivals; hyper as the client of both, after a test showed that awc takes a cut answer for a whole one. Conclusion: hyper on the hop to upstreams; awc stays for small documents.

--- /dev/null
+++ b/crates/bench/src/caller.rs
@@ -0,0 +1,14 @@
+//! Open-loop callers with Poisson arrivals, deadlines and resends.
+
+mod driver;
+mod record;
+mod sending;
+mod tally;
+mod workload;
+
+pub(crate) use self::{
+    driver::{CallerLoad, Target},
+    record::{Answered, CallRecord, SendingRecord, Told},
+    tally::{Bucket, Tally},
+    workload::{CallKind, Workload},
+};
--- /dev/null
+++ b/crates/bench/src/caller/driver.rs
@@ -0,0 +1,254 @@
+//! Drives the callers from a few threads.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{task::JoinHandle, time::sleep};
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use crate::{
+    caller::{
+        Answered, CallKind, CallRecord, SendingRecord, Told, Workload,
+        sending::{Reply, Sending},
+    },
+    http_client::HttpClient,
+};
+
+/// A node that callers can use.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    /// Address on which the node serves callers.
+    pub(crate) address: SocketAddr,
+    /// Failure domain of the node.
+    pub(crate) domain: String,
+}
+
+/// Load that runs until it is told to stop.
+pub(crate) struct CallerLoad {
+    started: Instant,
+    token: CancellationToken,
+    sent: Arc<AtomicU64>,
+    threads: Vec<thread::JoinHandle<Vec<CallRecord>>>,
+}
+
+/// Threads that drive callers.
+const THREADS: u64 = 3;
+/// Calls after which those that ended are forgotten.
+const SWEEP_CALLS: usize = 4096;
+/// Pause before a resend when the answer names none.
+const RESEND_PAUSE: Duration = Duration::from_millis(50);
+
+impl CallerLoad {
+    /// Starts callers that use the targets.
+    pub(crate) fn start(targets: Vec<Target>, workload: Workload, seed: u64) -> Self {
+        let started = Instant::now();
+        let token = CancellationToken::new();
+        let sent = Arc::new(AtomicU64::new(0));
+        let spawn = |at| {
+            let load = Thread {
+                targets: targets.clone(),
+                workload: workload.clone(),
+                started,
+                token: token.clone(),
+                sent: Arc::clone(&sent),
+                number: at,
+            };
+            thread::spawn(move || {
+                let system = actix_rt::System::new();
+                system.block_on(load.run(SmallRng::seed_from_u64(seed ^ (at << 32))))
+            })
+        };
+        let threads = (0..THREADS).map(spawn).collect();
+        Self {
+            started,
+            token,
+            sent,
+            threads,
+        }
+    }
+
+    /// Returns when the load started.
+    pub(crate) fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Returns the number of requests sent so far.
+    pub(crate) fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Stops new requests, waits for the answers and returns all records.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a thread of the callers panicked.
+    pub(crate) async fn finish(self) -> Vec<CallRecord> {
+        self.token.cancel();
+        let joined = tokio::task::spawn_blocking(move || {
+            let join = |thread: thread::JoinHandle<_>| thread.join().expect("callers do not panic");
+            self.threads.into_iter().flat_map(join).collect()
+        });
+        joined.await.expect("joining does not panic")
+    }
+}
+
+struct Thread {
+    targets: Vec<Target>,
+    workload: Workload,
+    started: Instant,
+    token: CancellationToken,
+    sent: Arc<AtomicU64>,
+    number: u64,
+}
+
+impl Thread {
+    async fn run(self, mut rng: SmallRng) -> Vec<CallRecord> {
+        let client = HttpClient::default();
+        let thread = Rc::new(self);
+        let records = Rc::new(RefCell::new(Vec::new()));
+        let mut calls: Vec<JoinHandle<()>> = Vec::new();
+        let mut due = Duration::ZERO;
+        let mut count = 0_u64;
+        loop {
+            due += thread.gap(&mut rng);
+            if !thread.wait_until(due).await {
+                break;
+            }
+            thread.sent.fetch_add(1, Ordering::Relaxed);
+            let call = Call {
+                id: format!("{}-{count}", thread.number),
+                due,
+                kind: thread.workload.draw(&mut rng).clone(),
+                rng: SmallRng::seed_from_u64(rng.random()),
+            };
+            count += 1;
+            let (thread, client) = (Rc::clone(&thread), client.clone());
+            let records = Rc::clone(&records);
+            calls.push(actix_rt::spawn(async move {
+                let record = call.run(&thread, &client).await;
+                records.borrow_mut().push(record);
+            }));
+            if calls.len() > SWEEP_CALLS {
+                calls.retain(|call| !call.is_finished());
+            }
+        }
+        for call in calls {
+            let _ = call.await;
+        }
+        records.take()
+    }
+
+    fn gap(&self, rng: &mut SmallRng) -> Duration {
+        let rate = self.workload.rate / THREADS as f64;
+        let draw = 1.0 - rng.random::<f64>();
+        Duration::from_secs_f64(-draw.ln() / rate)
+    }
+
+    async fn wait_until(&self, due: Duration) -> bool {
+        let left = due.saturating_sub(self.started.elapsed());
+        if left.is_zero() {
+            return !self.token.is_cancelled();
+        }
+        tokio::select! {
+            () = self.token.cancelled() => false,
+            () = sleep(left) => true,
+        }
+    }
+}
+
+struct Call {
+    id: String,
+    due: Duration,
+    kind: CallKind,
+    rng: SmallRng,
+}
+
+impl Call {
+    async fn run(mut self, thread: &Thread, client: &HttpClient) -> CallRecord {
+        let deadline = self.due + thread.workload.deadline;
+        let caller = self.rng.random_range(0..thread.workload.callers.max(1));
+        let caller = format!("caller-{caller}");
+        let mut node = self.rng.random_range(0..thread.targets.len());
+        let key = self.kind.keyed.then(|| {
+            let domain = &thread.targets[node].domain;
+            format!("{domain}.{}", Uuid::now_v7())
+        });
+        let mut sendings: Vec<SendingRecord> = Vec::new();
+        loop {
+            let id = format!("{}#{}", self.id, sendings.len());
+            let sending = Sending {
+                client,
+                target: &thread.targets[node],
+                kind: &self.kind,
+                request: &self.id,
+                id: &id,
+                key: key.as_deref(),
+                caller: &caller,
+                left: deadline.saturating_sub(thread.started.elapsed()),
+            };
+            let reply = sending.run().await;
+            sendings.push(SendingRecord {
+                id,
+                node,
+                told: reply.told,
+                reason: reply.reason.clone(),
+                ended: thread.started.elapsed(),
+            });
+            let pause = self.pause(&reply);
+            let next = thread.started.elapsed() + pause;
+            let is_last = sendings.len() as u32 >= thread.workload.sendings;
+            if !is_worth_resending(reply.told) || is_last || next >= deadline {
+                break;
+            }
+            sleep(pause).await;
+            node = self.other_node(node, thread.targets.len());
+        }
+        CallRecord {
+            answered: answered(&sendings),
+            id: self.id,
+            service: self.kind.service,
+            keyed: self.kind.keyed,
+            due: self.due,
+            took: thread.started.elapsed().saturating_sub(self.due),
+            sendings,
+        }
+    }
+
+    fn pause(&mut self, reply: &Reply) -> Duration {
+        let base = reply.after.max(RESEND_PAUSE);
+        base.mul_f64(0.75 + self.rng.random::<f64>() / 2.0)
+    }
+
+    fn other_node(&mut self, node: usize, nodes: usize) -> usize {
+        if nodes == 1 {
+            return node;
+        }
+        (node + self.rng.random_range(1..nodes)) % nodes
+    }
+}
+
+fn is_worth_resending(told: Told) -> bool {
+    !matches!(told, Told::Good | Told::Wrong | Told::Ran | Told::TimedOut)
+}
+
+fn answered(sendings: &[SendingRecord]) -> Answered {
+    let last = sendings.last().map(|sending| sending.told);
+    match last {
+        Some(Told::Good) => Answered::Good,
+        Some(Told::Wrong) => Answered::Wrong,
+        Some(Told::Broken) => Answered::Broken,
+        _ if sendings.iter().any(|sending| sending.told.may_have_run()) => Answered::Unknown,
+        _ => Answered::Refused,
+    }
+}
--- /dev/null
+++ b/crates/bench/src/caller/tally.rs
@@ -0,0 +1,116 @@
+//! Sums over the requests of callers.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::caller::{Answered, CallRecord, Told};
+
+/// Sums over the requests that were due in a span.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    /// Requests that were due.
+    pub(crate) offered: u64,
+    /// Requests by what became of them.
+    pub(crate) answered: BTreeMap<Answered, u64>,
+    /// Sendings by what they told.
+    pub(crate) told: BTreeMap<Told, u64>,
+    /// Refusals by reason.
+    pub(crate) reasons: BTreeMap<String, u64>,
+    /// Time from when good requests were due until their answer, in microseconds.
+    pub(crate) latency: Histogram<u64>,
+}
+
+/// One slice of time of a run.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Bucket {
+    /// Start of the slice since the start of the load, in milliseconds.
+    pub(crate) at_ms: u64,
+    /// Requests that were due.
+    pub(crate) offered: u64,
+    /// Requests of these that got their answer.
+    pub(crate) good: u64,
+    /// Requests of these that were refused.
+    pub(crate) refused: u64,
+    /// Requests of these that ended unknown or broken.
+    pub(crate) unknown: u64,
+    /// Longest time of a good request, in milliseconds.
+    pub(crate) max_ms: f64,
+}
+
+impl Tally {
+    /// Sums the records that were due in `from..to`.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: the histogram's precision is valid.
+    pub(crate) fn of(records: &[CallRecord], from: Duration, to: Duration) -> Self {
+        let mut tally = Self {
+            offered: 0,
+            answered: BTreeMap::new(),
+            told: BTreeMap::new(),
+            reasons: BTreeMap::new(),
+            latency: Histogram::new(3).expect("three digits are valid"),
+        };
+        let due = records
+            .iter()
+            .filter(|record| (from..to).contains(&record.due));
+        for record in due {
+            tally.add(record);
+        }
+        tally
+    }
+
+    /// Returns the requests that became `answered`.
+    pub(crate) fn count(&self, answered: Answered) -> u64 {
+        self.answered.get(&answered).copied().unwrap_or(0)
+    }
+
+    /// Returns a quantile of the latency of good requests, in milliseconds.
+    pub(crate) fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.latency.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    fn add(&mut self, record: &CallRecord) {
+        self.offered += 1;
+        *self.answered.entry(record.answered).or_default() += 1;
+        for sending in &record.sendings {
+            *self.told.entry(sending.told).or_default() += 1;
+            if !sending.reason.is_empty() {
+                *self.reasons.entry(sending.reason.clone()).or_default() += 1;
+            }
+        }
+        if record.answered == Answered::Good {
+            let micros = u64::try_from(record.took.as_micros()).unwrap_or(u64::MAX);
+            self.latency.saturating_record(micros);
+        }
+    }
+}
+
+impl Bucket {
+    /// Cuts a run into slices of `width`.
+    pub(crate) fn series(records: &[CallRecord], width: Duration) -> Vec<Self> {
+        let mut buckets: BTreeMap<u64, Self> = BTreeMap::new();
+        let width = u64::try_from(width.as_millis()).unwrap_or(u64::MAX).max(1);
+        for record in records {
+            let at = u64::try_from(record.due.as_millis()).unwrap_or(u64::MAX) / width * width;
+            let bucket = buckets.entry(at).or_default();
+            bucket.at_ms = at;
+            bucket.add(record);
+        }
+        buckets.into_values().collect()
+    }
+
+    fn add(&mut self, record: &CallRecord) {
+        self.offered += 1;
+        match record.answered {
+            Answered::Good => {
+                self.good += 1;
+                self.max_ms = self.max_ms.max(record.took.as_secs_f64() * 1e3);
+            }
+            Answered::Refused => self.refused += 1,
+            Answered::Wrong | Answered::Unknown | Answered::Broken => self.unknown += 1,
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,11 +1,15 @@
 //! Stand-ins, fault injection and experiments for wagtaillever.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 mod arguments;
+mod caller;
 mod error;
 pub mod platform;
+mod http_client;
+mod pattern;
 mod subcommand;
+mod upstream;
 
 pub use crate::{
     arguments::{Arguments, run},
--- /dev/null
+++ b/crates/bench/src/upstream.rs
@@ -0,0 +1,15 @@
+//! Stand-in of an upstream: slots, connections, cold start, crashes and exact counts.
+
+mod control;
+mod model;
+mod serve;
+mod state;
+
+pub(crate) use self::{
+    control::{Upstream, UpstreamError},
+    model::{HealthMode, UpstreamModel},
+    state::{Arrival, Counts, Execution, UpstreamState},
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/bench/src/upstream/control.rs
@@ -0,0 +1,183 @@
+//! Start, crash, restart and stop of a stand-in of an upstream.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use actix_web::{
+    App, HttpServer,
+    dev::{Server, ServerHandle},
+    web::Data,
+};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+
+use crate::upstream::{
+    UpstreamModel, UpstreamState,
+    serve::{Process, configure, connected},
+};
+
+/// Why a stand-in can't run.
+#[derive(Debug, Snafu)]
+pub(crate) enum UpstreamError {
+    /// The address can't be bound.
+    #[snafu(display("address {address} can't be bound: {source}"))]
+    Bind {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// Order to a stand-in.
+pub(super) enum Command {
+    /// A request crashed the process.
+    Crash,
+    /// The process fell over under load.
+    FallOver,
+    /// The process is killed; it comes back after the time given, or with `None` not at all.
+    Kill(Option<Duration>),
+    /// The process ends after its requests are answered.
+    Stop(oneshot::Sender<()>),
+}
+
+/// Handle of a running stand-in.
+#[derive(Clone)]
+pub(crate) struct Upstream {
+    address: SocketAddr,
+    state: UpstreamState,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl Upstream {
+    /// Starts a cold stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be bound.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        model: UpstreamModel,
+        seed: u64,
+    ) -> Result<Self, UpstreamError> {
+        let state = UpstreamState::new(model, seed);
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let upstream = Self {
+            address,
+            state,
+            commands,
+        };
+        let handle = upstream.spawn_process()?;
+        actix_rt::spawn(upstream.clone().control(handle, receiver));
+        Ok(upstream)
+    }
+
+    /// Returns the address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the state and the counts.
+    pub(crate) fn state(&self) -> &UpstreamState {
+        &self.state
+    }
+
+    /// Kills the process; it comes back cold after `down`, or not at all.
+    pub(crate) fn kill(&self, down: Option<Duration>) {
+        let _ = self.commands.send(Command::Kill(down));
+    }
+
+    /// Stops the process after its requests are answered.
+    pub(crate) async fn stop(&self) {
+        let (done, stopped) = oneshot::channel();
+        if self.commands.send(Command::Stop(done)).is_ok() {
+            let _ = stopped.await;
+        }
+    }
+
+    async fn control(
+        self,
+        mut handle: ServerHandle,
+        mut receiver: mpsc::UnboundedReceiver<Command>,
+    ) {
+        while let Some(command) = receiver.recv().await {
+            let down = match command {
+                Command::Crash => {
+                    self.state.count_crash();
+                    Some(self.down())
+                }
+                Command::FallOver => Some(self.down()),
+                Command::Kill(down) => down,
+                Command::Stop(done) => {
+                    handle.stop(true).await;
+                    let _ = done.send(());
+                    return;
+                }
+            };
+            handle.stop(false).await;
+            self.state.restart();
+            let Some(down) = down else { return };
+            sleep(down).await;
+            while receiver.try_recv().is_ok_and(|late| !late.is_stop()) {}
+            handle = match self.spawn_again().await {
+                Some(handle) => handle,
+                None => return,
+            };
+        }
+    }
+
+    async fn spawn_again(&self) -> Option<ServerHandle> {
+        for _ in 0..BIND_ATTEMPTS {
+            if let Ok(handle) = self.spawn_process() {
+                return Some(handle);
+            }
+            sleep(BIND_PAUSE).await;
+        }
+        None
+    }
+
+    fn down(&self) -> Duration {
+        Duration::from_millis(self.state.model().down_ms)
+    }
+
+    fn spawn_process(&self) -> Result<ServerHandle, UpstreamError> {
+        let process = Process {
+            state: self.state.clone(),
+            epoch: self.state.epoch(),
+            commands: self.commands.clone(),
+        };
+        let server = serve(self.address, process).context(BindSnafu {
+            address: self.address,
+        })?;
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(handle)
+    }
+}
+
+/// Attempts to bind the address again after a crash.
+const BIND_ATTEMPTS: u32 = 50;
+/// Pause between these attempts.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time that a regular stop waits for requests, in seconds.
+const STOP_TIMEOUT_S: u64 = 30;
+
+impl Command {
+    fn is_stop(&self) -> bool {
+        matches!(self, Self::Stop(_))
+    }
+}
+
+fn serve(address: SocketAddr, process: Process) -> io::Result<Server> {
+    let shared = Data::new(process.clone());
+    let server = HttpServer::new(move || App::new().app_data(shared.clone()).configure(configure))
+        .on_connect(move |io, data| connected(&process, io, data))
+        .workers(1)
+        .h1_allow_half_closed(false)
+        .disable_signals()
+        .shutdown_timeout(STOP_TIMEOUT_S)
+        .bind(address)?;
+    Ok(server.run())
+}
