--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,9 +5,9 @@
 mod arguments;
 mod caller;
 mod error;
-pub mod platform;
 mod http_client;
 mod pattern;
+pub mod platform;
 mod subcommand;
 mod upstream;
 
