Serve calls on the sidecar: check, forward, stream back

The node took no calls yet. The sidecar now decodes a call's head, refuses with a proved did-not-run whatever it has not or may not serve, forwards the rest by `awc` within the upstream's slots and streams the answer back.

`awc` ends a body regularly when the connection ends in the middle of it, and does not tell whether a failed request was written. The connector therefore hands out streams that note writes and the end of the connection on the trace of the call that polls them, from which the outcome and the cut of a body follow.

--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -1,26 +1,75 @@
 //! Service that admits calls to the upstreams of this VM.
 
+#[cfg(test)]
+mod tests;
+
+mod answer;
+mod call;
+mod connector;
+mod forward;
+mod handler;
+mod headers;
+mod refuse;
+mod shared;
+mod upstream;
+mod upstreams;
+
+use std::{rc::Rc, time::Duration};
+
 use futures_util::future::LocalBoxFuture;
+use tokio::time::interval;
 
-use crate::kernel::{Context, Service, StartError};
+use crate::{
+    kernel::{Context, Service, StartError},
+    sidecar::{handler::CallHandler, shared::Shared},
+};
 
 /// Service that admits calls to the upstreams of this VM.
 #[derive(Default)]
-pub(crate) struct Sidecar {}
+pub(crate) struct Sidecar {
+    shared: Option<Rc<Shared>>,
+}
+
+/// Time between two sweeps of what was withdrawn.
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
 
 impl Service for Sidecar {
     fn name(&self) -> &'static str {
         "sidecar"
     }
 
-    fn start<'a>(
-        &'a mut self,
-        _context: &'a Context,
-    ) -> LocalBoxFuture<'a, Result<(), StartError>> {
-        Box::pin(async move { Ok(()) })
+    fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>> {
+        Box::pin(async move {
+            let shared = Rc::new(Shared::new(context.clone()));
+            let handler = Rc::new(CallHandler::new(Rc::clone(&shared)));
+            context.registry().publish_handler("call", handler);
+            actix_rt::spawn(follow(Rc::clone(&shared)));
+            self.shared = Some(shared);
+            Ok(())
+        })
     }
 
     fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(async move {})
+        Box::pin(async move {
+            let Some(shared) = self.shared.take() else {
+                return;
+            };
+            let limit = shared.context().settings().limits.stop_ms;
+            shared.drain(Duration::from_millis(limit)).await;
+        })
+    }
+}
+
+/// Follows the view until the node ends.
+async fn follow(shared: Rc<Shared>) {
+    let token = shared.context().token();
+    let mut views = shared.context().view().watch();
+    let mut sweep = interval(SWEEP_EVERY);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            _ = views.changed() => shared.refresh(),
+            _ = sweep.tick() => shared.sweep(),
+        }
     }
 }
--- /dev/null
+++ b/crates/node/src/sidecar/call.rs
@@ -0,0 +1,62 @@
+//! One call as the sidecar serves it.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use wagtaillever_coordination::{IdempotencyKey, Sequence, ServiceName};
+
+use crate::wire::{CallHead, CallStage, Refusal, RefusalReason};
+
+use super::refuse::did_not_run;
+
+/// A call with what was derived from its head.
+pub(super) struct Call {
+    /// Head as the ingress sent it.
+    pub(super) head: CallHead,
+    /// Time by which the whole answer must be written.
+    pub(super) deadline: Instant,
+    /// Service of the upstream.
+    pub(super) service: ServiceName,
+    /// Idempotency key, parsed.
+    pub(super) key: Option<IdempotencyKey>,
+}
+
+/// Longest time that a call can take.
+const MAX_LEFT: Duration = Duration::from_secs(3600);
+
+impl Call {
+    /// Returns the call of a head that arrived now.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a key that is malformed.
+    pub(super) fn new(head: CallHead) -> Result<Rc<Self>, Refusal> {
+        let left = Duration::from_millis(head.left_ms).min(MAX_LEFT);
+        let key = head.key.as_deref().map(IdempotencyKey::parse).transpose();
+        let key = key.map_err(|_| did_not_run(RefusalReason::BadKey))?;
+        Ok(Rc::new(Self {
+            deadline: Instant::now() + left,
+            service: ServiceName::from(head.service.as_str()),
+            key,
+            head,
+        }))
+    }
+
+    /// Returns the sequence that routed the call.
+    pub(super) fn sequence(&self) -> Sequence {
+        Sequence(self.head.sequence)
+    }
+
+    /// Returns the key if the receiver is to decide on it.
+    pub(super) fn key_to_decide(&self) -> Option<&IdempotencyKey> {
+        let decides = self.head.stage == CallStage::Decide;
+        self.key.as_ref().filter(|_| decides)
+    }
+
+    /// Returns the time left until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/connector.rs
@@ -0,0 +1,170 @@
+//! Connections to an upstream that show what `awc` itself hides.
+//!
+//! `awc` takes the end of a connection in the middle of a body for the regular
+//! end of the body, and doesn't tell whether a failed request was written. Each
+//! [`TracedStream`] notes both on the [`Trace`] of the call that polls it.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use actix_rt::net::{ActixStream, Ready};
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use actix_web::dev::Service;
+use awc::http::Uri;
+use futures_util::future::LocalBoxFuture;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+tokio::task_local! {
+    static TRACE: Rc<Trace>;
+}
+
+/// What the connection of one call has shown.
+#[derive(Debug, Default)]
+pub(super) struct Trace {
+    written: Cell<bool>,
+    ended: Cell<bool>,
+    spoilt: RefCell<Option<Rc<Cell<bool>>>>,
+}
+
+impl Trace {
+    /// Returns whether any byte of the request may have reached the upstream.
+    pub(super) fn is_written(&self) -> bool {
+        self.written.get()
+    }
+
+    /// Returns whether the upstream closed the connection.
+    pub(super) fn is_ended(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// Keeps the connection from being used for another call.
+    pub(super) fn spoil(&self) {
+        if let Some(spoilt) = &*self.spoilt.borrow() {
+            spoilt.set(true);
+        }
+    }
+
+    fn wrote(&self, spoilt: &Rc<Cell<bool>>) {
+        if self.written.replace(true) {
+            return;
+        }
+        self.ended.set(false);
+        self.spoilt.replace(Some(Rc::clone(spoilt)));
+    }
+
+    /// Runs a future that does I/O for the call.
+    pub(super) async fn scope<F: Future>(self: Rc<Self>, future: F) -> F::Output {
+        TRACE.scope(self, future).await
+    }
+}
+
+/// Opens connections to the one address of an upstream.
+#[derive(Clone)]
+pub(super) struct TracedConnector {
+    address: SocketAddr,
+}
+
+impl TracedConnector {
+    /// Returns a connector to an address.
+    pub(super) fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+}
+
+impl Service<ConnectInfo<Uri>> for TracedConnector {
+    type Response = Connection<Uri, TracedStream>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&self, _cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let address = self.address;
+        Box::pin(async move {
+            let stream = TcpStream::connect(address).await;
+            let stream = stream.map_err(ConnectError::Io)?;
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            let spoilt = Rc::default();
+            let stream = TracedStream { stream, spoilt };
+            Ok(Connection::new(info.request().clone(), stream))
+        })
+    }
+}
+
+/// Connection to an upstream that notes writes and its end on the call's trace.
+#[derive(Debug)]
+pub(super) struct TracedStream {
+    stream: TcpStream,
+    spoilt: Rc<Cell<bool>>,
+}
+
+fn note(change: impl FnOnce(&Trace)) {
+    let _ = TRACE.try_with(|trace| change(trace));
+}
+
+impl AsyncRead for TracedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.spoilt.get() {
+            return Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let ended = match &result {
+            Poll::Ready(Ok(())) => buf.filled().len() == before && buf.remaining() > 0,
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        };
+        if ended {
+            note(|trace| trace.ended.set(true));
+        }
+        result
+    }
+}
+
+impl AsyncWrite for TracedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if matches!(result, Poll::Ready(Ok(bytes)) if bytes > 0) {
+            note(|trace| trace.wrote(&self.spoilt));
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for TracedStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/forward.rs
@@ -0,0 +1,233 @@
+//! Forwards a request to the upstream and takes the head of its answer.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_web::body::SizedStream;
+use awc::{
+    ClientRequest, ClientResponse, SendClientRequest,
+    error::{ConnectError, SendRequestError},
+    http::{Method, StatusCode, header},
+};
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use tokio::time::timeout_at;
+use uuid::Uuid;
+
+use crate::{
+    sidecar::{call::Call, connector::Trace, headers, refuse, upstream::LocalUpstream},
+    transport::{FrameReader, TransportError},
+    wire::{Outcome, Refusal, RefusalReason},
+};
+
+/// Head of an answer whose body is still to be read.
+pub(super) struct Answer {
+    /// Response as `awc` gives it.
+    pub(super) response: ClientResponse,
+    /// What the connection shows.
+    pub(super) trace: Rc<Trace>,
+    /// Length of the body in bytes, if it is known.
+    pub(super) length: Option<u64>,
+    /// Identity of the upstream's process, if it tells.
+    pub(super) start: Option<Vec<u8>>,
+}
+
+/// Why there is no answer.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Failure {
+    /// No connection could be opened.
+    Refused,
+    /// The upstream stated that it did not run the request.
+    Shed {
+        /// Time that the upstream asks to wait.
+        after: Option<Duration>,
+    },
+    /// The connection broke after the request was written.
+    Broken,
+    /// The connection broke before the request was written.
+    Unwritten,
+    /// The request's own body broke off.
+    Body {
+        /// Whether anything was written.
+        written: bool,
+    },
+    /// The deadline passed.
+    Deadline {
+        /// Whether anything was written.
+        written: bool,
+    },
+    /// The answer breaks HTTP or can't be told whole from cut.
+    BadAnswer,
+    /// The request can't be expressed in HTTP.
+    BadRequest,
+}
+
+impl Failure {
+    /// Returns the refusal that tells the failure to the caller.
+    pub(super) fn refusal(&self) -> Refusal {
+        let outcome = if self.may_have_run() {
+            Outcome::Unknown
+        } else {
+            Outcome::DidNotRun
+        };
+        let reason = match self {
+            Self::Refused | Self::Unwritten => RefusalReason::Unreachable,
+            Self::Shed { .. } => RefusalReason::Overloaded,
+            Self::Broken | Self::Body { .. } => RefusalReason::Broken,
+            Self::Deadline { .. } => RefusalReason::Deadline,
+            Self::BadAnswer | Self::BadRequest => RefusalReason::BadAnswer,
+        };
+        match self {
+            Self::Shed { after: Some(after) } => refuse::after(outcome, reason, *after),
+            _ => refuse::with_outcome(outcome, reason),
+        }
+    }
+
+    fn may_have_run(&self) -> bool {
+        match self {
+            Self::Refused | Self::Shed { .. } | Self::Unwritten | Self::BadRequest => false,
+            Self::Body { written } | Self::Deadline { written } => *written,
+            Self::Broken | Self::BadAnswer => true,
+        }
+    }
+}
+
+/// Sends the request with its body and waits for the head of the answer.
+///
+/// The whole request is written before the answer is read, as `awc` does it: an
+/// upstream that waits for its answer to be read while a large request is still
+/// on its way holds the call until the deadline.
+///
+/// Dropping the future cancels the request by closing its connection.
+///
+/// # Errors
+///
+/// Returns the failure, from which the outcome follows.
+pub(super) async fn forward(
+    upstream: &LocalUpstream,
+    call: &Call,
+    body: FrameReader,
+) -> Result<Answer, Failure> {
+    let trace = Rc::new(Trace::default());
+    let request = request(upstream, call)?;
+    let sent = Rc::clone(&trace).scope(send(request, call, body));
+    let Ok(result) = timeout_at(call.deadline.into(), sent).await else {
+        let written = trace.is_written();
+        return Err(Failure::Deadline { written });
+    };
+    let response = result.map_err(|err| classify(&err, &trace))?;
+    accept(response, call, trace)
+}
+
+fn request(upstream: &LocalUpstream, call: &Call) -> Result<ClientRequest, Failure> {
+    let head = &call.head;
+    let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| Failure::BadRequest)?;
+    let url = format!("http://{}{}", upstream.spec().address, head.target);
+    let mut request = upstream.client().request(method, url).no_decompress();
+    for pair in headers::for_upstream(&head.headers) {
+        request = request.append_header(pair);
+    }
+    let left_ms = u64::try_from(call.left().as_millis()).unwrap_or(u64::MAX);
+    Ok(request
+        .insert_header(("x-call-id", Uuid::from_u128(head.call).to_string()))
+        .insert_header(("x-hops", head.hops.to_string()))
+        .insert_header(("x-deadline-ms", left_ms.to_string()))
+        .insert_header(("x-note", head.sequence.to_string())))
+}
+
+async fn send(
+    request: ClientRequest,
+    call: &Call,
+    body: FrameReader,
+) -> Result<ClientResponse, SendRequestError> {
+    let has_body = !matches!(
+        call.head.method.as_str(),
+        "GET" | "HEAD" | "DELETE" | "OPTIONS"
+    );
+    let sending: SendClientRequest = match call.head.length {
+        Some(0) if !has_body => request.send(),
+        Some(length) => request.send_body(SizedStream::new(length, chunks(body))),
+        None => request.send_stream(chunks(body)),
+    };
+    sending.await
+}
+
+fn chunks(reader: FrameReader) -> impl Stream<Item = Result<Bytes, TransportError>> {
+    stream::try_unfold(reader, |mut reader| async move {
+        let chunk = reader.bytes().await?;
+        Ok(chunk.map(|chunk| (chunk, reader)))
+    })
+}
+
+fn classify(err: &SendRequestError, trace: &Trace) -> Failure {
+    let written = trace.is_written();
+    match err {
+        SendRequestError::Url(_) | SendRequestError::Http(_) => Failure::BadRequest,
+        SendRequestError::Body(_) => Failure::Body { written },
+        SendRequestError::Connect(ConnectError::Timeout) if !written => Failure::Refused,
+        SendRequestError::Connect(ConnectError::Io(_)) if !written => Failure::Refused,
+        _ if !written => Failure::Unwritten,
+        SendRequestError::Response(_) if !trace.is_ended() => Failure::BadAnswer,
+        _ => Failure::Broken,
+    }
+}
+
+fn accept(response: ClientResponse, call: &Call, trace: Rc<Trace>) -> Result<Answer, Failure> {
+    let status = response.status();
+    let length = body_length(&response, &call.head.method);
+    if status.is_informational() || length.is_none() && !is_chunked(&response) {
+        trace.spoil();
+        return Err(Failure::BadAnswer);
+    }
+    if belongs_to_other(&response, call) {
+        trace.spoil();
+        return Err(Failure::BadAnswer);
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE && header_is(&response, "x-shed", "1") {
+        let after = retry_after(&response);
+        return Err(Failure::Shed { after });
+    }
+    let start = response.headers().get("x-start");
+    let start = start.map(|start| start.as_bytes().to_vec());
+    Ok(Answer {
+        response,
+        trace,
+        length,
+        start,
+    })
+}
+
+fn body_length(response: &ClientResponse, method: &str) -> Option<u64> {
+    let status = response.status();
+    if method == "HEAD" || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
+        return Some(0);
+    }
+    if is_chunked(response) {
+        return None;
+    }
+    let length = response.headers().get(header::CONTENT_LENGTH)?;
+    length.to_str().ok()?.trim().parse().ok()
+}
+
+fn is_chunked(response: &ClientResponse) -> bool {
+    header_is(response, "transfer-encoding", "chunked")
+}
+
+/// Returns whether the upstream states that the answer is to another call.
+fn belongs_to_other(response: &ClientResponse, call: &Call) -> bool {
+    let echoed = response.headers().get("x-call-id");
+    let echoed = echoed.and_then(|echoed| echoed.to_str().ok());
+    let echoed = echoed.and_then(|echoed| Uuid::try_parse(echoed).ok());
+    echoed.is_some_and(|echoed| echoed.as_u128() != call.head.call)
+}
+
+fn retry_after(response: &ClientResponse) -> Option<Duration> {
+    let value = response.headers().get("x-retry-after-ms")?;
+    let millis = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
+fn header_is(response: &ClientResponse, name: &str, expected: &str) -> bool {
+    let value = response.headers().get(name);
+    let value = value.and_then(|value| value.to_str().ok());
+    value.is_some_and(|value| value.trim().eq_ignore_ascii_case(expected))
+}
--- /dev/null
+++ b/crates/node/src/sidecar/headers.rs
@@ -0,0 +1,52 @@
+//! Headers that are passed on between callers and upstreams.
+
+use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
+
+/// Headers that concern one connection only, or that the node sets itself.
+const NOT_PASSED: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers that the node sets on each request to an upstream.
+const SET_BY_NODE: &[&str] = &["x-call-id", "x-hops", "x-deadline-ms", "x-note"];
+
+/// Returns the headers of a request as an upstream gets them.
+pub(super) fn for_upstream(
+    headers: &[(String, Vec<u8>)],
+) -> impl Iterator<Item = (HeaderName, HeaderValue)> + '_ {
+    headers
+        .iter()
+        .filter(|(name, _)| is_passed(name) && !is_one_of(name, SET_BY_NODE))
+        .filter_map(|(name, value)| {
+            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+            let value = HeaderValue::from_bytes(value).ok()?;
+            Some((name, value))
+        })
+}
+
+/// Returns the headers of an answer as the caller gets them.
+pub(super) fn for_caller(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    headers
+        .iter()
+        .filter(|(name, _)| is_passed(name.as_str()))
+        .map(|(name, value)| (name.as_str().to_string(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+fn is_passed(name: &str) -> bool {
+    !is_one_of(name, NOT_PASSED)
+}
+
+fn is_one_of(name: &str, names: &[&str]) -> bool {
+    names.iter().any(|other| name.eq_ignore_ascii_case(other))
+}
--- /dev/null
+++ b/crates/node/src/sidecar/refuse.rs
@@ -0,0 +1,32 @@
+//! Refusals of the sidecar, each with its truthful outcome.
+
+use std::time::Duration;
+
+use crate::wire::{Outcome, Refusal, RefusalReason};
+
+/// Time after which a resend makes sense when nothing better is known.
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Returns a refusal of a request of which nothing was written to an upstream.
+pub(super) fn did_not_run(reason: RefusalReason) -> Refusal {
+    with_outcome(Outcome::DidNotRun, reason)
+}
+
+/// Returns a refusal of a request that may have run.
+pub(super) fn unknown(reason: RefusalReason) -> Refusal {
+    with_outcome(Outcome::Unknown, reason)
+}
+
+/// Returns a refusal with an outcome.
+pub(super) fn with_outcome(outcome: Outcome, reason: RefusalReason) -> Refusal {
+    after(outcome, reason, RETRY_AFTER)
+}
+
+/// Returns a refusal with an outcome and the time after which a resend makes sense.
+pub(super) fn after(outcome: Outcome, reason: RefusalReason, after: Duration) -> Refusal {
+    Refusal {
+        outcome,
+        reason,
+        after_ms: u64::try_from(after.as_millis()).unwrap_or(u64::MAX),
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/tests.rs
@@ -0,0 +1,4 @@
+//! Runs a real sidecar on loopback against small upstreams.
+
+mod bed;
+mod forwarding;
--- /dev/null
+++ b/crates/node/src/sidecar/tests/forwarding.rs
@@ -0,0 +1,250 @@
+//! Answers arrive whole or visibly broken, and outcomes are true.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_web::{App, HttpResponse, HttpServer, web};
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use wagtaillever_coordination::{Config, DrainAction, DrainList, DrainOrder, DrainScope, Sequence};
+
+use super::bed::{Bed, Reply, config, free_address, get, post, raw_upstream, reply};
+use crate::{
+    kernel::Service,
+    wire::{CallHead, Outcome, Refusal, RefusalReason},
+};
+
+/// Starts an upstream that echoes bodies, and answers `/slow` after a while.
+fn echo_upstream() -> SocketAddr {
+    let server = HttpServer::new(|| {
+        App::new()
+            .app_data(web::PayloadConfig::new(64 << 20))
+            .route("/", web::get().to(|| async { "hello" }))
+            .route(
+                "/",
+                web::post().to(|body: web::Bytes| async { HttpResponse::Ok().body(body) }),
+            )
+            .route(
+                "/slow",
+                web::get().to(|| async {
+                    actix_rt::time::sleep(Duration::from_millis(300)).await;
+                    "late"
+                }),
+            )
+    });
+    let server = server.workers(1).bind("127.0.0.1:0").unwrap();
+    let address = server.addrs()[0];
+    actix_rt::spawn(server.run());
+    address
+}
+
+fn refused(outcome: Outcome, reason: RefusalReason) -> impl Fn(&Reply) -> bool {
+    move |reply| matches!(reply, Reply::Refused(Refusal { outcome: o, reason: r, .. }) if *o == outcome && *r == reason)
+}
+
+#[track_caller]
+fn assert_refused(reply: &Reply, outcome: Outcome, reason: RefusalReason) {
+    assert!(
+        refused(outcome, reason)(reply),
+        "{reply:?} is not {outcome:?}/{reason:?}"
+    );
+}
+
+async fn raw(answer: &'static [u8]) -> Reply {
+    Bed::start(raw_upstream(answer).await)
+        .await
+        .call(get(), b"")
+        .await
+}
+
+#[actix_rt::test]
+async fn an_answer_is_passed_on() {
+    let bed = Bed::start(echo_upstream()).await;
+    assert_matches!(bed.call(get(), b"").await, Reply::Whole { status: 200, body, .. } if body == b"hello");
+}
+
+#[actix_rt::test]
+async fn bodies_are_passed_whole_both_ways() {
+    let bed = Bed::start(echo_upstream()).await;
+    let sent: Vec<u8> = (0..5_000_000_u32).flat_map(|n| n.to_be_bytes()).collect();
+    for length in [Some(sent.len() as u64), None] {
+        let (mut writer, mut reader) = bed.open(post(length)).await;
+        let body = Bytes::from(sent.clone());
+        let sending = actix_rt::spawn(async move {
+            writer.bytes(body).await.unwrap();
+            writer.end().unwrap();
+        });
+        let got = reply(&mut reader).await;
+        sending.await.unwrap();
+        assert_matches!(got, Reply::Whole { status: 200, body, .. } if body == sent);
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_that_ends_early_is_cut() {
+    for answer in [
+        &b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc"[..],
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc",
+    ] {
+        assert_matches!(raw(answer).await, Reply::Cut { status: 200 } | Reply::Reset);
+    }
+}
+
+#[actix_rt::test]
+async fn a_closing_upstream_can_still_give_a_whole_answer() {
+    for answer in [
+        &b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 3\r\n\r\nabc"[..],
+        b"HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    ] {
+        assert_matches!(raw(answer).await, Reply::Whole { body, .. } if body == b"abc");
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_that_cannot_be_told_whole_is_bad() {
+    for answer in [
+        &b"HTTP/1.1 200 OK\r\n\r\nabc"[..],
+        b"HTTP/1.0 200 OK\r\n\r\nabc",
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nx-call-id: 00000000-0000-0000-0000-000000000009\r\ncontent-length: 0\r\n\r\n",
+    ] {
+        assert_refused(&raw(answer).await, Outcome::Unknown, RefusalReason::BadAnswer);
+    }
+}
+
+#[actix_rt::test]
+async fn a_break_after_the_request_is_unknown() {
+    for answer in [&b""[..], b"HTTP/1.1 200"] {
+        assert_refused(&raw(answer).await, Outcome::Unknown, RefusalReason::Broken);
+    }
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_sheds_did_not_run_the_request() {
+    let reply = raw(b"HTTP/1.1 503 Busy\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n").await;
+    assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Overloaded);
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_is_down_did_not_run_the_request() {
+    let bed = Bed::start(free_address()).await;
+    let reply = bed.call(post(Some(3)), b"abc").await;
+    assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Unreachable);
+}
+
+#[actix_rt::test]
+async fn the_deadline_ends_a_call() {
+    let bed = Bed::start(echo_upstream()).await;
+    let slow = CallHead {
+        target: "/slow".into(),
+        left_ms: 100,
+        ..get()
+    };
+    let reply = bed.call(slow, b"").await;
+    assert_refused(&reply, Outcome::Unknown, RefusalReason::Deadline);
+    let late = CallHead {
+        left_ms: 0,
+        ..get()
+    };
+    let reply = bed.call(late, b"").await;
+    assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Deadline);
+}
+
+#[actix_rt::test]
+async fn what_is_not_here_is_refused() {
+    let bed = Bed::start(echo_upstream()).await;
+    let other = CallHead {
+        upstream: "v".into(),
+        ..get()
+    };
+    assert_refused(
+        &bed.call(other, b"").await,
+        Outcome::DidNotRun,
+        RefusalReason::NoUpstream,
+    );
+    let other = CallHead {
+        service: "t".into(),
+        ..get()
+    };
+    assert_refused(
+        &bed.call(other, b"").await,
+        Outcome::DidNotRun,
+        RefusalReason::NoUpstream,
+    );
+    let newer = CallHead {
+        sequence: 2,
+        ..get()
+    };
+    assert_refused(
+        &bed.call(newer, b"").await,
+        Outcome::DidNotRun,
+        RefusalReason::NotReady,
+    );
+}
+
+#[actix_rt::test]
+async fn a_call_waits_for_the_note_that_routed_it() {
+    let address = echo_upstream();
+    let bed = Bed::start(address).await;
+    let view = bed.context.view().clone();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        view.set_config(config(2, address, 4));
+    });
+    let newer = CallHead {
+        sequence: 2,
+        ..get()
+    };
+    assert_matches!(bed.call(newer, b"").await, Reply::Whole { .. });
+}
+
+#[actix_rt::test]
+async fn a_withdrawn_upstream_lingers_for_calls_on_older_notes() {
+    let bed = Bed::start(echo_upstream()).await;
+    let empty = Config {
+        sequence: Sequence(2),
+        ..Config::default()
+    };
+    assert_matches!(bed.call(get(), b"").await, Reply::Whole { .. });
+    bed.context.view().set_config(empty.into());
+    assert_matches!(bed.call(get(), b"").await, Reply::Whole { .. });
+}
+
+#[actix_rt::test]
+async fn a_drained_vm_takes_no_new_work() {
+    let bed = Bed::start(echo_upstream()).await;
+    let mut drains = DrainList::default();
+    drains.merge(&DrainOrder {
+        number: 1,
+        scope: DrainScope::Domain("modica".into()),
+        action: DrainAction::Drain,
+    });
+    bed.context.view().set_drains(drains.into());
+    let reply = bed.call(get(), b"").await;
+    assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Draining);
+}
+
+#[actix_rt::test]
+async fn a_planned_stop_cuts_nothing() {
+    let mut bed = Bed::start(echo_upstream()).await;
+    let slow = CallHead {
+        target: "/slow".into(),
+        ..get()
+    };
+    let (writer, mut reader) = bed.open(slow).await;
+    writer.end().unwrap();
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let ended = Rc::new(Cell::new(false));
+    let flag = Rc::clone(&ended);
+    let mut sidecar = std::mem::take(&mut bed.sidecar);
+    let stopping = actix_rt::spawn(async move {
+        sidecar.stop().await;
+        flag.set(true);
+    });
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+    assert!(!ended.get());
+    let refused = bed.call(get(), b"").await;
+    assert_refused(&refused, Outcome::DidNotRun, RefusalReason::Draining);
+    assert_matches!(reply(&mut reader).await, Reply::Whole { body, .. } if body == b"late");
+    stopping.await.unwrap();
+}
