Add the fault-injecting proxy, deployments and their layout

Nodes must be tried with connections that are late, held, cut, half-open or one way. The proxy knows both ends by their loopback addresses and applies rules by failure domain or VM; the deployments carry the sizes of the users, and the layout gives each VM an address of its own.

--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -23,4 +23,26 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// A file is not a deployment.
+    #[snafu(display("{}: {source}", path.display()))]
+    Deployment {
+        /// The file.
+        path: std::path::PathBuf,
+        /// Cause, with line and column.
+        source: serde_yaml_ng::Error,
+    },
+    /// No block of ports is free.
+    #[snafu(display("no block of ports is free"))]
+    NoPorts,
+    /// The run was interrupted.
+    #[snafu(display("interrupted"))]
+    Interrupted,
+    /// Something did not come about in time.
+    #[snafu(display("{what} did not come about within {}s", limit.as_secs()))]
+    Late {
+        /// What was waited for.
+        what: String,
+        /// How long it was waited for.
+        limit: std::time::Duration,
+    },
 }
--- /dev/null
+++ b/crates/bench/src/layout.rs
@@ -0,0 +1,192 @@
+//! Where each VM, node and upstream of a deployment stands on loopback.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+};
+
+use wagtaillever_coordination::{
+    Changes, DomainName, RegionName, ReleaseNote, RouteSpec, Sequence, ServiceName, ServiceSpec,
+    UpstreamName, UpstreamSpec, VmEntry, VmList, VmName, VmState,
+};
+
+use crate::{deployment::Deployment, ports::PortBlock};
+
+/// Second octet of the first failure domain's addresses.
+const FIRST_DOMAIN: u8 = 10;
+/// Third octet of the address at which a failure domain reaches the platform.
+const PLATFORM_OCTET: u8 = 255;
+/// Longest time in milliseconds that a call may take.
+const ROUTE_TIMEOUT_MS: u64 = 5_000;
+
+/// Offsets of the ports in a run's block.
+mod offset {
+    pub(super) const CALLERS: u16 = 1;
+    pub(super) const PEERS: u16 = 2;
+    pub(super) const ADVERTISED: u16 = 3;
+    pub(super) const ADMIN: u16 = 4;
+    pub(super) const UPSTREAM: u16 = 5;
+    pub(super) const PLATFORM: u16 = 6;
+}
+
+/// Where everything of a deployment stands.
+#[derive(Clone, Debug)]
+pub(crate) struct Layout {
+    /// VMs in the order of their positions.
+    pub(crate) vms: Vec<Placement>,
+    /// Names of the failure domains.
+    pub(crate) domains: Vec<DomainName>,
+    /// Address of the platform for each failure domain.
+    pub(crate) platform: Vec<SocketAddr>,
+}
+
+/// One VM with its node and its upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Placement {
+    /// Name of the VM.
+    pub(crate) vm: VmName,
+    /// Position of the failure domain.
+    pub(crate) domain: usize,
+    /// Region of the failure domain.
+    pub(crate) region: RegionName,
+    /// Name of the upstream on the VM.
+    pub(crate) upstream: UpstreamName,
+    /// Position of the upstream's service.
+    pub(crate) service: usize,
+    /// Address of the VM.
+    pub(crate) ip: IpAddr,
+    /// Where the node serves callers.
+    pub(crate) callers: SocketAddr,
+    /// Where the node listens for other nodes.
+    pub(crate) peers: SocketAddr,
+    /// Where other nodes reach the node: the proxy, or the node itself.
+    pub(crate) advertised: SocketAddr,
+    /// Where the node's admin interface listens.
+    pub(crate) admin: SocketAddr,
+    /// Where the upstream listens.
+    pub(crate) upstream_address: SocketAddr,
+}
+
+impl Layout {
+    /// Lays out a deployment; with a proxy, other nodes reach a node through it.
+    pub(crate) fn new(deployment: &Deployment, ports: &PortBlock, proxied: bool) -> Self {
+        let domains = deployment.domains.len();
+        let mut vms: Vec<Placement> = Vec::new();
+        for (service, shape) in deployment.services.iter().enumerate() {
+            for number in 1..=shape.upstreams {
+                let domain = vms.len() % domains;
+                let earlier = vms.iter().filter(|vm| vm.domain == domain).count();
+                let ip = vm_ip(domain, earlier);
+                let at = |offset| SocketAddr::new(ip, ports.port(offset));
+                let advertised = if proxied {
+                    offset::ADVERTISED
+                } else {
+                    offset::PEERS
+                };
+                vms.push(Placement {
+                    vm: format!("{}-{}", deployment.domains[domain], earlier + 1).into(),
+                    domain,
+                    region: deployment.region_of(domain),
+                    upstream: format!("{}-{number}", shape.name).into(),
+                    service,
+                    ip,
+                    callers: at(offset::CALLERS),
+                    peers: at(offset::PEERS),
+                    advertised: at(advertised),
+                    admin: at(offset::ADMIN),
+                    upstream_address: at(offset::UPSTREAM),
+                });
+            }
+        }
+        let platform = |domain| SocketAddr::new(platform_ip(domain), ports.port(offset::PLATFORM));
+        Self {
+            vms,
+            domains: deployment.domains.clone(),
+            platform: (0..domains).map(platform).collect(),
+        }
+    }
+
+    /// Returns the name of a VM's failure domain.
+    pub(crate) fn domain_of(&self, vm: &Placement) -> &DomainName {
+        &self.domains[vm.domain]
+    }
+
+    /// Returns the positions of a failure domain's VMs.
+    pub(crate) fn vms_of(&self, domain: usize) -> Vec<usize> {
+        let all = 0..self.vms.len();
+        all.filter(|&at| self.vms[at].domain == domain).collect()
+    }
+
+    /// Returns the list of VMs as the platform publishes it.
+    pub(crate) fn vm_list(&self, number: u64) -> VmList {
+        let entry = |vm: &Placement| VmEntry {
+            vm: vm.vm.clone(),
+            domain: self.domain_of(vm).clone(),
+            region: vm.region.clone(),
+            address: vm.advertised,
+            state: VmState::Live,
+        };
+        let vms = self.vms.iter().map(|vm| Arc::new(entry(vm))).collect();
+        VmList { number, vms }
+    }
+
+    /// Returns the specification of the upstream on a VM.
+    pub(crate) fn upstream(&self, deployment: &Deployment, vm: &Placement) -> UpstreamSpec {
+        let shape = &deployment.services[vm.service];
+        UpstreamSpec {
+            name: vm.upstream.clone(),
+            service: shape.name.clone(),
+            vm: vm.vm.clone(),
+            domain: self.domain_of(vm).clone(),
+            address: vm.upstream_address,
+            slots: shape.slots,
+            connections: shape.connections,
+        }
+    }
+
+    /// Returns a release note that adds all services, routes and upstreams.
+    pub(crate) fn first_note(&self, deployment: &Deployment, sequence: Sequence) -> ReleaseNote {
+        let services = deployment.services.iter();
+        let routes = deployment.services.iter().map(|shape| RouteSpec {
+            name: format!("{}-route", shape.name).as_str().into(),
+            path: shape.path.clone(),
+            methods: shape.methods.clone(),
+            service: shape.name.clone(),
+            idempotent: None,
+            timeout_ms: ROUTE_TIMEOUT_MS,
+        });
+        let upstreams = self.vms.iter().map(|vm| self.upstream(deployment, vm));
+        ReleaseNote {
+            note: sequence,
+            summary: Some(format!("first note of {}", deployment.name)),
+            services: additions(services.map(|shape| service(&shape.name))),
+            routes: additions(routes),
+            upstreams: additions(upstreams),
+        }
+    }
+}
+
+fn service(name: &ServiceName) -> ServiceSpec {
+    ServiceSpec { name: name.clone() }
+}
+
+fn additions<S, N>(things: impl Iterator<Item = S>) -> Changes<S, N> {
+    Changes {
+        add: things.map(Arc::new).collect(),
+        ..Changes::default()
+    }
+}
+
+fn vm_ip(domain: usize, number: usize) -> IpAddr {
+    let third = octet(number);
+    assert!(third < PLATFORM_OCTET, "a failure domain has too many VMs");
+    Ipv4Addr::new(127, FIRST_DOMAIN + octet(domain), third, 1).into()
+}
+
+fn platform_ip(domain: usize) -> IpAddr {
+    Ipv4Addr::new(127, FIRST_DOMAIN + octet(domain), PLATFORM_OCTET, 1).into()
+}
+
+fn octet(number: usize) -> u8 {
+    u8::try_from(number).expect("loopback has too few addresses for the deployment")
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,14 +4,19 @@
 
 mod arguments;
 mod caller;
+mod deployment;
 mod error;
 mod http_client;
+mod layout;
 mod pattern;
 pub mod platform;
+mod ports;
+mod proxy;
 mod subcommand;
 mod upstream;
 
 pub use crate::{
     arguments::{Arguments, run},
+    deployment::{Deployment, Latency, ServiceShape},
     error::BenchError,
 };
--- /dev/null
+++ b/crates/bench/src/proxy.rs
@@ -0,0 +1,12 @@
+//! Fault-injecting TCP proxy between nodes.
+
+mod counts;
+mod listener;
+mod pump;
+mod rules;
+
+pub(crate) use self::{
+    counts::{Traffic, TrafficCounts},
+    listener::{Endpoint, Proxy},
+    rules::{Rule, Rules, RulesCell},
+};
