Start real nodes behind a fault-injecting proxy

Experiments need the fleet of a deployment as processes on loopback: settings, ports that no parallel run uses, a platform address for each failure domain so that each can be cut off, and a proxy that knows both ends of a connection and delays, holds, cuts or half-opens traffic by direction. Children are reaped on every way out.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -3,8 +3,9 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use tokio::signal::unix::{SignalKind, signal};
 
-use crate::subcommand::Subcommand;
+use crate::{error::BenchError, subcommand::Subcommand};
 
 /// Runs stand-ins and experiments around real nodes on loopback.
 ///
@@ -30,7 +31,12 @@
     env_logger::Builder::new()
         .parse_filters(&arguments.log)
         .init();
-    let result = actix_rt::System::new().block_on(arguments.subcommand.run());
+    let result = actix_rt::System::new().block_on(async {
+        tokio::select! {
+            result = arguments.subcommand.run() => result,
+            () = interrupted() => Err(BenchError::Interrupted),
+        }
+    });
     match result {
         Ok(verdict) => verdict.into(),
         Err(err) => {
@@ -39,3 +45,16 @@
         }
     }
 }
+
+/// Waits for a signal to end; what runs is dropped then, and its processes with it.
+async fn interrupted() {
+    let interrupt = signal(SignalKind::interrupt());
+    let terminate = signal(SignalKind::terminate());
+    let (Ok(mut interrupt), Ok(mut terminate)) = (interrupt, terminate) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -31,6 +31,12 @@
         /// Cause, with line and column.
         source: serde_yaml_ng::Error,
     },
+    /// A note of the bench's own breaks a rule.
+    #[snafu(display("the deployment's note is refused: {source}"))]
+    Note {
+        /// Cause.
+        source: wagtaillever_coordination::NoteError,
+    },
     /// No block of ports is free.
     #[snafu(display("no block of ports is free"))]
     NoPorts,
--- /dev/null
+++ b/crates/bench/src/fleet/settings.rs
@@ -0,0 +1,62 @@
+//! Settings files of the nodes.
+
+use std::net::{IpAddr, SocketAddr};
+
+use serde::Serialize;
+use wagtaillever_coordination::{DomainName, RegionName, VmName};
+use wagtaillever_node::Policies;
+
+use crate::{
+    fleet::options::{FleetOptions, TOKEN},
+    layout::Layout,
+};
+
+/// Nodes of each failure domain that others start from.
+const SEEDS_PER_DOMAIN: usize = 2;
+
+#[derive(Serialize)]
+struct SettingsFile<'a> {
+    vm: &'a VmName,
+    domain: &'a DomainName,
+    region: &'a RegionName,
+    address: IpAddr,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    admin: SocketAddr,
+    token: &'a str,
+    platform: Vec<SocketAddr>,
+    seeds: Vec<SocketAddr>,
+    policies: &'a Policies,
+    log: &'a str,
+}
+
+/// Returns the text of the settings file of a VM's node.
+///
+/// # Panics
+///
+/// Does not panic: the settings always serialise.
+pub(super) fn text(layout: &Layout, vm: usize, options: &FleetOptions) -> String {
+    let placement = &layout.vms[vm];
+    let file = SettingsFile {
+        vm: &placement.vm,
+        domain: layout.domain_of(placement),
+        region: &placement.region,
+        address: placement.ip,
+        callers: placement.callers,
+        peers: placement.peers,
+        admin: placement.admin,
+        token: TOKEN,
+        platform: vec![layout.platform[placement.domain]],
+        seeds: seeds(layout, vm),
+        policies: &options.policies,
+        log: &options.log,
+    };
+    serde_yaml_ng::to_string(&file).expect("settings serialise")
+}
+
+fn seeds(layout: &Layout, vm: usize) -> Vec<SocketAddr> {
+    let domains = 0..layout.domains.len();
+    let first = |domain| layout.vms_of(domain).into_iter().take(SEEDS_PER_DOMAIN);
+    let others = domains.flat_map(first).filter(|&other| other != vm);
+    others.map(|other| layout.vms[other].advertised).collect()
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod deployment;
 mod error;
+mod fleet;
 mod http_client;
 mod layout;
 mod pattern;
