--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 mod ports;
 mod proxy;
+mod service;
 mod subcommand;
 mod upstream;
 
--- /dev/null
+++ b/crates/bench/src/service.rs
@@ -0,0 +1,13 @@
+//! Experiment on calls: load, faults and baselines on a deployment of real processes.
+
+mod baseline;
+mod fault;
+mod result;
+mod verdict;
+
+pub(crate) use self::{
+    baseline::ServiceBaseline, fault::ServiceFault, result::ServiceResult, verdict::Verdict,
+};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/bench/src/service/verdict.rs
@@ -0,0 +1,78 @@
+//! Judges a run by what callers were told and what upstreams counted.
+
+use std::collections::HashMap;
+
+use crate::{
+    caller::{Answered, CallRecord, Told},
+    upstream::Counts,
+};
+
+/// Promises that were broken in a run, by count.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Verdict {
+    /// Answers of another request, and short ones that look whole.
+    pub(crate) wrong: u64,
+    /// Sendings that ended broken, lost or unknown.
+    pub(crate) cut: u64,
+    /// Keyed requests that ran more than once.
+    pub(crate) ran_twice: u64,
+    /// Sendings that ran although the caller was told that they did not.
+    pub(crate) false_did_not_run: u64,
+    /// Requests that reached an upstream of another service.
+    pub(crate) misrouted: u64,
+    /// Requests that ran above the slots of an upstream.
+    pub(crate) over_limit: u64,
+    /// Times that an upstream fell over under too much load.
+    pub(crate) swamped: u64,
+    /// Times that a request crashed an upstream.
+    pub(crate) crashed: u64,
+    /// Executions and sheddings at upstreams.
+    pub(crate) attempts: u64,
+}
+
+impl Verdict {
+    /// Judges the records of callers by the counts of all upstreams.
+    pub(crate) fn of(records: &[CallRecord], upstreams: &[Counts]) -> Self {
+        let mut ran: HashMap<&str, u32> = HashMap::new();
+        let mut verdict = Self::default();
+        for counts in upstreams {
+            verdict.add_counts(counts);
+            for (id, times) in &counts.ran {
+                *ran.entry(id).or_default() += times;
+            }
+        }
+        for record in records {
+            verdict.add_record(record, &ran, upstreams);
+        }
+        verdict
+    }
+
+    fn add_counts(&mut self, counts: &Counts) {
+        self.misrouted += counts.misrouted;
+        self.over_limit += counts.over_limit;
+        self.swamped += counts.swamped;
+        self.crashed += counts.crashed;
+        self.attempts += counts.shed;
+        self.attempts += counts
+            .ran
+            .values()
+            .map(|&times| u64::from(times))
+            .sum::<u64>();
+    }
+
+    fn add_record(&mut self, record: &CallRecord, ran: &HashMap<&str, u32>, upstreams: &[Counts]) {
+        let times = ran.get(record.id.as_str()).copied().unwrap_or(0);
+        self.wrong += u64::from(record.answered == Answered::Wrong);
+        self.ran_twice += u64::from(record.keyed && times > 1);
+        for sending in &record.sendings {
+            let is_cut = matches!(sending.told, Told::Broken | Told::Lost | Told::Unknown);
+            self.cut += u64::from(is_cut);
+            let has_run = || {
+                upstreams
+                    .iter()
+                    .any(|counts| counts.sendings.contains(&sending.id))
+            };
+            self.false_did_not_run += u64::from(sending.told == Told::DidNotRun && has_run());
+        }
+    }
+}
