--- a/crates/bench/src/caller/driver.rs
+++ b/crates/bench/src/caller/driver.rs
@@ -32,6 +32,8 @@
     pub(crate) address: SocketAddr,
     /// Failure domain of the node.
     pub(crate) domain: String,
+    /// Service to which the target is bound; `None` takes calls of all services.
+    pub(crate) service: Option<String>,
 }
 
 /// Load that runs until it is told to stop.
@@ -78,6 +80,27 @@
         }
     }
 
+    /// Makes one request of the first kind on this thread.
+    pub(crate) async fn once(targets: Vec<Target>, workload: Workload, seed: u64) -> CallRecord {
+        let kind = workload.kinds[0].clone();
+        let label = workload.label.clone();
+        let thread = Thread {
+            targets,
+            workload,
+            started: Instant::now(),
+            token: CancellationToken::new(),
+            sent: Arc::default(),
+            number: 0,
+        };
+        let call = Call {
+            id: format!("{label}-{seed}"),
+            due: Duration::ZERO,
+            kind,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        call.run(&thread, &HttpClient::default()).await
+    }
+
     /// Returns when the load started.
     pub(crate) fn started(&self) -> Instant {
         self.started
@@ -127,7 +150,7 @@
             }
             thread.sent.fetch_add(1, Ordering::Relaxed);
             let call = Call {
-                id: format!("{}-{count}", thread.number),
+                id: format!("{}-{}-{count}", thread.workload.label, thread.number),
                 due,
                 kind: thread.workload.draw(&mut rng).clone(),
                 rng: SmallRng::seed_from_u64(rng.random()),
@@ -155,6 +178,12 @@
         Duration::from_secs_f64(-draw.ln() / rate)
     }
 
+    fn targets_of(&self, kind: &CallKind) -> Vec<usize> {
+        let takes = |target: &Target| target.service.as_ref().is_none_or(|s| *s == kind.service);
+        let all = 0..self.targets.len();
+        all.filter(|&at| takes(&self.targets[at])).collect()
+    }
+
     async fn wait_until(&self, due: Duration) -> bool {
         let left = due.saturating_sub(self.started.elapsed());
         if left.is_zero() {
@@ -179,9 +208,10 @@
         let deadline = self.due + thread.workload.deadline;
         let caller = self.rng.random_range(0..thread.workload.callers.max(1));
         let caller = format!("caller-{caller}");
-        let mut node = self.rng.random_range(0..thread.targets.len());
+        let nodes = thread.targets_of(&self.kind);
+        let mut at = self.rng.random_range(0..nodes.len());
         let key = self.kind.keyed.then(|| {
-            let domain = &thread.targets[node].domain;
+            let domain = &thread.targets[nodes[at]].domain;
             format!("{domain}.{}", Uuid::now_v7())
         });
         let mut sendings: Vec<SendingRecord> = Vec::new();
@@ -189,7 +219,7 @@
             let id = format!("{}#{}", self.id, sendings.len());
             let sending = Sending {
                 client,
-                target: &thread.targets[node],
+                target: &thread.targets[nodes[at]],
                 kind: &self.kind,
                 request: &self.id,
                 id: &id,
@@ -200,7 +230,7 @@
             let reply = sending.run().await;
             sendings.push(SendingRecord {
                 id,
-                node,
+                node: nodes[at],
                 told: reply.told,
                 reason: reply.reason.clone(),
                 ended: thread.started.elapsed(),
@@ -212,7 +242,7 @@
                 break;
             }
             sleep(pause).await;
-            node = self.other_node(node, thread.targets.len());
+            at = self.other_node(at, nodes.len());
         }
         CallRecord {
             answered: answered(&sendings),
--- a/crates/bench/src/caller/workload.rs
+++ b/crates/bench/src/caller/workload.rs
@@ -36,6 +36,8 @@
 /// What all callers together ask for.
 #[derive(Clone, Debug)]
 pub(crate) struct Workload {
+    /// Start of the identities of its requests, which differs between the loads of a run.
+    pub(crate) label: String,
     /// Kinds of requests.
     pub(crate) kinds: Vec<CallKind>,
     /// Requests a second.
--- a/crates/bench/src/service.rs
+++ b/crates/bench/src/service.rs
@@ -2,7 +2,10 @@
 
 mod baseline;
 mod fault;
+mod inject;
 mod result;
+mod run;
+mod site;
 mod verdict;
 
 pub(crate) use self::{
