--- a/crates/bench/src/service.rs
+++ b/crates/bench/src/service.rs
@@ -9,7 +9,12 @@
 mod verdict;
 
 pub(crate) use self::{
-    baseline::ServiceBaseline, fault::ServiceFault, result::ServiceResult, verdict::Verdict,
+    baseline::ServiceBaseline,
+    fault::ServiceFault,
+    result::ServiceResult,
+    run::{ServiceOptions, run_service},
+    site::Site,
+    verdict::Verdict,
 };
 
 #[cfg(test)]
--- a/crates/bench/src/service/inject.rs
+++ b/crates/bench/src/service/inject.rs
@@ -177,7 +177,9 @@
         self.site.order(HIT_DOMAIN, DrainAction::Drain);
         sleep(span).await;
         let vms = self.site.fleet.layout().vms_of(HIT_DOMAIN);
-        let starts = vms.iter().map(|&vm| self.site.upstreams[vm].state().counts().last_start);
+        let starts = vms
+            .iter()
+            .map(|&vm| self.site.upstreams[vm].state().counts().last_start);
         let last = starts.flatten().max()?;
         Some(last.saturating_duration_since(ordered).as_secs_f64() * 1e3)
     }
@@ -253,7 +255,10 @@
             upstreams: Changes {
                 add: add.into_iter().map(|vm| spec(vm).into()).collect(),
                 change: Vec::new(),
-                withdraw: withdraw.map(|vm| vms[vm].upstream.clone()).into_iter().collect(),
+                withdraw: withdraw
+                    .map(|vm| vms[vm].upstream.clone())
+                    .into_iter()
+                    .collect(),
             },
             ..ReleaseNote::default()
         }
--- a/crates/bench/src/service/result.rs
+++ b/crates/bench/src/service/result.rs
@@ -83,6 +83,15 @@
 const CRASHES_PER_REQUEST: u64 = 2;
 
 impl ServiceResult {
+    /// Returns the result as a table for people.
+    pub(crate) fn table(&self) -> String {
+        let value = serde_json::to_value(self).unwrap_or_default();
+        let fields = value.as_object().into_iter().flatten();
+        let shown = fields.filter(|(name, _)| *name != "series");
+        let lines = shown.map(|(name, value)| format!("{name:20} {value}"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
     /// Notes the bounds that the run broke.
     pub(crate) fn judge(&mut self, is_planned: bool, poisons: u64) {
         let zero = |name, count: u64| Bound {
--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -164,7 +164,11 @@
             Tally::of(records, Duration::ZERO, LIGHT_SPAN).quantile_ms(0.99)
         };
         let added = p99(&through) - p99(&past);
-        info!("p99 {:.2} ms through, {:.2} ms past", p99(&through), p99(&past));
+        info!(
+            "p99 {:.2} ms through, {:.2} ms past",
+            p99(&through),
+            p99(&past)
+        );
         self.records.extend(through);
         self.records.extend(past);
         added
@@ -220,5 +224,7 @@
 
 fn value_name(value: &impl clap::ValueEnum) -> String {
     let value = value.to_possible_value();
-    value.map(|value| value.get_name().to_string()).unwrap_or_default()
+    value
+        .map(|value| value.get_name().to_string())
+        .unwrap_or_default()
 }
--- a/crates/bench/src/service/site.rs
+++ b/crates/bench/src/service/site.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope};
+use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope, Method};
 
 use crate::{
     caller::{CallKind, Target, Workload},
+    deployment::ServiceShape,
     error::BenchError,
     fleet::{Fleet, FleetOptions},
     upstream::{Counts, Upstream, UpstreamModel},
@@ -89,7 +90,7 @@
         let services = self.fleet.deployment().services.iter();
         let kinds = services.enumerate().map(|(at, shape)| CallKind {
             service: shape.name.to_string(),
-            keyed: shape.is_keyed(),
+            keyed: is_keyed(shape),
             path: shape.path.clone(),
             size: ANSWER_BYTES,
             query: String::new(),
@@ -152,6 +153,11 @@
     }
 }
 
+/// Requests of a service that only takes `POST` carry an idempotency key.
+fn is_keyed(shape: &ServiceShape) -> bool {
+    shape.methods == [Method::Post]
+}
+
 fn model_of(fleet: &Fleet, service: usize) -> UpstreamModel {
     let shape = &fleet.deployment().services[service];
     UpstreamModel {
@@ -169,7 +175,10 @@
     let samples = text.lines().filter_map(|line| {
         let rest = line.strip_prefix(name)?;
         let is_own = rest.starts_with('{') || rest.starts_with(' ');
-        is_own.then(|| rest.rsplit(' ').next())??.parse::<f64>().ok()
+        is_own
+            .then(|| rest.rsplit(' ').next())??
+            .parse::<f64>()
+            .ok()
     });
     samples.sum()
 }
--- a/crates/bench/src/subcommand.rs
+++ b/crates/bench/src/subcommand.rs
@@ -4,6 +4,7 @@
 mod converge;
 mod demo;
 mod platform;
+mod service;
 
 use std::process::ExitCode;
 
@@ -18,6 +19,8 @@
     Demo(demo::Demo),
     /// Measures how fast and at what cost release notes come into force.
     Converge(converge::Converge),
+    /// Loads a deployment and measures how calls are answered.
+    Service(service::Service),
     /// Runs a random schedule of faults and checks what must always hold.
     Chaos(chaos::Chaos),
 }
@@ -33,6 +36,7 @@
             Self::Platform(platform) => platform.run().await,
             Self::Demo(demo) => demo.run().await,
             Self::Converge(converge) => converge.run().await,
+            Self::Service(service) => service.run().await,
             Self::Chaos(chaos) => chaos.run().await,
         }
     }
--- a/crates/bench/src/upstream.rs
+++ b/crates/bench/src/upstream.rs
@@ -6,7 +6,7 @@
 mod state;
 
 pub(crate) use self::{
-    control::{Upstream, UpstreamError},
+    control::Upstream,
     model::{HealthMode, UpstreamModel},
     state::{Arrival, Counts, Execution, UpstreamState},
 };
--- a/crates/bench/src/upstream/control.rs
+++ b/crates/bench/src/upstream/control.rs
@@ -7,29 +7,19 @@
     dev::{Server, ServerHandle},
     web::Data,
 };
-use snafu::{ResultExt, Snafu};
+use snafu::ResultExt;
 use tokio::{
     sync::{mpsc, oneshot},
     time::sleep,
 };
 
-use crate::upstream::{
-    UpstreamModel, UpstreamState,
-    serve::{Process, configure, connected},
-};
-
-/// Why a stand-in can't run.
-#[derive(Debug, Snafu)]
-pub(crate) enum UpstreamError {
-    /// The address can't be bound.
-    #[snafu(display("address {address} can't be bound: {source}"))]
-    Bind {
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
+use crate::{
+    error::{BenchError, BindSnafu},
+    upstream::{
+        UpstreamModel, UpstreamState,
+        serve::{Process, configure, connected},
     },
-}
+};
 
 /// Order to a stand-in.
 pub(super) enum Command {
@@ -61,7 +51,7 @@
         address: SocketAddr,
         model: UpstreamModel,
         seed: u64,
-    ) -> Result<Self, UpstreamError> {
+    ) -> Result<Self, BenchError> {
         let state = UpstreamState::new(model, seed);
         let (commands, receiver) = mpsc::unbounded_channel();
         let upstream = Self {
@@ -142,7 +132,7 @@
         Duration::from_millis(self.state.model().down_ms)
     }
 
-    fn spawn_process(&self) -> Result<ServerHandle, UpstreamError> {
+    fn spawn_process(&self) -> Result<ServerHandle, BenchError> {
         let process = Process {
             state: self.state.clone(),
             epoch: self.state.epoch(),
