--- /dev/null
+++ b/crates/coordination/src/balancer.rs
@@ -0,0 +1,362 @@
+//! Choice of the upstream that gets a call.
+
+mod tracked;
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+
+pub use self::tracked::ReportedLoad;
+use self::tracked::Tracked;
+use crate::{
+    candidates::{Candidate, Candidates},
+    health::{Evidence, HealthChange, Standing},
+    name::{DomainName, UpstreamName},
+};
+
+/// Share of its limit from which on a failure domain's own upstreams spill over to others.
+const SPILL_SCORE: f64 = 0.7;
+/// Advantage of the own failure domain once it spills over.
+const OWN_ADVANTAGE: f64 = 0.1;
+/// Time after which also a call that must not run twice may probe an ejected upstream.
+const PROBE_PATIENCE: Duration = Duration::from_secs(1);
+/// Time after which a caller is told to come back when nothing better is known.
+const DEFAULT_AFTER: Duration = Duration::from_millis(250);
+
+/// Parts of the choice that can be switched off.
+#[derive(Clone, Copy, Debug)]
+pub struct BalancerPolicy {
+    /// Choose by load and failure domain; otherwise in turn.
+    pub balance: bool,
+    /// Leave out upstreams that fail.
+    pub ejection: bool,
+}
+
+/// What a call asks of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Upstreams that were tried before.
+    pub excluded: &'a [UpstreamName],
+    /// Whether the request may run more than once, so that it can serve as a probe.
+    pub idempotent: bool,
+}
+
+/// One call at one upstream, given back to the balancer when the call ends.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Ticket {
+    upstream: UpstreamName,
+    id: u64,
+    epoch: u64,
+    is_probe: bool,
+}
+
+impl Ticket {
+    /// Returns whether the call probes an ejected upstream.
+    #[must_use]
+    pub fn is_probe(&self) -> bool {
+        self.is_probe
+    }
+}
+
+/// No upstream can be given the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoChoice {
+    /// Time after which a resend makes sense.
+    pub after: Duration,
+}
+
+/// Outstanding calls, loads and health of the upstreams as one ingress sees them.
+#[derive(Debug)]
+pub struct Balancer {
+    domain: DomainName,
+    policy: BalancerPolicy,
+    upstreams: HashMap<UpstreamName, Tracked>,
+    next_id: u64,
+    turn: usize,
+}
+
+impl Balancer {
+    /// Returns the balancer of an ingress in a failure domain.
+    #[must_use]
+    pub fn new(domain: DomainName, policy: BalancerPolicy) -> Self {
+        Self {
+            domain,
+            policy,
+            upstreams: HashMap::new(),
+            next_id: 0,
+            turn: 0,
+        }
+    }
+
+    /// Chooses a candidate and counts the call at it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no candidate can be given the call.
+    pub fn choose<'a>(
+        &mut self,
+        candidates: &'a [Candidate],
+        wish: Wish<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Result<(&'a Candidate, Ticket), NoChoice> {
+        let options = self.options(candidates, wish, now);
+        if let Some(probe) = options.probe {
+            return Ok(self.take(probe, true, now));
+        }
+        let chosen = if self.policy.balance {
+            self.by_load(&options.usable, rng)
+        } else {
+            self.in_turn(&options.usable)
+        };
+        let chosen = chosen.ok_or(NoChoice {
+            after: options.after,
+        })?;
+        Ok(self.take(chosen, false, now))
+    }
+
+    /// Counts a call at an upstream that was not chosen here, such as the owner of a key.
+    pub fn direct(&mut self, upstream: &UpstreamName) -> Ticket {
+        self.ticket(upstream, false)
+    }
+
+    /// Takes in the load that a reply reports.
+    pub fn report(&mut self, ticket: &Ticket, load: ReportedLoad, now: Instant) {
+        if let Some(tracked) = self.tracked(ticket) {
+            tracked.report(load, now);
+        }
+    }
+
+    /// Gives an upstream no call for a while, as long as there are others.
+    pub fn rest(&mut self, ticket: &Ticket, until: Instant) {
+        if let Some(tracked) = self.tracked(ticket) {
+            tracked.rest = Some(until);
+        }
+    }
+
+    /// Takes in what a call shows of its upstream's health.
+    pub fn observe(
+        &mut self,
+        ticket: &Ticket,
+        evidence: Evidence,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<HealthChange> {
+        if !self.policy.ejection {
+            return None;
+        }
+        let epoch = ticket.epoch;
+        let tracked = self.tracked(ticket)?;
+        tracked.health.observe(epoch, evidence, now, rng)
+    }
+
+    /// Ends the count of a call.
+    pub fn release(&mut self, ticket: &Ticket, now: Instant) {
+        let Some(tracked) = self.tracked(ticket) else {
+            return;
+        };
+        tracked.outstanding = tracked.outstanding.saturating_sub(1);
+        if ticket.is_probe {
+            tracked.health.abandon_probe(ticket.epoch, now);
+        }
+    }
+
+    /// Returns how many calls are counted at an upstream.
+    #[must_use]
+    pub fn outstanding(&self, upstream: &UpstreamName) -> u32 {
+        let tracked = self.upstreams.get(upstream);
+        tracked.map_or(0, |tracked| tracked.outstanding)
+    }
+
+    /// Drops what is known of upstreams that are no longer candidates and have no calls.
+    pub fn retain(&mut self, candidates: &Candidates) {
+        let mut known = std::collections::HashSet::new();
+        known.extend(candidates.iter().map(|c| c.upstream.name.clone()));
+        self.upstreams
+            .retain(|name, tracked| tracked.outstanding > 0 || known.contains(name));
+    }
+
+    /// Drops the reported loads, such as after a pause of this process.
+    pub fn forget_loads(&mut self) {
+        for tracked in self.upstreams.values_mut() {
+            tracked.forget_load();
+        }
+    }
+
+    fn take<'a>(
+        &mut self,
+        option: Scored<'a>,
+        is_probe: bool,
+        now: Instant,
+    ) -> (&'a Candidate, Ticket) {
+        let candidate = option.candidate;
+        if is_probe && let Some(tracked) = self.upstreams.get_mut(&candidate.upstream.name) {
+            tracked.health.begin_probe(now);
+        }
+        let ticket = self.ticket(&candidate.upstream.name, is_probe);
+        (candidate, ticket)
+    }
+
+    fn ticket(&mut self, upstream: &UpstreamName, is_probe: bool) -> Ticket {
+        let next_id = &mut self.next_id;
+        let tracked = self.upstreams.entry(upstream.clone()).or_insert_with(|| {
+            *next_id += 1;
+            Tracked::new(*next_id)
+        });
+        tracked.outstanding += 1;
+        Ticket {
+            upstream: upstream.clone(),
+            id: tracked.id,
+            epoch: tracked.health.epoch(),
+            is_probe,
+        }
+    }
+
+    fn tracked(&mut self, ticket: &Ticket) -> Option<&mut Tracked> {
+        let tracked = self.upstreams.get_mut(&ticket.upstream)?;
+        (tracked.id == ticket.id).then_some(tracked)
+    }
+
+    fn options<'a>(
+        &self,
+        candidates: &'a [Candidate],
+        wish: Wish<'_>,
+        now: Instant,
+    ) -> Options<'a> {
+        let mut options = Options::default();
+        let mut ejected = Vec::new();
+        let mut resting = Vec::new();
+        let fresh = Tracked::new(0);
+        let allowed = candidates.iter();
+        for candidate in allowed.filter(|c| !wish.excluded.contains(&c.upstream.name)) {
+            let name = &candidate.upstream.name;
+            let tracked = self.upstreams.get(name).unwrap_or(&fresh);
+            let scored = self.score(candidate, tracked, now);
+            match tracked.health.standing(now) {
+                Standing::Healthy | Standing::Suspect if tracked.is_resting(now) => {
+                    resting.push(scored);
+                }
+                Standing::Healthy | Standing::Suspect => options.usable.push(scored),
+                Standing::Due { since } if wish.idempotent || since >= PROBE_PATIENCE => {
+                    options.probe = Some(scored);
+                }
+                Standing::Due { .. } => ejected.push((Duration::ZERO, false, scored)),
+                Standing::Ejected {
+                    left,
+                    is_unreachable,
+                } => {
+                    ejected.push((left, is_unreachable, scored));
+                }
+            }
+        }
+        if options.usable.is_empty() {
+            options.usable = resting;
+        }
+        let soonest = ejected.iter().map(|(left, ..)| *left).min();
+        options.after = soonest.unwrap_or(DEFAULT_AFTER).max(MIN_AFTER);
+        self.spare(candidates.len(), ejected, &mut options);
+        options
+    }
+
+    /// Takes ejected upstreams back, those first that are due soonest, while more than half of
+    /// the service is ejected though it can be reached.
+    fn spare<'a>(
+        &self,
+        total: usize,
+        mut ejected: Vec<(Duration, bool, Scored<'a>)>,
+        options: &mut Options<'a>,
+    ) {
+        ejected.retain(|(_, is_unreachable, _)| !is_unreachable);
+        ejected.sort_by_key(|(left, ..)| *left);
+        let surplus = ejected.len().saturating_sub(total / 2);
+        let spared = ejected.into_iter().take(surplus);
+        options.usable.extend(spared.map(|(.., scored)| scored));
+    }
+
+    fn score<'a>(&self, candidate: &'a Candidate, tracked: &Tracked, now: Instant) -> Scored<'a> {
+        let is_suspect = tracked.health.standing(now) == Standing::Suspect;
+        Scored {
+            candidate,
+            weight: tracked.limit(),
+            score: tracked.score(now) + if is_suspect { SUSPECT_PENALTY } else { 0.0 },
+        }
+    }
+
+    fn by_load<'a>(&self, usable: &[Scored<'a>], rng: &mut impl Rng) -> Option<Scored<'a>> {
+        let (own, other): (Vec<_>, Vec<_>) = usable
+            .iter()
+            .partition(|scored| scored.candidate.upstream.domain == self.domain);
+        let own = better_of_two(&own, rng);
+        if let Some(own) = own.filter(|own| own.score < SPILL_SCORE) {
+            return Some(own);
+        }
+        let other = better_of_two(&other, rng);
+        match (own, other) {
+            (Some(own), Some(other)) if other.score + OWN_ADVANTAGE < own.score => Some(other),
+            (own, other) => own.or(other),
+        }
+    }
+
+    fn in_turn<'a>(&mut self, usable: &[Scored<'a>]) -> Option<Scored<'a>> {
+        if usable.is_empty() {
+            return None;
+        }
+        self.turn = self.turn.wrapping_add(1);
+        Some(usable[self.turn % usable.len()])
+    }
+}
+
+/// Shortest time after which a caller is told to come back.
+const MIN_AFTER: Duration = Duration::from_millis(10);
+/// What failures add to the score of a suspect.
+const SUSPECT_PENALTY: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug)]
+struct Scored<'a> {
+    candidate: &'a Candidate,
+    weight: f64,
+    score: f64,
+}
+
+#[derive(Default)]
+struct Options<'a> {
+    usable: Vec<Scored<'a>>,
+    probe: Option<Scored<'a>>,
+    after: Duration,
+}
+
+/// Draws two options by weight and returns the one with the lower score.
+fn better_of_two<'a>(options: &[&Scored<'a>], rng: &mut impl Rng) -> Option<Scored<'a>> {
+    let first = draw(options, None, rng)?;
+    let second = draw(options, Some(first), rng).unwrap_or(first);
+    let (first, second) = (options[first], options[second]);
+    Some(if second.score < first.score {
+        *second
+    } else {
+        *first
+    })
+}
+
+fn draw(options: &[&Scored<'_>], without: Option<usize>, rng: &mut impl Rng) -> Option<usize> {
+    let weights = || {
+        let all = options.iter().enumerate();
+        all.filter(move |(i, _)| Some(*i) != without)
+    };
+    let total: f64 = weights().map(|(_, scored)| scored.weight).sum();
+    let mut left = rng.random::<f64>() * total;
+    let mut drawn = None;
+    for (i, scored) in weights() {
+        drawn = Some(i);
+        left -= scored.weight;
+        if left <= 0.0 {
+            break;
+        }
+    }
+    drawn
+}
--- /dev/null
+++ b/crates/coordination/src/balancer/tracked.rs
@@ -0,0 +1,77 @@
+//! What an ingress knows of one upstream.
+
+use std::time::{Duration, Instant};
+
+use crate::health::Health;
+
+/// Time in which the weight of a reported load falls to a third.
+const LOAD_DECAY: Duration = Duration::from_millis(300);
+
+/// Load that a sidecar reports with a reply.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that run on the upstream.
+    pub active: u32,
+    /// Requests that may run at once.
+    pub limit: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+/// What an ingress knows of one upstream.
+#[derive(Debug)]
+pub(crate) struct Tracked {
+    /// Identity of this record; an upstream that comes back later has another one.
+    pub(crate) id: u64,
+    /// Own calls that have not ended.
+    pub(crate) outstanding: u32,
+    /// Health, judged by own calls.
+    pub(crate) health: Health,
+    /// Time until which the upstream asked for no calls.
+    pub(crate) rest: Option<Instant>,
+    limit: u32,
+    others: Option<(u32, Instant)>,
+}
+
+impl Tracked {
+    pub(crate) fn new(id: u64) -> Self {
+        Self {
+            id,
+            outstanding: 0,
+            health: Health::default(),
+            rest: None,
+            limit: 1,
+            others: None,
+        }
+    }
+
+    /// Takes in a report; what it counts of own calls is known better here.
+    pub(crate) fn report(&mut self, load: ReportedLoad, now: Instant) {
+        let total = load.active.saturating_add(load.queued);
+        self.limit = load.limit.max(1);
+        self.others = Some((total.saturating_sub(self.outstanding), now));
+    }
+
+    pub(crate) fn forget_load(&mut self) {
+        self.limit = 1;
+        self.others = None;
+    }
+
+    pub(crate) fn is_resting(&self, now: Instant) -> bool {
+        self.rest.is_some_and(|until| now < until)
+    }
+
+    /// Returns the limit; an upstream that never reported counts as one that just started.
+    pub(crate) fn limit(&self) -> f64 {
+        f64::from(self.limit)
+    }
+
+    /// Returns the share of the limit that is in use.
+    pub(crate) fn score(&self, now: Instant) -> f64 {
+        let others = self.others.map_or(0.0, |(others, at)| {
+            let age = now.saturating_duration_since(at);
+            f64::from(others) * (-age.div_duration_f64(LOAD_DECAY)).exp()
+        });
+        (f64::from(self.outstanding) + others) / self.limit()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/candidates.rs
@@ -0,0 +1,92 @@
+//! Upstreams of each service that may be given new work.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use crate::{
+    config::{Config, Upstream},
+    drain::DrainList,
+    name::{ServiceName, UpstreamName, VmName},
+    vm::{VmEntry, VmList, VmState},
+};
+
+/// An upstream and the address of its sidecar.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// Address on which the VM's node accepts other nodes.
+    pub address: SocketAddr,
+}
+
+/// Upstreams that may be given new work, by service.
+///
+/// An upstream is left out when the platform does not list its VM or lists it as leaving,
+/// and when an operator's order drains its VM or failure domain.
+#[derive(Clone, Debug, Default)]
+pub struct Candidates {
+    services: HashMap<ServiceName, Vec<Candidate>>,
+    addresses: HashMap<VmName, SocketAddr>,
+}
+
+impl Candidates {
+    /// Returns the candidates of a configuration, list of VMs and drain orders.
+    #[must_use]
+    pub fn new(config: &Config, vms: &VmList, drains: &DrainList) -> Self {
+        let entries: HashMap<&VmName, &VmEntry> =
+            vms.vms.iter().map(|entry| (&entry.vm, &**entry)).collect();
+        let mut services: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
+        for upstream in config.upstreams.values() {
+            let Some(entry) = entries.get(&upstream.vm) else {
+                continue;
+            };
+            if entry.state == VmState::Leaving || is_drained(upstream, entry, drains) {
+                continue;
+            }
+            let candidates = services.entry(upstream.service.clone()).or_default();
+            candidates.push(Candidate {
+                upstream: Arc::clone(upstream),
+                address: entry.address,
+            });
+        }
+        let addresses = entries
+            .iter()
+            .map(|(vm, entry)| ((*vm).clone(), entry.address));
+        let addresses = addresses.collect();
+        Self {
+            services,
+            addresses,
+        }
+    }
+
+    /// Returns the candidates of a service, in the order of their upstreams' names.
+    #[must_use]
+    pub fn of(&self, service: &ServiceName) -> &[Candidate] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the candidate of a service by the name of its upstream.
+    #[must_use]
+    pub fn get(&self, service: &ServiceName, upstream: &UpstreamName) -> Option<&Candidate> {
+        let candidates = self.of(service);
+        candidates
+            .iter()
+            .find(|candidate| candidate.upstream.name == *upstream)
+    }
+
+    /// Returns the address of the node on a VM that the platform lists, drained or not.
+    #[must_use]
+    pub fn address(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.addresses.get(vm).copied()
+    }
+
+    /// Iterates over all candidates of all services, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Candidate> {
+        self.services.values().flatten()
+    }
+}
+
+/// Both the note and the platform name a failure domain; an order for either one counts.
+fn is_drained(upstream: &Upstream, entry: &VmEntry, drains: &DrainList) -> bool {
+    drains.is_drained(&upstream.vm, &upstream.domain)
+        || drains.is_drained(&upstream.vm, &entry.domain)
+}
--- a/crates/coordination/src/config.rs
+++ b/crates/coordination/src/config.rs
@@ -11,7 +11,7 @@
 use crate::{
     error::NoteError,
     name::{RouteName, ServiceName, UpstreamName},
-    note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    note::{Changes, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
     sequence::Sequence,
 };
 
@@ -63,16 +63,6 @@
         self.check(&ReleaseNote::default())
     }
 
-    /// Returns the most specific route for a method and path.
-    #[must_use]
-    pub fn route(&self, method: Method, path: &str) -> Option<&Arc<Route>> {
-        self.routes
-            .values()
-            .filter(|route| route.methods.is_empty() || route.methods.contains(&method))
-            .filter(|route| is_path_prefix(&route.path, path))
-            .max_by_key(|route| route.path.len())
-    }
-
     /// Iterates over the upstreams of a service, in the order of their names.
     pub fn upstreams_of<'a>(
         &'a self,
@@ -277,11 +267,3 @@
         || b.methods.is_empty()
         || a.methods.iter().any(|method| b.methods.contains(method))
 }
-
-fn is_path_prefix(prefix: &str, path: &str) -> bool {
-    let prefix = prefix.trim_end_matches('/');
-    let Some(rest) = path.strip_prefix(prefix) else {
-        return false;
-    };
-    rest.is_empty() || rest.starts_with('/') || rest.starts_with('?')
-}
--- /dev/null
+++ b/crates/coordination/src/retry.rs
@@ -0,0 +1,227 @@
+//! What may be sent again, when, and at whose cost.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+/// Attempts that a call may take.
+pub(crate) const MAX_ATTEMPTS: u32 = 3;
+/// Attempts of one call after which an upstream may have been lost.
+const MAX_BROKEN: u32 = 2;
+/// Shortest time that an attempt is worth.
+const MIN_ATTEMPT: Duration = Duration::from_millis(2);
+/// Longest pause before the second attempt; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(8);
+
+/// What a request allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request runs at most once, which the owner of its key sees to.
+    Keyed,
+    /// The request runs at most once and nobody can tell its resends apart.
+    Plain,
+}
+
+/// How an attempt ended without an answer of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// Nothing reached the other side.
+    Unreachable,
+    /// The other side refused the attempt and proved that the request did not run.
+    Refused,
+    /// The other side has another configuration; the request did not run.
+    Stale,
+    /// The time of the attempt ran out; the request may have run.
+    TimedOut,
+    /// The connection or the upstream broke; the request may have run.
+    Broken,
+    /// The other side states that the request may have run, and no more is to be learnt.
+    Undecided,
+    /// The request did not run and would be refused everywhere.
+    Final,
+}
+
+impl AttemptEnd {
+    /// Returns whether the request is proved not to have run in this attempt.
+    #[must_use]
+    pub fn is_not_run(self) -> bool {
+        matches!(
+            self,
+            Self::Unreachable | Self::Refused | Self::Stale | Self::Final
+        )
+    }
+}
+
+/// What follows an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// The call gets its final answer.
+    Stop,
+    /// The request is sent to an upstream that has not been tried.
+    Elsewhere {
+        /// Pause before.
+        after: Duration,
+    },
+    /// The request is sent to the owner of its key in the newest configuration.
+    Owner {
+        /// Pause before.
+        after: Duration,
+    },
+}
+
+/// Attempts of one call.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    kind: RequestKind,
+    made: u32,
+    broken: u32,
+    is_not_run: bool,
+}
+
+impl Attempts {
+    /// Returns the record of a call before its first attempt.
+    #[must_use]
+    pub fn new(kind: RequestKind) -> Self {
+        Self {
+            kind,
+            made: 0,
+            broken: 0,
+            is_not_run: true,
+        }
+    }
+
+    /// Returns how many attempts have ended.
+    #[must_use]
+    pub fn made(&self) -> u32 {
+        self.made
+    }
+
+    /// Returns whether the request is proved not to have run in any attempt.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        self.is_not_run
+    }
+
+    /// Records the end of an attempt.
+    pub fn record(&mut self, end: AttemptEnd) {
+        self.made += 1;
+        self.is_not_run &= end.is_not_run();
+        if end == AttemptEnd::Broken {
+            self.broken += 1;
+        }
+    }
+
+    /// Decides what follows the attempt that was recorded last.
+    ///
+    /// `is_resendable` tells whether the body can be sent from its start, and `left` is the time
+    /// until the deadline. A resend that may cost somebody else work takes a token of `budget`.
+    pub fn next(
+        &self,
+        end: AttemptEnd,
+        is_resendable: bool,
+        left: Duration,
+        budget: &mut RetryBudget,
+        rng: &mut impl Rng,
+    ) -> Next {
+        if self.made >= MAX_ATTEMPTS || self.broken >= MAX_BROKEN || !is_resendable {
+            return Next::Stop;
+        }
+        let after = self.pause(end, budget, rng);
+        if after + MIN_ATTEMPT > left {
+            return Next::Stop;
+        }
+        let next = self.place(end, after);
+        if next == Next::Stop || end == AttemptEnd::Unreachable || budget.try_take() {
+            return next;
+        }
+        Next::Stop
+    }
+
+    fn place(&self, end: AttemptEnd, after: Duration) -> Next {
+        match (self.kind, end) {
+            (_, AttemptEnd::Undecided | AttemptEnd::Final) => Next::Stop,
+            (RequestKind::Idempotent, _) => Next::Elsewhere { after },
+            (RequestKind::Keyed, AttemptEnd::Stale | AttemptEnd::Broken) => Next::Owner { after },
+            (RequestKind::Keyed, _) => Next::Stop,
+            (RequestKind::Plain, end) if end.is_not_run() && self.is_not_run => {
+                Next::Elsewhere { after }
+            }
+            (RequestKind::Plain, _) => Next::Stop,
+        }
+    }
+
+    fn pause(&self, end: AttemptEnd, budget: &RetryBudget, rng: &mut impl Rng) -> Duration {
+        if end == AttemptEnd::Unreachable || budget.is_unlimited() {
+            return Duration::ZERO;
+        }
+        let longest = FIRST_PAUSE * 2u32.pow(self.made.saturating_sub(1).min(8));
+        longest.mul_f64(rng.random_range(0.25..=1.0))
+    }
+}
+
+/// Resends that a service may take, as a share of its calls.
+///
+/// A token bucket: each call adds a fifth of a token and each resend takes one, so failures
+/// can't multiply the load. A trickle of tokens over time lets a service with few calls resend.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    tokens: f64,
+    filled: Instant,
+    is_unlimited: bool,
+}
+
+/// Tokens that a call adds.
+const TOKENS_PER_CALL: f64 = 0.2;
+/// Tokens that a second adds.
+const TOKENS_PER_SECOND: f64 = 1.0;
+/// Tokens that a budget holds.
+const MAX_TOKENS: f64 = 10.0;
+
+impl RetryBudget {
+    /// Returns a budget with a few tokens.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            tokens: MAX_TOKENS / 2.0,
+            filled: now,
+            is_unlimited: false,
+        }
+    }
+
+    /// Returns a budget that allows each resend, and without a pause.
+    #[must_use]
+    pub fn unlimited(now: Instant) -> Self {
+        Self {
+            is_unlimited: true,
+            ..Self::new(now)
+        }
+    }
+
+    /// Counts a call.
+    pub fn count_call(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.filled);
+        self.filled = self.filled.max(now);
+        let added = TOKENS_PER_CALL + passed.as_secs_f64() * TOKENS_PER_SECOND;
+        self.tokens = (self.tokens + added).min(MAX_TOKENS);
+    }
+
+    fn is_unlimited(&self) -> bool {
+        self.is_unlimited
+    }
+
+    fn try_take(&mut self) -> bool {
+        if self.is_unlimited {
+            return true;
+        }
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/retry/tests.rs
@@ -0,0 +1,140 @@
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::*;
+
+const ENDS: [AttemptEnd; 7] = [
+    AttemptEnd::Unreachable,
+    AttemptEnd::Refused,
+    AttemptEnd::Stale,
+    AttemptEnd::TimedOut,
+    AttemptEnd::Broken,
+    AttemptEnd::Undecided,
+    AttemptEnd::Final,
+];
+
+fn after(kind: RequestKind, ends: &[AttemptEnd]) -> Next {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut budget = RetryBudget::new(Instant::now());
+    let mut attempts = Attempts::new(kind);
+    let mut next = Next::Stop;
+    for &end in ends {
+        attempts.record(end);
+        let left = Duration::from_secs(1);
+        next = attempts.next(end, true, left, &mut budget, &mut rng);
+    }
+    next
+}
+
+fn is_elsewhere(next: Next) -> bool {
+    matches!(next, Next::Elsewhere { .. })
+}
+
+fn is_owner(next: Next) -> bool {
+    matches!(next, Next::Owner { .. })
+}
+
+#[test]
+fn an_idempotent_request_goes_elsewhere() {
+    for end in &ENDS[..5] {
+        assert!(
+            is_elsewhere(after(RequestKind::Idempotent, &[*end])),
+            "{end:?}"
+        );
+    }
+    for end in &ENDS[5..] {
+        assert_eq!(
+            after(RequestKind::Idempotent, &[*end]),
+            Next::Stop,
+            "{end:?}"
+        );
+    }
+}
+
+#[test]
+fn a_request_that_lost_two_upstreams_is_not_sent_to_a_third() {
+    let lost = [AttemptEnd::Broken, AttemptEnd::Broken];
+    assert_eq!(after(RequestKind::Idempotent, &lost), Next::Stop);
+}
+
+#[test]
+fn a_plain_request_is_resent_only_while_it_is_proved_not_to_have_run() {
+    for end in ENDS {
+        let next = after(RequestKind::Plain, &[end]);
+        let is_resent = end.is_not_run() && end != AttemptEnd::Final;
+        assert_eq!(is_elsewhere(next), is_resent, "{end:?}");
+    }
+    let mixed = [AttemptEnd::Broken, AttemptEnd::Refused];
+    assert_eq!(after(RequestKind::Plain, &mixed), Next::Stop);
+}
+
+#[test]
+fn a_keyed_request_goes_to_its_owner_alone() {
+    assert!(is_owner(after(RequestKind::Keyed, &[AttemptEnd::Broken])));
+    assert!(is_owner(after(RequestKind::Keyed, &[AttemptEnd::Stale])));
+    for end in [
+        AttemptEnd::Unreachable,
+        AttemptEnd::Refused,
+        AttemptEnd::TimedOut,
+    ] {
+        assert_eq!(after(RequestKind::Keyed, &[end]), Next::Stop, "{end:?}");
+    }
+    let twice = [AttemptEnd::Broken, AttemptEnd::Broken];
+    assert_eq!(after(RequestKind::Keyed, &twice), Next::Stop);
+}
+
+#[test]
+fn a_body_that_is_gone_is_not_resent() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut attempts = Attempts::new(RequestKind::Idempotent);
+    attempts.record(AttemptEnd::Refused);
+    let mut budget = RetryBudget::new(Instant::now());
+    let left = Duration::from_secs(1);
+    let next = attempts.next(AttemptEnd::Refused, false, left, &mut budget, &mut rng);
+    assert_eq!(next, Next::Stop);
+}
+
+proptest! {
+    #[test]
+    fn resends_stay_within_a_fifth_of_the_calls_and_the_floor(
+        calls in 1usize..2000,
+        gap_us in 0u64..2_000,
+        seed in any::<u64>(),
+    ) {
+        let start = Instant::now();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut budget = RetryBudget::new(start);
+        let mut resends = 0;
+        for i in 0..calls {
+            budget.count_call(start + Duration::from_micros(gap_us) * i as u32);
+            let mut attempts = Attempts::new(RequestKind::Idempotent);
+            loop {
+                attempts.record(AttemptEnd::Refused);
+                let left = Duration::from_secs(1);
+                let next = attempts.next(AttemptEnd::Refused, true, left, &mut budget, &mut rng);
+                if next == Next::Stop {
+                    break;
+                }
+                resends += 1;
+            }
+            prop_assert!(attempts.made() <= MAX_ATTEMPTS);
+        }
+        let seconds = (gap_us * calls as u64) as f64 / 1e6;
+        prop_assert!(resends as f64 <= 5.0 + calls as f64 * 0.2 + seconds + 1.0);
+    }
+
+    #[test]
+    fn a_resend_leaves_time_for_an_attempt(left_ms in 0u64..40, made in 1u32..3, seed in any::<u64>()) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut budget = RetryBudget::new(Instant::now());
+        let mut attempts = Attempts::new(RequestKind::Idempotent);
+        for _ in 0..made {
+            attempts.record(AttemptEnd::Refused);
+        }
+        let left = Duration::from_millis(left_ms);
+        let next = attempts.next(AttemptEnd::Refused, true, left, &mut budget, &mut rng);
+        if let Next::Elsewhere { after } = next {
+            prop_assert!(after + MIN_ATTEMPT <= left);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/routing/tests.rs
@@ -0,0 +1,93 @@
+use proptest::prelude::*;
+
+use super::*;
+use crate::note::RouteSpec;
+
+struct Case {
+    config: Config,
+}
+
+fn case() -> Case {
+    Case {
+        config: Config::default(),
+    }
+}
+
+impl Case {
+    fn route(mut self, name: &str, path: &str, methods: &[Method]) -> Self {
+        let route = RouteSpec {
+            name: name.into(),
+            path: path.into(),
+            methods: methods.to_vec(),
+            service: "s".into(),
+            idempotent: None,
+            timeout_ms: 1000,
+        };
+        self.config.routes.insert(name.into(), Arc::new(route));
+        self
+    }
+
+    fn leads(self, method: Method, target: &str, expected: Option<&str>) -> Self {
+        let table = RouteTable::new(&self.config);
+        let found = table.find(method, target).map(|route| route.name.as_str());
+        assert_eq!(found, expected, "{method:?} {target}");
+        self
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_whole_segments_wins() {
+    case()
+        .route("root", "/", &[])
+        .route("a", "/a", &[])
+        .route("ab", "/a/b/", &[])
+        .leads(Method::Get, "/a/b/c?d=/x", Some("ab"))
+        .leads(Method::Get, "/a/b", Some("ab"))
+        .leads(Method::Get, "/a/bc", Some("a"))
+        .leads(Method::Get, "/ab", Some("root"))
+        .leads(Method::Get, "/", Some("root"))
+        .leads(Method::Get, "/a?b=/a/b", Some("a"));
+}
+
+#[test]
+fn a_prefix_without_the_method_falls_back_to_a_shorter_one() {
+    case()
+        .route("all", "/a", &[])
+        .route("write", "/a/b", &[Method::Post])
+        .leads(Method::Post, "/a/b", Some("write"))
+        .leads(Method::Get, "/a/b", Some("all"))
+        .leads(Method::Get, "/b", None);
+}
+
+fn naive<'a>(config: &'a Config, method: Method, path: &str) -> Option<&'a Arc<Route>> {
+    let segments = |text: &str| -> Vec<String> {
+        let text = text.trim_end_matches('/');
+        text.split('/').map(str::to_string).collect()
+    };
+    let wanted: Vec<String> = path.split('/').map(str::to_string).collect();
+    config
+        .routes
+        .values()
+        .filter(|route| takes(route, method) && wanted.starts_with(&segments(&route.path)))
+        .max_by_key(|route| segments(&route.path).len())
+}
+
+proptest! {
+    #[test]
+    fn the_table_agrees_with_a_linear_scan(
+        paths in proptest::collection::btree_set("(/[ab]{1,2}){0,3}", 1..8),
+        path in "(/[ab]{1,2}){0,4}/?",
+        split in any::<u8>(),
+    ) {
+        let mut case = case();
+        for (i, prefix) in paths.iter().enumerate() {
+            let methods = if split >> (i % 8) & 1 == 0 { vec![] } else { vec![Method::Get] };
+            case = case.route(&format!("r{i}"), &format!("{prefix}/"), &methods);
+        }
+        let table = RouteTable::new(&case.config);
+        for method in [Method::Get, Method::Post] {
+            let expected = naive(&case.config, method, &path).map(|route| &route.name);
+            prop_assert_eq!(table.find(method, &path).map(|route| &route.name), expected);
+        }
+    }
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -15,6 +15,7 @@
     settings::Settings,
     sidecar::Sidecar,
     source::Source,
+    stall::StallWatch,
     transport::Transport,
 };
 
@@ -67,6 +68,7 @@
     let mut kernel = Kernel::new(context.clone());
     kernel
         .add(Admin::default())
+        .add(StallWatch::default())
         .add(Transport::default())
         .add(Peers::default())
         .add(Source::default())
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -1,26 +1,65 @@
 //! Service that takes calls of callers and routes them to sidecars.
 
+mod answer;
+mod attempt;
+mod beliefs;
+mod body;
+mod dispatch;
+mod feedback;
+mod handler;
+mod keepalive;
+mod pool;
+mod reply_body;
+mod request;
+mod server;
+mod visit;
+mod worker;
+
+#[cfg(test)]
+mod tests;
+
 use futures_util::future::LocalBoxFuture;
+use snafu::ResultExt;
 
-use crate::kernel::{Context, Service, StartError};
+use crate::{
+    ingress::{server::Server, worker::Shared},
+    kernel::{BindSnafu, Context, Service, StartError},
+    stall::Stall,
+};
 
 /// Service that takes calls of callers and routes them to sidecars.
 #[derive(Default)]
-pub(crate) struct Ingress {}
+pub(crate) struct Ingress {
+    server: Option<Server>,
+}
 
 impl Service for Ingress {
     fn name(&self) -> &'static str {
         "ingress"
     }
 
-    fn start<'a>(
-        &'a mut self,
-        _context: &'a Context,
-    ) -> LocalBoxFuture<'a, Result<(), StartError>> {
-        Box::pin(async move { Ok(()) })
+    fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>> {
+        Box::pin(async move {
+            let settings = context.settings();
+            let address = settings.callers;
+            let shared = Shared {
+                settings: settings.clone(),
+                view: context.view().clone(),
+                timeline: context.timeline().clone(),
+                stall: context.registry().find::<Stall>("stall")?,
+                token: context.token(),
+            };
+            let server = Server::start(shared).context(BindSnafu { address })?;
+            self.server = Some(server);
+            Ok(())
+        })
     }
 
     fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(async move {})
+        Box::pin(async move {
+            if let Some(server) = self.server.take() {
+                server.stop().await;
+            }
+        })
     }
 }
--- /dev/null
+++ b/crates/node/src/ingress/attempt.rs
@@ -0,0 +1,125 @@
+//! One attempt of a call at one sidecar.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    ingress::{
+        body::RequestBody,
+        pool::{Pool, Unreachable},
+    },
+    transport::{Connection, FrameReader, TransportError},
+    wire::{CallHead, ReplyHead},
+};
+
+/// What became of an attempt.
+pub(super) enum AttemptEnd {
+    /// The sidecar replied.
+    Replied(Reply),
+    /// The sidecar can't be reached; nothing was sent.
+    Unreachable,
+    /// The stream broke before the whole head was sent, so the sidecar can't have acted on it.
+    NotSent,
+    /// The sidecar's transport turned the stream away before any service saw it.
+    NotTaken,
+    /// The stream broke after the head was sent.
+    Broken,
+    /// The time of the attempt ran out.
+    TimedOut {
+        /// Whether the head was sent.
+        is_sent: bool,
+    },
+}
+
+/// Reply of a sidecar and the parts that its body still needs.
+pub(super) struct Reply {
+    /// Head of the reply.
+    pub(super) head: ReplyHead,
+    /// Where the body comes from.
+    pub(super) reader: FrameReader,
+    /// Rest of the request's body on its way to the sidecar.
+    pub(super) upload: Option<LocalBoxFuture<'static, ()>>,
+    /// Connection, which stays open as long as the reply.
+    pub(super) connection: Rc<Connection>,
+}
+
+/// Sends a call to the sidecar at an address and waits for the head of its reply.
+pub(super) async fn attempt(
+    pool: &Pool,
+    address: SocketAddr,
+    head: &CallHead,
+    body: &RequestBody,
+    until: Instant,
+) -> AttemptEnd {
+    let is_sent = Cell::new(false);
+    let exchange = exchange(pool, address, head, body, &is_sent);
+    let ended = timeout_at(until, exchange).await;
+    let is_sent = is_sent.get();
+    ended.unwrap_or(AttemptEnd::TimedOut { is_sent })
+}
+
+async fn exchange(
+    pool: &Pool,
+    address: SocketAddr,
+    head: &CallHead,
+    body: &RequestBody,
+    is_sent: &Cell<bool>,
+) -> AttemptEnd {
+    let connection = match pool.get(address).await {
+        Ok(connection) => connection,
+        Err(Unreachable) => return AttemptEnd::Unreachable,
+    };
+    let Ok((mut writer, pending)) = connection.open("call").await else {
+        return AttemptEnd::NotSent;
+    };
+    if writer.frame(head).await.is_err() {
+        return AttemptEnd::NotSent;
+    }
+    is_sent.set(true);
+    let mut upload = Some(body.clone().send(writer).boxed_local());
+    let reply = async {
+        let mut reader = pending.ready().await?;
+        let head = reader.frame::<ReplyHead>().await?;
+        Ok((head.ok_or(TransportError::Ended)?, reader))
+    };
+    match drive(reply, &mut upload).await {
+        Ok((head, reader)) => AttemptEnd::Replied(Reply {
+            head,
+            reader,
+            upload,
+            connection,
+        }),
+        Err(err) if is_not_taken(&err) => AttemptEnd::NotTaken,
+        Err(_) => AttemptEnd::Broken,
+    }
+}
+
+/// Runs a future while the upload goes on beside it.
+pub(super) async fn drive<T>(
+    future: impl Future<Output = T>,
+    upload: &mut Option<LocalBoxFuture<'static, ()>>,
+) -> T {
+    tokio::pin!(future);
+    if let Some(rest) = upload {
+        tokio::select! {
+            biased;
+            output = &mut future => return output,
+            () = rest => {}
+        }
+        *upload = None;
+    }
+    future.await
+}
+
+/// Returns whether the other side states that no service saw the stream.
+fn is_not_taken(err: &TransportError) -> bool {
+    match err {
+        TransportError::NoService => true,
+        TransportError::Broken { source } => {
+            source.is_remote() && source.reason() == Some(h2::Reason::REFUSED_STREAM)
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/beliefs.rs
@@ -0,0 +1,51 @@
+//! What the ingress derives from a view, until there is a newer one.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
+
+use wagtaillever_coordination::{Candidates, DomainName, RouteTable};
+
+use crate::view::View;
+
+/// Connections that are opened ahead of need.
+const MAX_WARM: usize = 128;
+
+/// A view with the tables that are compiled from it.
+pub(super) struct Beliefs {
+    /// The view.
+    pub(super) view: Arc<View>,
+    /// Routes of the view.
+    pub(super) routes: Rc<RouteTable>,
+    /// Upstreams that may be given new work.
+    pub(super) candidates: Candidates,
+    /// Sidecars to which connections are kept open.
+    pub(super) warm: Rc<Vec<SocketAddr>>,
+}
+
+impl Beliefs {
+    /// Returns what follows from a view, seen from a failure domain.
+    pub(super) fn new(view: Arc<View>, domain: &DomainName, last: Option<&Self>) -> Self {
+        let candidates = Candidates::new(&view.config, &view.vms, &view.drains);
+        let unchanged = last.filter(|last| Arc::ptr_eq(&last.view.config, &view.config));
+        let routes = unchanged.map(|last| Rc::clone(&last.routes));
+        let routes = routes.unwrap_or_else(|| Rc::new(RouteTable::new(&view.config)));
+        let warm = Rc::new(warm(&candidates, domain));
+        Self {
+            view,
+            routes,
+            candidates,
+            warm,
+        }
+    }
+}
+
+/// Returns the sidecars to connect to ahead of need, those of the own failure domain first.
+fn warm(candidates: &Candidates, domain: &DomainName) -> Vec<SocketAddr> {
+    let mut ranked: Vec<(bool, SocketAddr)> = candidates
+        .iter()
+        .map(|candidate| (candidate.upstream.domain != *domain, candidate.address))
+        .collect();
+    ranked.sort_unstable();
+    ranked.dedup_by_key(|(_, address)| *address);
+    ranked.truncate(MAX_WARM);
+    ranked.into_iter().map(|(_, address)| address).collect()
+}
--- /dev/null
+++ b/crates/node/src/ingress/dispatch.rs
@@ -0,0 +1,326 @@
+//! Carries a call through its attempts to its one answer.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_web::HttpResponse;
+use wagtaillever_coordination::{
+    AttemptEnd, Attempts, Evidence, Next, NoChoice, RequestKind, Sequence, UpstreamName, Wish,
+    key_owner,
+};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::{
+    ingress::{
+        answer,
+        attempt::{AttemptEnd as Sent, Reply, attempt},
+        body::{CallerGone, RequestBody},
+        feedback::{Feedback, feedback},
+        reply_body::{no_body, reply_body},
+        request::CallerRequest,
+        visit::{Permit, Visit},
+        worker::Worker,
+    },
+    wire::{CallHead, CallStage, Outcome, Refusal, RefusalReason, ReplyHead},
+};
+
+/// Headers whose values tell requests of different callers apart.
+const FINGERPRINT_HEADERS: [&str; 2] = ["authorization", "x-caller"];
+/// Shortest attempt whose running out of time says something of the upstream.
+const MIN_BLAME: Duration = Duration::from_secs(1);
+
+/// One call on its way.
+pub(super) struct Dispatch {
+    worker: Rc<Worker>,
+    request: CallerRequest,
+    body: RequestBody,
+    attempts: Attempts,
+    tried: Vec<UpstreamName>,
+    fingerprint: u64,
+}
+
+/// Where an attempt goes.
+struct Place {
+    upstream: UpstreamName,
+    address: SocketAddr,
+    visit: Visit,
+}
+
+impl Dispatch {
+    /// Returns a call before its first attempt.
+    pub(super) fn new(worker: &Rc<Worker>, request: CallerRequest, body: RequestBody) -> Self {
+        Self {
+            worker: Rc::clone(worker),
+            attempts: Attempts::new(request.kind()),
+            request,
+            body,
+            tried: Vec::new(),
+            fingerprint: 0,
+        }
+    }
+
+    /// Makes attempts until there is an answer; the permit is held until its body ends.
+    pub(super) async fn run(mut self, permit: Permit) -> HttpResponse {
+        let service = self.request.route.service.clone();
+        let now = Instant::now();
+        self.worker
+            .with_budget(&service, |budget, _| budget.count_call(now));
+        if let Err(refusal) = self.read_prefix().await {
+            return self.refuse(refusal);
+        }
+        let mut last: Option<Refusal> = None;
+        loop {
+            let place = match self.place() {
+                Ok(place) => place,
+                Err(refusal) => return self.refuse(last.unwrap_or(refusal)),
+            };
+            let (sent, place, feedback) = self.attempt(place).await;
+            if let Sent::Replied(reply) = sent
+                && feedback.end.is_none()
+            {
+                return self.answer(reply, place, permit);
+            }
+            let end = feedback.end.unwrap_or(AttemptEnd::Undecided);
+            self.attempts.record(end);
+            let refusal = soonest(last, feedback.refusal.unwrap_or_else(unknown));
+            if !self.prepare_next(end).await {
+                return self.refuse(refusal);
+            }
+            last = Some(refusal);
+        }
+    }
+
+    async fn read_prefix(&mut self) -> Result<(), Refusal> {
+        let mut hash = Xxh3Default::new();
+        let request = &self.request;
+        hash.update(request.method.as_bytes());
+        hash.update(request.target.as_bytes());
+        hash.update(&request.length.unwrap_or(u64::MAX).to_le_bytes());
+        if let Some(key) = &request.key {
+            hash.update(key.as_str().as_bytes());
+        }
+        let headers = request.headers.iter();
+        for (name, value) in headers.filter(|(n, _)| FINGERPRINT_HEADERS.contains(&n.as_str())) {
+            hash.update(name.as_bytes());
+            hash.update(value);
+        }
+        let prefix = self.body.prefix(|part| hash.update(part));
+        let read = tokio::time::timeout_at(request.deadline.into(), prefix).await;
+        match read {
+            Ok(Ok(())) => {
+                self.fingerprint = hash.digest();
+                Ok(())
+            }
+            Ok(Err(CallerGone)) => Err(not_run(RefusalReason::Broken, 0)),
+            Err(_) => Err(not_run(RefusalReason::Deadline, 0)),
+        }
+    }
+
+    fn place(&mut self) -> Result<Place, Refusal> {
+        if self.request.left().is_zero() {
+            return Err(not_run(RefusalReason::Deadline, 0));
+        }
+        match self.request.key {
+            Some(_) => self.owner(),
+            None => self.choose(),
+        }
+    }
+
+    /// Returns the owner of the call's key, also when it is drained: it decides, and runs the
+    /// request where there is room.
+    fn owner(&mut self) -> Result<Place, Refusal> {
+        let beliefs = self.worker.beliefs();
+        let service = &self.request.route.service;
+        let key = self.request.key.as_ref();
+        let owner = key.and_then(|key| key_owner(&beliefs.view.config, service, key));
+        let owner =
+            owner.ok_or_else(|| not_run(RefusalReason::NoUpstream, NO_UPSTREAM_AFTER_MS))?;
+        let address = beliefs.candidates.address(&owner.vm);
+        let address =
+            address.ok_or_else(|| not_run(RefusalReason::Unreachable, NO_UPSTREAM_AFTER_MS))?;
+        let ticket = self.worker.balancer.borrow_mut().direct(&owner.name);
+        Ok(Place {
+            upstream: owner.name.clone(),
+            address,
+            visit: Visit::new(&self.worker, ticket),
+        })
+    }
+
+    fn choose(&mut self) -> Result<Place, Refusal> {
+        let beliefs = self.worker.beliefs();
+        let candidates = beliefs.candidates.of(&self.request.route.service);
+        let wish = Wish {
+            excluded: &self.tried,
+            idempotent: self.request.idempotent,
+        };
+        let now = Instant::now();
+        let mut balancer = self.worker.balancer.borrow_mut();
+        let mut rng = self.worker.rng.borrow_mut();
+        let chosen = balancer.choose(candidates, wish, now, &mut *rng);
+        let (candidate, ticket) = chosen.map_err(out_of_reach)?;
+        Ok(Place {
+            upstream: candidate.upstream.name.clone(),
+            address: candidate.address,
+            visit: Visit::new(&self.worker, ticket),
+        })
+    }
+
+    async fn attempt(&mut self, place: Place) -> (Sent, Place, Feedback) {
+        let head = self.head(&place);
+        let until = self.request.deadline.into();
+        let stall = self.worker.shared.stall.generation();
+        let began = Instant::now();
+        let sent = attempt(&self.worker.pool, place.address, &head, &self.body, until).await;
+        let mut feedback = feedback(&sent);
+        let is_stalled = stall != self.worker.shared.stall.generation();
+        let is_short = matches!(sent, Sent::TimedOut { .. }) && began.elapsed() < MIN_BLAME;
+        if is_stalled || is_short {
+            feedback.evidence = feedback.evidence.filter(|e| *e == Evidence::Answered);
+        }
+        self.teach(&place, &feedback);
+        self.tried.push(place.upstream.clone());
+        (sent, place, feedback)
+    }
+
+    /// Passes on to the balancer what the attempt shows.
+    fn teach(&self, place: &Place, feedback: &Feedback) {
+        let ticket = place.visit.ticket();
+        let now = Instant::now();
+        let mut balancer = self.worker.balancer.borrow_mut();
+        if let Some(load) = feedback.load {
+            balancer.report(ticket, load, now);
+        }
+        if let Some(rest) = feedback.rest {
+            balancer.rest(ticket, now + rest);
+        }
+        if let Some(evidence) = feedback.evidence {
+            let mut rng = self.worker.rng.borrow_mut();
+            balancer.observe(ticket, evidence, now, &mut *rng);
+        }
+    }
+
+    /// Decides on another attempt and waits until it is due.
+    async fn prepare_next(&mut self, end: AttemptEnd) -> bool {
+        let is_resendable = self.body.is_resendable();
+        let left = self.request.left();
+        let service = self.request.route.service.clone();
+        let next = self.worker.with_budget(&service, |budget, rng| {
+            self.attempts.next(end, is_resendable, left, budget, rng)
+        });
+        match next {
+            Next::Stop => false,
+            Next::Elsewhere { after } | Next::Owner { after } => {
+                if !after.is_zero() {
+                    tokio::time::sleep(after).await;
+                }
+                true
+            }
+        }
+    }
+
+    fn head(&self, place: &Place) -> CallHead {
+        let request = &self.request;
+        let left_ms = u64::try_from(request.left().as_millis()).unwrap_or(u64::MAX);
+        let stage = match request.kind() {
+            RequestKind::Keyed => CallStage::Decide,
+            RequestKind::Idempotent | RequestKind::Plain => CallStage::Plain,
+        };
+        CallHead {
+            call: request.call.as_u128(),
+            attempt: self.attempts.made() + 1,
+            sequence: request.sequence.0,
+            route: request.route.name.to_string(),
+            service: request.route.service.to_string(),
+            upstream: place.upstream.to_string(),
+            stage,
+            method: request.method.clone(),
+            target: request.target.clone(),
+            headers: request.headers.clone(),
+            length: request.length,
+            left_ms,
+            hops: request.hops,
+            idempotent: request.idempotent,
+            key: request.key.as_ref().map(|key| key.as_str().to_string()),
+            fingerprint: self.fingerprint,
+        }
+    }
+
+    fn answer(self, reply: Reply, place: Place, permit: Permit) -> HttpResponse {
+        let ReplyHead::Answer {
+            status,
+            headers,
+            length,
+            sequence,
+            ..
+        } = &reply.head
+        else {
+            return self.refuse(unknown());
+        };
+        let (length, note) = (*length, Sequence(*sequence));
+        let Some(mut builder) = answer::head(*status, headers, &place.upstream, note) else {
+            return self.refuse(unknown());
+        };
+        answer::add_call(&mut builder, self.request.call);
+        if self.request.method == "HEAD" {
+            return builder.body(no_body(length));
+        }
+        if is_bodiless(*status) {
+            return builder.finish();
+        }
+        let idle = Duration::from_millis(self.request.route.timeout_ms);
+        let body = reply_body(reply, length, idle, place.visit, permit);
+        builder.body(body)
+    }
+
+    /// Returns the final answer of a call that no upstream answered. What any attempt may have
+    /// done counts, not only the last one.
+    fn refuse(&self, mut refusal: Refusal) -> HttpResponse {
+        if refusal.outcome == Outcome::DidNotRun && !self.attempts.is_not_run() {
+            refusal.outcome = Outcome::Unknown;
+        }
+        let mut builder = answer::refused(&refusal);
+        answer::add_call(&mut builder, self.request.call);
+        builder.finish()
+    }
+}
+
+/// Time after which a caller is told to come back when a service has no upstream.
+const NO_UPSTREAM_AFTER_MS: u64 = 1_000;
+
+/// Returns whether answers with the status never have a body.
+fn is_bodiless(status: u16) -> bool {
+    matches!(status, 100..200 | 204 | 304)
+}
+
+fn not_run(reason: RefusalReason, after_ms: u64) -> Refusal {
+    Refusal {
+        outcome: Outcome::DidNotRun,
+        reason,
+        after_ms,
+    }
+}
+
+/// Returns the newer refusal, with the sooner time of two that ask for less load.
+fn soonest(last: Option<Refusal>, mut refusal: Refusal) -> Refusal {
+    let last = last.filter(|last| last.reason == refusal.reason);
+    if let Some(last) = last {
+        refusal.after_ms = refusal.after_ms.min(last.after_ms);
+    }
+    refusal
+}
+
+fn out_of_reach(choice: NoChoice) -> Refusal {
+    let after_ms = u64::try_from(choice.after.as_millis()).unwrap_or(u64::MAX);
+    not_run(RefusalReason::Unreachable, after_ms)
+}
+
+fn unknown() -> Refusal {
+    Refusal {
+        outcome: Outcome::Unknown,
+        reason: RefusalReason::BadAnswer,
+        after_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/feedback.rs
@@ -0,0 +1,143 @@
+//! What the end of an attempt means for the call and for its upstream.
+
+use std::time::Duration;
+
+use wagtaillever_coordination::{AttemptEnd, Evidence, ReportedLoad};
+
+use crate::{
+    ingress::attempt::AttemptEnd as Sent,
+    wire::{Load, Outcome, Refusal, RefusalReason, ReplyHead},
+};
+
+/// Longest time for which one refusal keeps calls away from an upstream.
+const MAX_REST: Duration = Duration::from_secs(1);
+/// Time after which a caller is told to come back when an upstream is out of reach.
+const RETRY_AFTER_MS: u64 = 250;
+
+/// What the end of an attempt means.
+pub(super) struct Feedback {
+    /// What it means for the call; `None` when an upstream answered.
+    pub(super) end: Option<AttemptEnd>,
+    /// What it shows of the upstream.
+    pub(super) evidence: Option<Evidence>,
+    /// Load of the upstream.
+    pub(super) load: Option<ReportedLoad>,
+    /// Time for which the upstream asked for no calls.
+    pub(super) rest: Option<Duration>,
+    /// Refusal that the caller gets when the attempt was the last one.
+    pub(super) refusal: Option<Refusal>,
+}
+
+/// Returns what the end of an attempt means.
+pub(super) fn feedback(sent: &Sent) -> Feedback {
+    match sent {
+        Sent::Replied(reply) => of_head(&reply.head),
+        Sent::Unreachable => silent(
+            AttemptEnd::Unreachable,
+            Evidence::Unreachable,
+            RefusalReason::Unreachable,
+        ),
+        Sent::NotSent => silent(
+            AttemptEnd::Unreachable,
+            Evidence::Failed,
+            RefusalReason::Unreachable,
+        ),
+        Sent::NotTaken => silent(
+            AttemptEnd::Refused,
+            Evidence::Failed,
+            RefusalReason::NotReady,
+        ),
+        Sent::Broken => silent(AttemptEnd::Broken, Evidence::Failed, RefusalReason::Broken),
+        Sent::TimedOut { is_sent: true } => silent(
+            AttemptEnd::TimedOut,
+            Evidence::Failed,
+            RefusalReason::Deadline,
+        ),
+        Sent::TimedOut { is_sent: false } => {
+            silent(AttemptEnd::Final, Evidence::Failed, RefusalReason::Deadline)
+        }
+    }
+}
+
+fn of_head(head: &ReplyHead) -> Feedback {
+    match head {
+        ReplyHead::Answer { load, .. } => Feedback {
+            end: None,
+            evidence: Some(Evidence::Answered),
+            load: Some(reported(*load)),
+            rest: None,
+            refusal: None,
+        },
+        ReplyHead::Refused { refusal, load, .. } => Feedback {
+            end: Some(end(refusal)),
+            evidence: evidence(refusal.reason),
+            load: Some(reported(*load)),
+            rest: rest(refusal),
+            refusal: Some(refusal.clone()),
+        },
+    }
+}
+
+fn silent(end: AttemptEnd, evidence: Evidence, reason: RefusalReason) -> Feedback {
+    let outcome = if end.is_not_run() {
+        Outcome::DidNotRun
+    } else {
+        Outcome::Unknown
+    };
+    Feedback {
+        end: Some(end),
+        evidence: Some(evidence),
+        load: None,
+        rest: None,
+        refusal: Some(Refusal {
+            outcome,
+            reason,
+            after_ms: RETRY_AFTER_MS,
+        }),
+    }
+}
+
+fn end(refusal: &Refusal) -> AttemptEnd {
+    let is_not_run = refusal.outcome == Outcome::DidNotRun;
+    match refusal.reason {
+        RefusalReason::Poison
+        | RefusalReason::BadKey
+        | RefusalReason::InProgress
+        | RefusalReason::TooManyHops
+        | RefusalReason::Deadline
+            if is_not_run =>
+        {
+            AttemptEnd::Final
+        }
+        RefusalReason::NoUpstream | RefusalReason::NotOwner if is_not_run => AttemptEnd::Stale,
+        _ if is_not_run => AttemptEnd::Refused,
+        RefusalReason::Broken => AttemptEnd::Broken,
+        RefusalReason::Deadline => AttemptEnd::TimedOut,
+        _ => AttemptEnd::Undecided,
+    }
+}
+
+fn evidence(reason: RefusalReason) -> Option<Evidence> {
+    match reason {
+        RefusalReason::Unreachable => Some(Evidence::Unreachable),
+        RefusalReason::Broken | RefusalReason::BadAnswer => Some(Evidence::Failed),
+        RefusalReason::Overloaded => Some(Evidence::Answered),
+        _ => None,
+    }
+}
+
+fn rest(refusal: &Refusal) -> Option<Duration> {
+    let is_asked = matches!(
+        refusal.reason,
+        RefusalReason::Overloaded | RefusalReason::Draining | RefusalReason::NotReady
+    );
+    is_asked.then(|| Duration::from_millis(refusal.after_ms).min(MAX_REST))
+}
+
+fn reported(load: Load) -> ReportedLoad {
+    ReportedLoad {
+        active: load.active,
+        limit: load.limit,
+        queued: load.queued,
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/handler.rs
@@ -0,0 +1,64 @@
+//! Takes one request of a caller.
+
+use std::{rc::Rc, time::Instant};
+
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
+
+use crate::{
+    ingress::{
+        answer,
+        body::RequestBody,
+        dispatch::Dispatch,
+        request::{CallerRequest, ReadError, caller_name},
+        visit::Permit,
+        worker::Worker,
+    },
+    view::Phase,
+    wire::{Outcome, Refusal, RefusalReason},
+};
+
+/// Time after which a caller that was refused for want of room is told to come back.
+const OVERLOADED_AFTER_MS: u64 = 250;
+/// Time after which a caller of a node that does not serve is told to come back.
+const NOT_READY_AFTER_MS: u64 = 500;
+
+/// Answers one request.
+pub(super) async fn handle(
+    request: HttpRequest,
+    payload: web::Payload,
+    worker: web::Data<Rc<Worker>>,
+) -> HttpResponse {
+    let arrived = Instant::now();
+    let worker = Rc::clone(&worker);
+    if worker.beliefs().view.phase != Phase::Serving {
+        let mut answer = refuse(RefusalReason::NotReady, NOT_READY_AFTER_MS);
+        return answer.force_close().finish();
+    }
+    if worker.shared.stall.is_quarantined() {
+        return refuse(RefusalReason::NotReady, NOT_READY_AFTER_MS).finish();
+    }
+    let Some(permit) = Permit::take(&worker, caller_name(&request)) else {
+        return refuse(RefusalReason::Overloaded, OVERLOADED_AFTER_MS).finish();
+    };
+    let routes = Rc::clone(&worker.beliefs().routes);
+    let read = match CallerRequest::read(&request, &routes, arrived) {
+        Ok(read) => read,
+        Err(ReadError::NoRoute) => return answer::no_route().finish(),
+        Err(ReadError::Rule(reason)) => return refuse(reason, 0).finish(),
+    };
+    let body = RequestBody::new(payload, read.length);
+    let mut response = Dispatch::new(&worker, read, body).run(permit).await;
+    if worker.beliefs().view.phase != Phase::Serving {
+        let connection = actix_web::http::ConnectionType::Close;
+        response.head_mut().set_connection_type(connection);
+    }
+    response
+}
+
+fn refuse(reason: RefusalReason, after_ms: u64) -> HttpResponseBuilder {
+    answer::refused(&Refusal {
+        outcome: Outcome::DidNotRun,
+        reason,
+        after_ms,
+    })
+}
--- /dev/null
+++ b/crates/node/src/ingress/request.rs
@@ -0,0 +1,204 @@
+//! What the ingress reads from a caller's request.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix_web::{HttpRequest, http::header::HeaderMap};
+use uuid::Uuid;
+use wagtaillever_coordination::{IdempotencyKey, Method, RequestKind, Route, RouteTable, Sequence};
+
+use crate::wire::RefusalReason;
+
+/// Hops that a call may take.
+const MAX_HOPS: u8 = 6;
+/// Headers that hold for one connection only.
+const HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+/// Headers that nodes set anew for each hop, and the length, which travels apart.
+const OWN_HEADERS: [&str; 5] = [
+    "content-length",
+    "x-call-id",
+    "x-deadline-ms",
+    "x-hops",
+    "x-note",
+];
+
+/// Request of a caller with the route that it takes.
+pub(super) struct CallerRequest {
+    /// Identity of the call.
+    pub(super) call: Uuid,
+    /// Sequence of the configuration that routed the call.
+    pub(super) sequence: Sequence,
+    /// Route that the call takes.
+    pub(super) route: Arc<Route>,
+    /// HTTP method.
+    pub(super) method: String,
+    /// Path and query.
+    pub(super) target: String,
+    /// Headers that are passed on.
+    pub(super) headers: Vec<(String, Vec<u8>)>,
+    /// Length of the body in bytes, if it is known.
+    pub(super) length: Option<u64>,
+    /// Time by which the caller must have an answer.
+    pub(super) deadline: Instant,
+    /// Hops that the call has taken, this one included.
+    pub(super) hops: u8,
+    /// Whether the request may run more than once.
+    pub(super) idempotent: bool,
+    /// Idempotency key, on a route that is not idempotent.
+    pub(super) key: Option<IdempotencyKey>,
+}
+
+impl CallerRequest {
+    /// Reads a request that arrived at `arrived`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause for which the request is refused.
+    pub(super) fn read(
+        request: &HttpRequest,
+        routes: &RouteTable,
+        arrived: Instant,
+    ) -> Result<Self, ReadError> {
+        let headers = request.headers();
+        let target = request.uri().path_and_query().map_or("/", |t| t.as_str());
+        let route = find_route(routes, request.method().as_str(), target)?;
+        let hops = hops(headers)?;
+        let method = Method::from_name(request.method().as_str());
+        let by_method = method.is_some_and(Method::is_idempotent);
+        let idempotent = route.idempotent.unwrap_or(by_method);
+        let key = if idempotent { None } else { key(headers)? };
+        Ok(Self {
+            call: call_id(headers),
+            sequence: routes.sequence(),
+            method: request.method().to_string(),
+            target: target.to_string(),
+            headers: passed_on(headers),
+            length: length(headers),
+            deadline: arrived + time_left(headers, &route),
+            hops,
+            idempotent,
+            key,
+            route,
+        })
+    }
+
+    /// Returns what the request allows.
+    pub(super) fn kind(&self) -> RequestKind {
+        match (self.idempotent, &self.key) {
+            (true, _) => RequestKind::Idempotent,
+            (false, Some(_)) => RequestKind::Keyed,
+            (false, None) => RequestKind::Plain,
+        }
+    }
+
+    /// Returns the time that is left until the deadline.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Why a request is refused before it is routed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ReadError {
+    /// No route takes the request.
+    NoRoute,
+    /// The request breaks a rule.
+    Rule(RefusalReason),
+}
+
+/// Returns the name under which a caller shares the node with others.
+pub(super) fn caller_name(request: &HttpRequest) -> Arc<str> {
+    let named = text(request.headers(), "x-caller");
+    if let Some(name) = named.filter(|name| !name.is_empty()) {
+        return name.into();
+    }
+    let peer = request.peer_addr().map(|peer| peer.ip().to_string());
+    peer.unwrap_or_default().into()
+}
+
+/// Returns the headers that are passed on to the next hop.
+pub(super) fn passed_on(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let named: Vec<String> = connection_options(headers);
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()))
+        .filter(|(name, _)| !named.iter().any(|option| option == name.as_str()))
+        .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+fn connection_options(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all("connection");
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|option| option.trim().to_ascii_lowercase())
+        .collect()
+}
+
+fn find_route(routes: &RouteTable, method: &str, target: &str) -> Result<Arc<Route>, ReadError> {
+    let method = Method::from_name(method).ok_or(ReadError::NoRoute)?;
+    let route = routes.find(method, target);
+    route.cloned().ok_or(ReadError::NoRoute)
+}
+
+fn hops(headers: &HeaderMap) -> Result<u8, ReadError> {
+    let Some(hops) = text(headers, "x-hops") else {
+        return Ok(1);
+    };
+    match hops.parse::<u8>() {
+        Ok(hops) if hops < MAX_HOPS => Ok(hops + 1),
+        _ => Err(ReadError::Rule(RefusalReason::TooManyHops)),
+    }
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, ReadError> {
+    let mut keys = headers.get_all("idempotency-key");
+    let Some(key) = keys.next() else {
+        return Ok(None);
+    };
+    let bad = ReadError::Rule(RefusalReason::BadKey);
+    if keys.next().is_some() {
+        return Err(bad);
+    }
+    let key = key.to_str().map_err(|_| bad)?;
+    let key = IdempotencyKey::parse(key).map_err(|_| bad)?;
+    Ok(Some(key))
+}
+
+fn call_id(headers: &HeaderMap) -> Uuid {
+    let given = text(headers, "x-call-id");
+    let given = given.and_then(|given| Uuid::parse_str(given).ok());
+    given.unwrap_or_else(Uuid::now_v7)
+}
+
+fn length(headers: &HeaderMap) -> Option<u64> {
+    if headers.contains_key("transfer-encoding") {
+        return None;
+    }
+    let length = text(headers, "content-length").and_then(|text| text.parse().ok());
+    Some(length.unwrap_or(0))
+}
+
+fn time_left(headers: &HeaderMap, route: &Route) -> Duration {
+    let asked = text(headers, "x-deadline-ms").and_then(|text| text.parse().ok());
+    let asked = asked.unwrap_or(u64::MAX);
+    Duration::from_millis(asked.min(route.timeout_ms))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/node/src/ingress/worker.rs
@@ -0,0 +1,132 @@
+//! State of the thread that serves callers.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use wagtaillever_coordination::{
+    Balancer, BalancerPolicy, CallShares, RetryBudget, Sequence, ServiceName,
+};
+
+use crate::{
+    ingress::{
+        beliefs::Beliefs,
+        pool::{self, CALL_WINDOW_BYTES, Pool},
+    },
+    settings::Settings,
+    stall::Stall,
+    timeline::Timeline,
+    view::ViewCell,
+};
+
+/// Time after which an unused connection that is not kept open ahead of need is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest time for which a call waits for a newer configuration.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the threads that serve callers are given.
+#[derive(Clone)]
+pub(super) struct Shared {
+    /// Settings of the node.
+    pub(super) settings: Arc<Settings>,
+    /// What the node believes.
+    pub(super) view: ViewCell,
+    /// Events of the node.
+    pub(super) timeline: Timeline,
+    /// Pauses of the node.
+    pub(super) stall: Stall,
+    /// Ends the connections to sidecars.
+    pub(super) token: CancellationToken,
+}
+
+/// State of the thread that serves callers.
+pub(super) struct Worker {
+    /// What all threads are given.
+    pub(super) shared: Shared,
+    /// Connections to sidecars.
+    pub(super) pool: Rc<Pool>,
+    /// Choice of upstreams.
+    pub(super) balancer: RefCell<Balancer>,
+    /// Calls in flight by caller.
+    pub(super) shares: RefCell<CallShares>,
+    /// Source of randomness.
+    pub(super) rng: RefCell<SmallRng>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    beliefs: RefCell<Rc<Beliefs>>,
+}
+
+impl Worker {
+    /// Returns the state of a fresh thread and keeps its connections open.
+    pub(super) fn spawn(shared: Shared) -> Rc<Self> {
+        let settings = &shared.settings;
+        let policy = BalancerPolicy {
+            balance: settings.policies.balance,
+            ejection: settings.policies.ejection,
+        };
+        let calls = settings.limits.body_bytes / CALL_WINDOW_BYTES as usize;
+        let beliefs = Beliefs::new(shared.view.load(), &settings.domain, None);
+        let worker = Rc::new(Self {
+            pool: Rc::new(Pool::new(settings.address, shared.token.clone())),
+            balancer: RefCell::new(Balancer::new(settings.domain.clone(), policy)),
+            shares: RefCell::new(CallShares::new(calls.max(MIN_CALLS))),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            budgets: RefCell::default(),
+            beliefs: RefCell::new(Rc::new(beliefs)),
+            shared,
+        });
+        let wanted = Rc::clone(&worker);
+        let pool = Rc::clone(&worker.pool);
+        let wanted = move || Rc::clone(&wanted.beliefs().warm);
+        actix_rt::spawn(pool::keep_warm(pool, IDLE_TIMEOUT, wanted));
+        worker
+    }
+
+    /// Returns what follows from the newest view.
+    pub(super) fn beliefs(&self) -> Rc<Beliefs> {
+        let view = self.shared.view.load();
+        let mut beliefs = self.beliefs.borrow_mut();
+        if !Arc::ptr_eq(&beliefs.view, &view) {
+            let domain = &self.shared.settings.domain;
+            *beliefs = Rc::new(Beliefs::new(view, domain, Some(&beliefs)));
+            self.balancer.borrow_mut().retain(&beliefs.candidates);
+        }
+        Rc::clone(&beliefs)
+    }
+
+    /// Runs a closure on the retry budget of a service.
+    pub(super) fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        visit: impl FnOnce(&mut RetryBudget, &mut SmallRng) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| self.fresh_budget());
+        visit(budget, &mut self.rng.borrow_mut())
+    }
+
+    /// Waits a short time until the view reaches a sequence.
+    pub(super) async fn catch_up(&self, sequence: Sequence) {
+        let mut view = self.shared.view.watch();
+        let reached = view.wait_for(|view| view.config.sequence >= sequence);
+        let _ = timeout(CATCH_UP_TIMEOUT, reached).await;
+    }
+
+    fn fresh_budget(&self) -> RetryBudget {
+        if self.shared.settings.policies.budget {
+            return RetryBudget::new(Instant::now());
+        }
+        RetryBudget::unlimited(Instant::now())
+    }
+}
+
+/// Calls in flight that a node allows however small its limits are.
+const MIN_CALLS: usize = 8;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod settings;
 mod sidecar;
 mod source;
+mod stall;
 mod timeline;
 mod transport;
 mod view;
--- /dev/null
+++ b/crates/node/src/stall.rs
@@ -0,0 +1,33 @@
+//! Service that notices pauses of this process.
+
+mod ticker;
+
+pub(crate) use self::ticker::Stall;
+
+use futures_util::future::LocalBoxFuture;
+
+use crate::kernel::{Context, Service, StartError};
+
+/// Service that notices pauses of this process; its handle is a [`Stall`].
+#[derive(Default)]
+pub(crate) struct StallWatch {}
+
+impl Service for StallWatch {
+    fn name(&self) -> &'static str {
+        "stall"
+    }
+
+    fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>> {
+        Box::pin(async move {
+            let timeline = context.timeline().clone();
+            let stall = Stall::new(timeline, context.settings().policies.stall);
+            context.registry().publish(self.name(), stall.clone());
+            actix_rt::spawn(stall.run(context.token()));
+            Ok(())
+        })
+    }
+
+    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+        Box::pin(async move {})
+    }
+}
--- a/crates/node/src/timeline/event.rs
+++ b/crates/node/src/timeline/event.rs
@@ -52,4 +52,9 @@
         /// The order.
         order: DrainOrder,
     },
+    /// The process was paused.
+    Stalled {
+        /// Length of the pause in milliseconds.
+        paused_ms: u64,
+    },
 }
--- a/crates/node/src/transport/client.rs
+++ b/crates/node/src/transport/client.rs
@@ -1,14 +1,15 @@
 //! Connections to other nodes.
 
 use std::{
+    cell::RefCell,
     io,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
 
 use bytes::Bytes;
-use h2::client::SendRequest;
-use http::Request;
+use h2::{PingPong, client::SendRequest};
+use http::{Request, StatusCode};
 use snafu::ResultExt;
 use tokio::{
     net::{TcpSocket, TcpStream},
@@ -34,6 +35,7 @@
 pub(crate) struct Connection {
     sender: SendRequest<Bytes>,
     driver: JoinHandle<()>,
+    ping: RefCell<Option<PingPong>>,
 }
 
 impl Connection {
@@ -53,6 +55,16 @@
         Ok((FrameWriter::new(stream), PendingReader { response }))
     }
 
+    /// Hands out the connection's pings, once.
+    pub(crate) fn take_ping(&self) -> Option<PingPong> {
+        self.ping.borrow_mut().take()
+    }
+
+    /// Ends the connection and all of its streams.
+    pub(crate) fn abort(&self) {
+        self.driver.abort();
+    }
+
     /// Returns whether the connection has ended.
     pub(crate) fn is_closed(&self) -> bool {
         self.driver.is_finished()
@@ -75,9 +87,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the stream breaks.
+    /// Returns an error when the stream breaks, or the other node has no such service.
     pub(crate) async fn ready(self) -> Result<FrameReader, TransportError> {
         let response = self.response.await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Err(TransportError::NoService);
+        }
         Ok(FrameReader::new(response.into_body()))
     }
 }
@@ -90,20 +105,38 @@
 pub(crate) async fn connect(
     local: IpAddr,
     address: SocketAddr,
+) -> Result<Connection, TransportError> {
+    connect_windowed(local, address, STREAM_WINDOW).await
+}
+
+/// Opens a connection whose streams hold back at most `window` unread bytes each.
+///
+/// # Errors
+///
+/// Returns an error when the node can't be reached in time.
+pub(crate) async fn connect_windowed(
+    local: IpAddr,
+    address: SocketAddr,
+    window: u32,
 ) -> Result<Connection, TransportError> {
     let stream = timeout(CONNECT_TIMEOUT, open_socket(local, address)).await;
     let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut));
     let stream = stream.and_then(|stream| stream);
     let stream = stream.context(ConnectSnafu { address })?;
     let handshake = h2::client::Builder::new()
-        .initial_window_size(STREAM_WINDOW)
+        .initial_window_size(window)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .handshake(stream);
-    let (sender, connection) = handshake.await?;
+    let (sender, mut connection) = handshake.await?;
+    let ping = RefCell::new(connection.ping_pong());
     let driver = actix_rt::spawn(async move {
         let _ = connection.await;
     });
-    Ok(Connection { sender, driver })
+    Ok(Connection {
+        sender,
+        driver,
+        ping,
+    })
 }
 
 async fn open_socket(local: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
--- a/crates/node/src/transport/error.rs
+++ b/crates/node/src/transport/error.rs
@@ -25,6 +25,9 @@
     /// The stream ended where a frame was expected.
     #[snafu(display("the stream ended early"))]
     Ended,
+    /// The other node does not have the service that the stream names.
+    #[snafu(display("the node does not have the service"))]
+    NoService,
     /// A frame can't be decoded.
     #[snafu(display("a frame can't be decoded: {source}"), context(false))]
     Decode {
