Distribute configuration between nodes

A sans-I/O replica decides which links to keep, what to push and pull, who reads the platform and when a fresh process takes work; the services peers and source feed it. In each failure domain nodes form a tree by rendezvous hash; its first two positions read the platform and link to the other failure domains.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,39 +3,56 @@
 //! The crate performs no I/O: time and randomness are passed in by the caller,
 //! so every decision can be replayed from a seed.
 
+mod backoff;
 mod balancer;
 mod base;
+mod budget;
 mod candidates;
 mod config;
 mod drain;
 mod error;
+mod fleet;
 mod fold;
 mod health;
 mod history;
+mod join;
 mod key;
+mod message;
 mod name;
 mod note;
+mod overlay;
+mod replica;
 mod report;
 mod retry;
 mod routing;
 mod sequence;
 mod share;
+mod soft_report;
 mod stall;
 mod vm;
 
 pub use crate::{
+    backoff::Backoff,
     balancer::{Balancer, BalancerPolicy, NoChoice, ReportedLoad, Ticket, Wish},
     base::{Base, BaseIndex, Publication},
+    budget::{PLATFORM_READS_S, ReadBudget},
     candidates::{Candidate, Candidates},
     config::{Config, Route, Service, Upstream},
     drain::{DrainAction, DrainList, DrainOrder, DrainScope},
     error::NoteError,
+    fleet::{FleetSummary, Summary, TreeReport},
     fold::{Fold, FoldEvent},
     health::{Evidence, Health, HealthChange, Standing},
     history::{History, Verdict},
+    join::{Join, JoinFacts, JoinRule, JoinWait},
     key::{IdempotencyKey, KeyError, key_owner},
+    message::{Contact, Digest, Have, Hello, Message, SnapshotPart},
     name::{DomainName, RegionName, RouteName, ServiceName, UpstreamName, VmName},
     note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    overlay::{Overlay, parents},
+    replica::{
+        Identity, LinkId, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy,
+    },
     report::{
         DomainReport, LaggardReport, NoteReport, NoteVerdict, PeerReport, RefusedReport,
         SpreadReport, StatusReport,
@@ -44,6 +61,7 @@
     routing::RouteTable,
     sequence::Sequence,
     share::CallShares,
+    soft_report::SoftReport,
     stall::{STALL_GAP, StallDetector},
     vm::{Incarnation, VmEntry, VmList, VmState},
 };
--- /dev/null
+++ b/crates/coordination/src/replica/plan.rs
@@ -0,0 +1,362 @@
+//! Which links a replica opens and closes.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+
+use super::{LinkId, Output, Replica, ReplicaEvent, dial::DialState, link::Link};
+use crate::{
+    join::JoinFacts,
+    name::{DomainName, VmName},
+    overlay::{RELAYS, parents},
+    vm::VmEntry,
+};
+
+/// Silence after which a link is given up.
+const SILENCE: Duration = Duration::from_millis(2_200);
+/// Time in which a neighbour has to greet.
+const GREETING: Duration = Duration::from_secs(2);
+/// Age after which a link that is no longer wanted is closed.
+const SURPLUS_AGE: Duration = Duration::from_secs(2);
+/// Attempts that a joining node has under way at once.
+const ASKED_AT_ONCE: usize = 4;
+/// Nodes of each other failure domain that a joining node asks.
+const ASKED_ACROSS: usize = 3;
+
+/// Links and attempts that a walk over candidates found.
+#[derive(Default)]
+struct Walk {
+    links: Vec<LinkId>,
+    pending: usize,
+}
+
+impl Replica {
+    /// Takes in that a link came up; `address` is what was dialled, if it was.
+    pub fn link_up(&mut self, id: LinkId, address: Option<SocketAddr>, now: Instant) {
+        self.links.insert(id, Link::new(address, now));
+        if let Some(address) = address {
+            self.dials.linked(address, id, now);
+        }
+        self.send_hello(id, now);
+    }
+
+    /// Takes in that an address could not be reached.
+    pub fn dial_failed(&mut self, address: SocketAddr, now: Instant, rng: &mut impl Rng) {
+        self.dials.failed(address, now, rng);
+        let vm = self.vm_at(address);
+        if let Some(vm) = vm.filter(|vm| self.link_to(vm).is_none()) {
+            self.event(ReplicaEvent::Unreachable(vm));
+        }
+        self.plan_links(now, rng);
+    }
+
+    /// Takes in that a link ended.
+    pub fn link_down(&mut self, id: LinkId, now: Instant, rng: &mut impl Rng) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        self.uplinks.retain(|up| *up != id);
+        if let Some(address) = link.address {
+            self.dials.failed(address, now, rng);
+        }
+        self.report_down(link);
+        self.plan_links(now, rng);
+    }
+
+    pub(super) fn drop_silent(&mut self, now: Instant, rng: &mut impl Rng) {
+        let is_silent = |link: &Link| {
+            let silence = now.saturating_duration_since(link.heard);
+            let limit = if link.peer.is_some() {
+                SILENCE
+            } else {
+                GREETING
+            };
+            silence > limit
+        };
+        let silent = self.links.iter().filter(|(_, link)| is_silent(link));
+        let silent: Vec<_> = silent.map(|(id, _)| *id).collect();
+        for id in silent {
+            self.outputs.push(Output::Close(id));
+            self.link_down(id, now, rng);
+        }
+    }
+
+    /// Closes a link on purpose.
+    pub(super) fn close(&mut self, id: LinkId, now: Instant) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        self.uplinks.retain(|up| *up != id);
+        if let Some(address) = link.address {
+            self.dials.released(address, now);
+        }
+        self.outputs.push(Output::Close(id));
+        self.report_down(link);
+    }
+
+    fn report_down(&mut self, link: Link) {
+        let Some(peer) = link.peer else { return };
+        if self.link_to(&peer.vm).is_none() {
+            self.event(ReplicaEvent::LinkDown(peer.vm));
+        }
+    }
+
+    pub(super) fn plan_links(&mut self, now: Instant, rng: &mut impl Rng) {
+        let mut wanted = BTreeSet::new();
+        if self.overlay.is_empty() {
+            self.plan_seeds(&mut wanted, now, rng);
+        } else {
+            self.plan_parents(&mut wanted, now);
+            if !self.is_serving && self.uplinks.is_empty() {
+                self.plan_questions(&mut wanted, now);
+            }
+            if self.is_relay() || self.effective_position() < RELAYS {
+                self.plan_across(&mut wanted, now);
+            }
+        }
+        self.update_push(now);
+        self.close_surplus(&wanted, now);
+    }
+
+    fn plan_seeds(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant, _rng: &mut impl Rng) {
+        let seeds = self.me.seeds.clone();
+        let mut uplinks = Vec::new();
+        for seed in seeds {
+            match self.dials.state(seed, now) {
+                DialState::Ready => self.dial(seed, now),
+                DialState::Linked(id) => uplinks.push(id),
+                _ => {}
+            }
+        }
+        wanted.extend(uplinks.iter().copied());
+        uplinks.retain(|id| self.is_greeted(*id));
+        self.uplinks = uplinks;
+    }
+
+    fn plan_parents(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant) {
+        let nodes = self.overlay.nodes(&self.me.domain);
+        let position = self.overlay.position(&self.me.domain, &self.me.vm);
+        let order = parents(position);
+        let candidates: Vec<_> = order.iter().map(|at| Arc::clone(&nodes[*at])).collect();
+        let count = if self.is_platform_fresh() { 1 } else { 2 };
+        let walk = self.walk(&candidates, count, now);
+        wanted.extend(walk.links.iter().copied());
+        self.uplinks = walk.links;
+    }
+
+    fn plan_questions(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant) {
+        let nodes = self.overlay.nodes(&self.me.domain).to_vec();
+        for entry in nodes {
+            if entry.vm == self.me.vm || self.has_near_serving() {
+                continue;
+            }
+            if let Some(id) = self.link_to(&entry.vm) {
+                wanted.insert(id);
+                continue;
+            }
+            if self.dials.pending(now) < ASKED_AT_ONCE {
+                self.dial_if_ready(entry.address, now);
+            }
+        }
+        let ids: Vec<_> = self.links.keys().copied().collect();
+        wanted.extend(ids);
+    }
+
+    fn plan_across(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant) {
+        let domains: Vec<_> = self
+            .overlay
+            .domains()
+            .filter(|(domain, _)| **domain != self.me.domain)
+            .map(|(domain, nodes)| (domain.clone(), nodes.to_vec()))
+            .collect();
+        let shift = self.effective_position() % RELAYS;
+        for (domain, mut nodes) in domains {
+            if let Some(id) = self.link_across(&domain, now) {
+                wanted.insert(id);
+                continue;
+            }
+            if shift < nodes.len() {
+                nodes[..=shift].rotate_right(1);
+            }
+            let walk = self.walk(&nodes, 1, now);
+            wanted.extend(walk.links);
+        }
+    }
+
+    /// Walks candidates in order until enough are linked or being dialled.
+    fn walk(&mut self, candidates: &[Arc<VmEntry>], count: usize, now: Instant) -> Walk {
+        let mut walk = Walk::default();
+        for entry in candidates {
+            if walk.links.len() + walk.pending >= count {
+                break;
+            }
+            if entry.vm == self.me.vm {
+                continue;
+            }
+            if let Some(id) = self.link_to(&entry.vm) {
+                if !self.links[&id].is_stale(now) {
+                    walk.links.push(id);
+                }
+                continue;
+            }
+            match self.dials.state(entry.address, now) {
+                DialState::Ready => {
+                    self.dial(entry.address, now);
+                    walk.pending += 1;
+                }
+                DialState::Pending => walk.pending += 1,
+                DialState::Linked(id) if !self.is_greeted(id) => walk.pending += 1,
+                DialState::Linked(_) | DialState::Slow | DialState::Waiting => {}
+            }
+        }
+        walk
+    }
+
+    /// Asks for pushes from the nearest uplink only.
+    fn update_push(&mut self, now: Instant) {
+        let is_reader = self.is_relay() && self.readers.is_fresh(&self.me.vm, now);
+        let first = self.uplinks.first().copied();
+        let first = first.filter(|_| !is_reader && self.policy.relay);
+        let mut changed = Vec::new();
+        for (id, link) in &mut self.links {
+            let push = Some(*id) == first || (self.overlay.is_empty() && link.address.is_some());
+            if link.push != push {
+                link.push = push;
+                changed.push(*id);
+            }
+        }
+        for id in changed {
+            if self.is_greeted(id) {
+                self.send_digest(id, now);
+            }
+        }
+    }
+
+    fn close_surplus(&mut self, wanted: &BTreeSet<LinkId>, now: Instant) {
+        let surplus = self.links.iter().filter(|(id, link)| {
+            let age = now.saturating_duration_since(link.opened);
+            let is_used = link.peer.as_ref().is_some_and(|peer| peer.digest.push);
+            link.address.is_some() && !wanted.contains(id) && !is_used && age > SURPLUS_AGE
+        });
+        let surplus: Vec<_> = surplus.map(|(id, _)| *id).collect();
+        for id in surplus {
+            self.close(id, now);
+        }
+    }
+
+    fn dial_if_ready(&mut self, address: SocketAddr, now: Instant) {
+        if self.dials.state(address, now) == DialState::Ready {
+            self.dial(address, now);
+        }
+    }
+
+    fn dial(&mut self, address: SocketAddr, now: Instant) {
+        self.dials.begin(address, now);
+        self.outputs.push(Output::Dial(address));
+    }
+
+    /// Returns the position among the nodes that are not known to be dead.
+    pub(super) fn effective_position(&self) -> usize {
+        let position = self.overlay.position(&self.me.domain, &self.me.vm);
+        let lower = &self.overlay.nodes(&self.me.domain)[..position];
+        lower.iter().filter(|entry| !self.is_dead(entry)).count()
+    }
+
+    fn is_dead(&self, entry: &VmEntry) -> bool {
+        self.dials.has_failed(entry.address) && self.link_to(&entry.vm).is_none()
+    }
+
+    /// Returns the link to a VM that has greeted.
+    pub(super) fn link_to(&self, vm: &VmName) -> Option<LinkId> {
+        let is_to = |link: &Link| link.peer.as_ref().is_some_and(|peer| peer.vm == *vm);
+        let mut links = self.links.iter();
+        links.find(|(_, link)| is_to(link)).map(|(id, _)| *id)
+    }
+
+    fn link_across(&self, domain: &DomainName, now: Instant) -> Option<LinkId> {
+        let is_to = |link: &Link| {
+            let peer = link.peer.as_ref();
+            peer.is_some_and(|peer| peer.domain == *domain) && !link.is_stale(now)
+        };
+        let mut links = self.links.iter();
+        links.find(|(_, link)| is_to(link)).map(|(id, _)| *id)
+    }
+
+    fn vm_at(&self, address: SocketAddr) -> Option<VmName> {
+        let mut vms = self.vms.vms.iter();
+        vms.find(|entry| entry.address == address)
+            .map(|entry| entry.vm.clone())
+    }
+
+    fn is_greeted(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|link| link.peer.is_some())
+    }
+
+    fn has_near_serving(&self) -> bool {
+        self.links.values().any(|link| {
+            let peer = link.peer.as_ref();
+            peer.is_some_and(|peer| peer.digest.serving && peer.domain == self.me.domain)
+        })
+    }
+
+    pub(super) fn join_facts(&self, now: Instant) -> JoinFacts {
+        let peers: Vec<_> = self
+            .links
+            .values()
+            .filter_map(|link| link.peer.as_ref())
+            .collect();
+        let is_near = |domain: &DomainName| *domain == self.me.domain;
+        let serving = || peers.iter().filter(|peer| peer.digest.serving);
+        JoinFacts {
+            have: self.fold.sequence(),
+            highest: self.highest,
+            near_serving: serving().any(|peer| is_near(&peer.domain)),
+            far_serving: serving().any(|peer| !is_near(&peer.domain)),
+            has_peer: !peers.is_empty(),
+            has_parent: !self.uplinks.is_empty() && !self.overlay.is_empty(),
+            asked_all: self.has_asked_all(now),
+            platform: self.platform_age(now).is_some(),
+            only_node: self.is_only_node(),
+        }
+    }
+
+    fn is_only_node(&self) -> bool {
+        if self.overlay.is_empty() {
+            return self.is_unlisted && self.me.seeds.is_empty();
+        }
+        let mut vms = self.vms.vms.iter();
+        vms.all(|entry| entry.vm == self.me.vm)
+    }
+
+    fn has_asked_all(&self, _now: Instant) -> bool {
+        if self.overlay.is_empty() {
+            let mut seeds = self.me.seeds.iter();
+            return self.is_unlisted && seeds.all(|seed| self.was_asked(*seed));
+        }
+        let nodes = self.overlay.nodes(&self.me.domain);
+        let others = nodes.iter().filter(|entry| entry.vm != self.me.vm);
+        let is_asked =
+            |entry: &VmEntry| self.link_to(&entry.vm).is_some() || self.was_asked(entry.address);
+        if !others.into_iter().all(|entry| is_asked(entry)) {
+            return false;
+        }
+        let mut across = self.overlay.domains();
+        across.all(|(domain, nodes)| {
+            let asked = || nodes.iter().take(ASKED_ACROSS);
+            *domain == self.me.domain
+                || asked().any(|entry| self.link_to(&entry.vm).is_some())
+                || asked().all(|entry| is_asked(entry))
+        })
+    }
+
+    fn was_asked(&self, address: SocketAddr) -> bool {
+        let link = self.links.values();
+        let mut greeted = link.filter(|link| link.peer.is_some());
+        self.dials.has_failed(address) || greeted.any(|link| link.address == Some(address))
+    }
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -10,8 +10,8 @@
     error::NodeError,
     ingress::Ingress,
     kernel::{Context, Kernel},
-    lifecycle::Lifecycle,
-    peers::Peers,
+    lifecycle::{Lifecycle, Starting},
+    peers::{Peers, PeersHandle},
     settings::Settings,
     sidecar::Sidecar,
     source::Source,
@@ -74,12 +74,28 @@
         .add(Source::default())
         .add(Sidecar::default())
         .add(Ingress::default());
-    let lifecycle = Lifecycle::starting(context.view().clone());
+    let lifecycle = Lifecycle::starting(&context);
     kernel.start().await?;
+    live(&context, lifecycle).await?;
+    kernel.stop().await;
+    Ok(())
+}
+
+/// Joins, serves and enters the stop when it is asked for.
+async fn live(context: &Context, lifecycle: Lifecycle<Starting>) -> Result<(), NodeError> {
+    let peers: PeersHandle = context.registry().find("peers")?;
     let lifecycle = lifecycle.joining();
+    let stop = context.stop_requested();
+    tokio::pin!(stop);
+    tokio::select! {
+        () = &mut stop => {
+            lifecycle.stopping();
+            return Ok(());
+        }
+        _ = peers.joined() => {}
+    }
     let lifecycle = lifecycle.serving();
-    context.stop_requested().await;
-    let _lifecycle = lifecycle.stopping();
-    kernel.stop().await;
+    stop.await;
+    lifecycle.stopping();
     Ok(())
 }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -2,7 +2,7 @@
 
 use snafu::Snafu;
 
-use crate::kernel::StartError;
+use crate::kernel::{RegistryError, StartError};
 
 /// Why a node can't run.
 #[derive(Debug, Snafu)]
@@ -16,4 +16,10 @@
         /// Cause.
         source: StartError,
     },
+    /// A service that is needed is not there.
+    #[snafu(display("{source}"), context(false))]
+    Registry {
+        /// Cause.
+        source: RegistryError,
+    },
 }
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -2,7 +2,11 @@
 
 use std::marker::PhantomData;
 
-use crate::view::{Phase, ViewCell};
+use crate::{
+    kernel::Context,
+    timeline::{EventKind, Timeline},
+    view::{Phase, ViewCell},
+};
 
 /// The node's services start.
 pub(crate) struct Starting;
@@ -16,14 +20,17 @@
 /// A node in the state `S`; only the transitions defined here exist.
 pub(crate) struct Lifecycle<S> {
     view: ViewCell,
+    timeline: Timeline,
     state: PhantomData<S>,
 }
 
 impl<S> Lifecycle<S> {
     fn enter<T>(self, phase: Phase) -> Lifecycle<T> {
         self.view.set_phase(phase);
+        self.timeline.record(EventKind::PhaseEntered { phase });
         Lifecycle {
             view: self.view,
+            timeline: self.timeline,
             state: PhantomData,
         }
     }
@@ -36,9 +43,10 @@
 
 impl Lifecycle<Starting> {
     /// Returns the life cycle of a process that just started.
-    pub(crate) fn starting(view: ViewCell) -> Self {
+    pub(crate) fn starting(context: &Context) -> Self {
         Self {
-            view,
+            view: context.view().clone(),
+            timeline: context.timeline().clone(),
             state: PhantomData,
         }
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,26 +1,61 @@
 //! Service that exchanges notes, orders and lists with other nodes.
 
+mod core;
+mod handle;
+mod link;
+mod roster;
+
+pub(crate) use self::{
+    handle::{PeersHandle, PeersStatus, PlatformState},
+    roster::Roster,
+};
+
+use std::rc::Rc;
+
 use futures_util::future::LocalBoxFuture;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
+use self::{core::Core, link::Acceptor};
 use crate::kernel::{Context, Service, StartError};
 
+/// Inputs that wait for the replica at most.
+const MAX_INPUTS: usize = 4096;
+
 /// Service that exchanges notes, orders and lists with other nodes.
 #[derive(Default)]
-pub(crate) struct Peers {}
+pub(crate) struct Peers {
+    token: Option<CancellationToken>,
+}
 
 impl Service for Peers {
     fn name(&self) -> &'static str {
         "peers"
     }
 
-    fn start<'a>(
-        &'a mut self,
-        _context: &'a Context,
-    ) -> LocalBoxFuture<'a, Result<(), StartError>> {
-        Box::pin(async move { Ok(()) })
+    fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>> {
+        Box::pin(async move {
+            let (inputs, receiver) = mpsc::channel(MAX_INPUTS);
+            let handle = PeersHandle::new(inputs.clone());
+            let roster = Roster::default();
+            let token = context.token();
+            let core = Core::new(context, handle.clone(), roster.clone(), inputs.clone());
+            let acceptor = Acceptor::new(inputs, core.link_context());
+            let registry = context.registry();
+            registry.publish("peers", handle);
+            registry.publish("roster", roster);
+            registry.publish_handler("control", Rc::new(acceptor));
+            actix_rt::spawn(core.run(receiver, token.clone()));
+            self.token = Some(token);
+            Ok(())
+        })
     }
 
     fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(async move {})
+        Box::pin(async move {
+            if let Some(token) = self.token.take() {
+                token.cancel();
+            }
+        })
     }
 }
--- /dev/null
+++ b/crates/node/src/peers/core.rs
@@ -0,0 +1,300 @@
+//! Loop that feeds the replica and does what it asks for.
+
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Instant,
+};
+
+use log::{info, warn};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+use wagtaillever_coordination::{
+    DrainList, DrainOrder, FoldEvent, Identity, JoinRule, LinkId, Message, Output, PlatformMode,
+    PlatformValue, Replica, ReplicaEvent, ReplicaPolicy, Sequence, SoftReport, Verdict,
+};
+
+use super::{
+    handle::{PeersHandle, PeersStatus, PlatformState},
+    link::{LinkContext, LinkSender, dial},
+    roster::Roster,
+};
+use crate::{
+    kernel::Context,
+    timeline::{EventKind, Timeline},
+    view::ViewCell,
+};
+
+/// Refused notes that the status shows.
+const MAX_REFUSED: usize = 16;
+
+/// Something that the replica takes in.
+pub(super) enum Input {
+    /// A link came up.
+    Up(LinkId, Option<SocketAddr>, LinkSender),
+    /// A link ended.
+    Down(LinkId),
+    /// An address could not be reached.
+    DialFailed(SocketAddr),
+    /// A message of a neighbour.
+    Message(LinkId, Message),
+    /// Values of the platform.
+    Platform(Vec<PlatformValue>, oneshot::Sender<PlatformState>),
+    /// The platform answered, and all that it holds was passed in.
+    Word,
+    /// An order of an operator.
+    Order(DrainOrder, oneshot::Sender<DrainList>),
+    /// A question for the verdict on a note.
+    Verdict(Sequence, oneshot::Sender<Option<Verdict>>),
+    /// An observation for all nodes.
+    Share(SoftReport),
+}
+
+/// The replica with all that it needs of the node.
+pub(super) struct Core {
+    replica: Replica,
+    rng: SmallRng,
+    links: BTreeMap<LinkId, LinkSender>,
+    link_context: LinkContext,
+    inputs: mpsc::Sender<Input>,
+    handle: PeersHandle,
+    roster: Roster,
+    view: ViewCell,
+    timeline: Timeline,
+    joined: Option<JoinRule>,
+    refused: VecDeque<(Sequence, Arc<str>)>,
+}
+
+impl Core {
+    /// Returns the loop of a fresh process.
+    pub(super) fn new(
+        context: &Context,
+        handle: PeersHandle,
+        roster: Roster,
+        inputs: mpsc::Sender<Input>,
+    ) -> Self {
+        let settings = context.settings();
+        let me = Identity {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            incarnation: context.incarnation(),
+            seeds: settings.seeds.clone(),
+        };
+        let policy = ReplicaPolicy {
+            relay: settings.policies.relay,
+            delta: settings.policies.delta,
+            digest: settings.policies.digest,
+        };
+        let mut rng = SmallRng::from_os_rng();
+        let link_context = LinkContext {
+            local: settings.address,
+            clock: context.timeline().clock().clone(),
+            next: Rc::new(Cell::new(0)),
+        };
+        Self {
+            replica: Replica::new(me, policy, Instant::now(), &mut rng),
+            rng,
+            links: BTreeMap::new(),
+            link_context,
+            inputs,
+            handle,
+            roster,
+            view: context.view().clone(),
+            timeline: context.timeline().clone(),
+            joined: None,
+            refused: VecDeque::new(),
+        }
+    }
+
+    /// Returns what all links share.
+    pub(super) fn link_context(&self) -> LinkContext {
+        self.link_context.clone()
+    }
+
+    /// Runs until the node ends.
+    pub(super) async fn run(mut self, mut inputs: mpsc::Receiver<Input>, token: CancellationToken) {
+        let mut due = Instant::now();
+        loop {
+            let wait = due.saturating_duration_since(Instant::now());
+            tokio::select! {
+                () = token.cancelled() => return,
+                input = inputs.recv() => {
+                    let Some(input) = input else { return };
+                    self.take(input);
+                }
+                () = sleep(wait) => {}
+            }
+            let now = Instant::now();
+            if now >= due {
+                self.replica.tick(now, &mut self.rng);
+                due = now + self.replica.next_tick(now);
+                self.show_status(now);
+            } else {
+                due = due.min(now + self.replica.next_tick(now));
+            }
+            self.act();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = Instant::now();
+        let replica = &mut self.replica;
+        match input {
+            Input::Up(id, address, sender) => {
+                self.links.insert(id, sender);
+                replica.link_up(id, address, now);
+            }
+            Input::Down(id) => {
+                self.links.remove(&id);
+                replica.link_down(id, now, &mut self.rng);
+            }
+            Input::DialFailed(address) => replica.dial_failed(address, now, &mut self.rng),
+            Input::Message(id, message) => replica.receive(id, message, now, &mut self.rng),
+            Input::Platform(values, reply) => {
+                for value in values {
+                    replica.platform_value(value, now);
+                }
+                let _ = reply.send(platform_state(replica));
+            }
+            Input::Word => replica.platform_word(now),
+            Input::Order(order, reply) => {
+                replica.order(&order, now);
+                let _ = reply.send(replica.drains().clone());
+            }
+            Input::Verdict(sequence, reply) => {
+                let verdict = replica.fold().history().verdict(sequence).cloned();
+                let _ = reply.send(verdict);
+            }
+            Input::Share(report) => replica.share(&report, now),
+        }
+    }
+
+    fn act(&mut self) {
+        for output in self.replica.take_outputs() {
+            match output {
+                Output::Send(id, message) => {
+                    if let Some(link) = self.links.get(&id) {
+                        link.send(message);
+                    }
+                }
+                Output::Dial(address) => {
+                    let context = self.link_context.clone();
+                    actix_rt::spawn(dial(context, self.inputs.clone(), address));
+                }
+                Output::Close(id) => drop(self.links.remove(&id)),
+                Output::Event(event) => self.tell(event),
+            }
+        }
+    }
+
+    fn tell(&mut self, event: ReplicaEvent) {
+        match event {
+            ReplicaEvent::Fold(event) => self.tell_fold(event),
+            ReplicaEvent::Vms(list) => {
+                self.roster.retain(|vm| list.get(vm).is_some());
+                self.view.set_vms(list);
+            }
+            ReplicaEvent::Order(order) => {
+                self.view
+                    .set_drains(Arc::new(self.replica.drains().clone()));
+                self.timeline.record(EventKind::OrderApplied { order });
+            }
+            ReplicaEvent::Report(report) => self.handle.tell(report),
+            ReplicaEvent::LinkUp(peer) => {
+                self.roster.alive(&peer);
+                self.timeline.record(EventKind::LinkUp { peer });
+            }
+            ReplicaEvent::LinkDown(peer) => {
+                self.timeline.record(EventKind::LinkDown { peer });
+            }
+            ReplicaEvent::Unreachable(vm) => self.roster.suspect(&vm),
+            ReplicaEvent::Platform(mode) => self.tell_mode(mode),
+            ReplicaEvent::PlatformLost => self.timeline.record(EventKind::PlatformLost),
+            ReplicaEvent::PlatformFound => self.timeline.record(EventKind::PlatformFound),
+            ReplicaEvent::Joined(rule) => self.tell_joined(rule),
+            ReplicaEvent::Paused(gap) => {
+                warn!("greeting all neighbours again after a pause of {gap:?}");
+            }
+            ReplicaEvent::SnapshotRefused(peer, reason) => {
+                warn!(peer = peer.as_str(); "snapshot refused: {reason}");
+                let event = EventKind::SnapshotRefused { peer, reason };
+                self.timeline.record(event);
+            }
+            ReplicaEvent::SplitVerdict(peer) => {
+                warn!(peer = peer.as_str(); "configurations differ under one sequence");
+                metrics::counter!("invariant_broken_total", "name" => "split_verdict").increment(1);
+            }
+        }
+    }
+
+    fn tell_fold(&mut self, event: FoldEvent) {
+        self.view.set_config(Arc::clone(self.replica.config()));
+        let event = match event {
+            FoldEvent::Accepted(note) => EventKind::NoteAccepted { note },
+            FoldEvent::Installed(note) => EventKind::SnapshotInstalled { note },
+            FoldEvent::Refused(note, reason) => {
+                self.refused.push_front((note, Arc::clone(&reason)));
+                self.refused.truncate(MAX_REFUSED);
+                EventKind::NoteRefused { note, reason }
+            }
+        };
+        info!(note = self.replica.config().sequence.0; "configuration changed");
+        self.timeline.record(event);
+    }
+
+    fn tell_mode(&mut self, mode: PlatformMode) {
+        let was_relay = *self.handle.mode().borrow() == PlatformMode::Watch;
+        self.handle.set_mode(mode);
+        let is_relay = mode == PlatformMode::Watch;
+        if is_relay && !was_relay {
+            self.timeline.record(EventKind::RelayStarted);
+        }
+        if was_relay && !is_relay {
+            self.timeline.record(EventKind::RelayStopped);
+        }
+    }
+
+    fn tell_joined(&mut self, rule: JoinRule) {
+        info!("the node takes work by rule {rule:?}");
+        self.joined = Some(rule);
+        self.timeline.record(EventKind::Joined { rule });
+        self.handle.set_joined(rule);
+    }
+
+    fn show_status(&mut self, now: Instant) {
+        let replica = &self.replica;
+        let age = replica.platform_age(now);
+        #[allow(clippy::cast_precision_loss)]
+        metrics::gauge!("note_sequence").set(replica.config().sequence.0 as f64);
+        #[allow(clippy::cast_precision_loss)]
+        metrics::gauge!("control_links").set(self.links.len() as f64);
+        if let Some(age) = age {
+            metrics::gauge!("platform_age_seconds").set(age.as_secs_f64());
+        }
+        self.handle.set_status(PeersStatus {
+            fleet: replica.fleet(),
+            neighbours: replica.neighbours(),
+            highest: replica.highest(),
+            platform_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            is_relay: replica.platform_mode() == PlatformMode::Watch,
+            joined: self.joined,
+            waiting: replica.join_wait(),
+            refused: self.refused.iter().cloned().collect(),
+        });
+    }
+}
+
+fn platform_state(replica: &Replica) -> PlatformState {
+    PlatformState {
+        have: replica.config().sequence,
+        gap: replica.fold().gap(),
+        readers: replica.potential_readers(),
+    }
+}
--- a/crates/node/src/timeline/event.rs
+++ b/crates/node/src/timeline/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use serde::Serialize;
-use wagtaillever_coordination::{DrainOrder, Incarnation, Sequence, VmName};
+use wagtaillever_coordination::{DrainOrder, Incarnation, JoinRule, Sequence, VmName};
 
 use crate::{timeline::Timestamp, view::Phase};
 
@@ -57,4 +57,34 @@
         /// Length of the pause in milliseconds.
         paused_ms: u64,
     },
+    /// A neighbour was greeted.
+    LinkUp {
+        /// VM of the neighbour.
+        peer: VmName,
+    },
+    /// The last link to a neighbour ended.
+    LinkDown {
+        /// VM of the neighbour.
+        peer: VmName,
+    },
+    /// The node began to read the platform for others.
+    RelayStarted,
+    /// The node left the reading of the platform to others.
+    RelayStopped,
+    /// No reader in reach hears the platform any more.
+    PlatformLost,
+    /// A reader in reach hears the platform.
+    PlatformFound,
+    /// The node learnt what is in force and takes work.
+    Joined {
+        /// Rule that allowed it.
+        rule: JoinRule,
+    },
+    /// A snapshot of a neighbour or of the platform was not usable.
+    SnapshotRefused {
+        /// Where it came from.
+        peer: VmName,
+        /// Rule that it breaks.
+        reason: Arc<str>,
+    },
 }
--- a/crates/node/src/transport/frame.rs
+++ b/crates/node/src/transport/frame.rs
@@ -10,6 +10,8 @@
 
 /// Bytes of the length in front of a frame.
 const PREFIX_BYTES: usize = 4;
+/// Bytes of the head of an `h2` frame.
+const HEAD_BYTES: usize = 9;
 /// Largest frame in bytes: a value of the platform and its head.
 const MAX_FRAME_BYTES: usize = (1 << 20) + (64 << 10);
 
@@ -17,6 +19,7 @@
 pub(crate) struct FrameReader {
     stream: RecvStream,
     buffer: BytesMut,
+    total: u64,
 }
 
 impl FrameReader {
@@ -25,9 +28,15 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            total: 0,
         }
     }
 
+    /// Returns the bytes that came on the stream, with the heads of `h2` frames.
+    pub(crate) fn total(&self) -> u64 {
+        self.total
+    }
+
     /// Reads the next frame; `None` stands for the regular end of the stream.
     ///
     /// # Errors
@@ -78,6 +87,7 @@
         let data = data?;
         self.stream.flow_control().release_capacity(data.len())?;
         self.buffer.extend_from_slice(&data);
+        self.total += (data.len() + HEAD_BYTES) as u64;
         Ok(true)
     }
 
@@ -92,12 +102,18 @@
 /// Writes frames and raw bytes to a stream as its flow-control window allows.
 pub(crate) struct FrameWriter {
     stream: SendStream<Bytes>,
+    total: u64,
 }
 
 impl FrameWriter {
     /// Returns a writer to a stream.
     pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
-        Self { stream }
+        Self { stream, total: 0 }
+    }
+
+    /// Returns the bytes that went on the stream, with the heads of `h2` frames.
+    pub(crate) fn total(&self) -> u64 {
+        self.total
     }
 
     /// Writes one frame.
@@ -120,6 +136,7 @@
             let granted = poll_fn(|cx| self.stream.poll_capacity(cx)).await;
             let granted = granted.ok_or(TransportError::Ended)??;
             let part = bytes.split_to(granted.min(bytes.len()));
+            self.total += (part.len() + HEAD_BYTES) as u64;
             self.stream.send_data(part, false)?;
         }
         Ok(())
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -1,7 +1,9 @@
 //! Messages between nodes, encoded with `bincode`.
 
 mod call;
+mod control;
 
 pub(crate) use self::call::{
     CallHead, CallStage, Load, Outcome, Refusal, RefusalReason, ReplyHead,
 };
+pub(crate) use self::control::ControlFrame;
