--- a/crates/node/src/admin/queries.rs
+++ b/crates/node/src/admin/queries.rs
@@ -7,7 +7,7 @@
     DrainOrder, NoteReport, NoteVerdict, Sequence, SpreadReport, StatusReport,
 };
 
-use crate::{kernel::Context, timeline::EventKind};
+use crate::{kernel::Context, peers::PeersHandle};
 
 /// Actor that has access to the handles of the other services.
 pub(crate) struct Queries {
@@ -89,17 +89,17 @@
 }
 
 impl Handler<GiveOrder> for Queries {
-    type Result = actix::MessageResult<GiveOrder>;
+    type Result = actix::ResponseFuture<Vec<DrainOrder>>;
 
     fn handle(&mut self, GiveOrder(order): GiveOrder, _: &mut Self::Context) -> Self::Result {
-        let view = self.context.view();
-        let mut drains = view.load().drains.as_ref().clone();
-        if drains.merge(&order) {
-            view.set_drains(drains.clone().into());
-            self.context
-                .timeline()
-                .record(EventKind::OrderApplied { order });
-        }
-        actix::MessageResult(drains.iter().collect())
+        let peers = self.context.registry().find::<PeersHandle>("peers");
+        let view = self.context.view().clone();
+        Box::pin(async move {
+            let drains = match peers {
+                Ok(peers) => peers.order(order).await,
+                Err(_) => view.load().drains.as_ref().clone(),
+            };
+            drains.iter().collect()
+        })
     }
 }
--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -3,7 +3,12 @@
 use serde_json::{Value, json};
 
 use super::{exporter::Exporter, queries::Queries, routes, routes::Shared, token::Guard};
-use crate::{kernel::Context, settings::Settings, view::Phase};
+use crate::{
+    kernel::{Context, Service},
+    peers::{Peers, PeersHandle},
+    settings::Settings,
+    view::Phase,
+};
 
 const SETTINGS: &str = "
 vm: vm-1
@@ -40,7 +45,19 @@
         self
     }
 
+    async fn start_peers(&self) {
+        if self
+            .context
+            .registry()
+            .find::<PeersHandle>("peers")
+            .is_err()
+        {
+            Peers::default().start(&self.context).await.unwrap();
+        }
+    }
+
     async fn send(&self, request: test::TestRequest) -> (StatusCode, Value) {
+        self.start_peers().await;
         let shared = Shared {
             view: self.context.view().clone(),
             timeline: self.context.timeline().clone(),
