Add the demo: a note, calls, a failure domain out and back, a bad note

The whole path needs a check that runs in under a minute on real processes. Nodes do not read the platform yet, so the demo ends red at the first note, and says which nodes lack it.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -57,6 +57,21 @@
     pub probe_ms: u64,
     /// Time that a request runs in milliseconds.
     pub service_ms: f64,
+    /// Length of an answer in bytes.
+    #[serde(default = "default_answer_bytes")]
+    pub answer_bytes: u64,
+}
+
+const fn default_answer_bytes() -> u64 {
+    512
+}
+
+impl ServiceShape {
+    /// Returns whether its requests must run at most once.
+    #[must_use]
+    pub fn is_keyed(&self) -> bool {
+        self.methods.iter().any(|method| !method.is_idempotent())
+    }
 }
 
 /// Failure domains that share a region in a deployment without a region of its own.
@@ -92,6 +107,7 @@
             connect_ms: 1,
             probe_ms: 1,
             service_ms: 10.0,
+            answer_bytes: default_answer_bytes(),
         };
         Self {
             name: "synthetic".into(),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod arguments;
 mod caller;
+mod checks;
 mod deployment;
 mod error;
 mod fleet;
