Generate the border types from schemas and name the rule and line of each fault

A refused note told only what serde or the check happened to say: no line for faults of meaning, no stable name for the rule, and a text with aliases could expand in memory before any check. Every refusal names a rule, a reason and, where the text names the thing, the line.

--- a/crates/cli/src/command/note/check.rs
+++ b/crates/cli/src/command/note/check.rs
@@ -4,15 +4,10 @@
 
 use clap::Args;
 use serde::Serialize;
-use snafu::ResultExt;
-use wagtaillever_coordination::{NoteError, ReleaseNote, Sequence};
+use wagtaillever_coordination::{Config, NoteError, ReleaseNote, Rule, Sequence};
 
 use super::input;
-use crate::{
-    error::{CliError, NoteSnafu},
-    output,
-    output::Exit,
-};
+use crate::{error::CliError, output, output::Exit};
 
 /// Arguments of `note check`.
 #[derive(Debug, Args)]
@@ -20,7 +15,8 @@
     /// Notes in the order of their sequence numbers.
     #[arg(required = true, value_name = "NOTE")]
     notes: Vec<PathBuf>,
-    /// Base that the first note would change; without it only the form of notes after others is checked.
+    /// Base that the first note would change; without it, and unless the first
+    /// note is note 1, only the form of the notes is checked.
     #[arg(long, value_name = "FILE")]
     base: Option<PathBuf>,
 }
@@ -28,41 +24,104 @@
 #[derive(Serialize)]
 struct Checked {
     file: PathBuf,
-    note: Sequence,
-    accepted: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    note: Option<Sequence>,
+    valid: bool,
+    /// Whether the note was checked against the configuration before it.
+    against_base: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fault: Option<Fault>,
+}
+
+#[derive(Serialize)]
+struct Fault {
+    rule: Rule,
+    line: Option<usize>,
+    reason: String,
+    #[serde(skip)]
+    text: String,
 }
 
 impl Check {
     pub(crate) fn run(&self, json: bool) -> Result<Exit, CliError> {
-        let mut config = input::read_base(self.base.as_deref())?;
+        let mut config = self.start()?;
         let mut checked = Vec::new();
         for path in &self.notes {
-            let (note, next) = input::apply(&config, path)?;
-            check_sequence(&note, config.sequence.next()).context(NoteSnafu { path })?;
+            let text = input::read(path)?;
+            let verdict = check(config.as_ref(), &text);
+            let against_base = config.is_some();
+            let fault = verdict.as_ref().err().map(Fault::from);
+            let note = ReleaseNote::parse(&text).ok().map(|note| note.note);
+            match verdict {
+                Ok(next) => config = next,
+                Err(_) => use_up(config.as_mut()),
+            }
             checked.push(Checked {
                 file: path.clone(),
-                note: note.note,
-                accepted: true,
+                note,
+                valid: fault.is_none(),
+                against_base,
+                fault,
             });
-            config = next;
         }
         output::print(json, &checked, |checked| render(checked))?;
-        Ok(Exit::Done)
+        if checked.iter().all(|entry| entry.valid) {
+            return Ok(Exit::Done);
+        }
+        Ok(Exit::Refused)
+    }
+
+    /// Returns the configuration that the first note would change, if it is known.
+    fn start(&self) -> Result<Option<Config>, CliError> {
+        if let Some(path) = &self.base {
+            return input::read_base(Some(path)).map(Some);
+        }
+        let Some(first) = self.notes.first() else {
+            return Ok(None);
+        };
+        let note = ReleaseNote::parse(&input::read(first)?);
+        let is_first = note.is_ok_and(|note| note.note == Sequence::ZERO.next());
+        Ok(is_first.then(Config::default))
     }
 }
 
-fn check_sequence(note: &ReleaseNote, expected: Sequence) -> Result<(), NoteError> {
-    if note.note == expected {
-        return Ok(());
+/// A refused note uses up its sequence number.
+fn use_up(config: Option<&mut Config>) {
+    if let Some(config) = config {
+        config.sequence = config.sequence.next();
+    }
+}
+
+fn check(config: Option<&Config>, text: &[u8]) -> Result<Option<Config>, NoteError> {
+    let Some(config) = config else {
+        return ReleaseNote::parse(text).map(|_| None);
+    };
+    config.apply_text(config.sequence.next(), text).map(Some)
+}
+
+impl From<&NoteError> for Fault {
+    fn from(err: &NoteError) -> Self {
+        Self {
+            rule: err.rule(),
+            line: err.line(),
+            reason: err.reason().into(),
+            text: err.to_string(),
+        }
     }
-    Err(NoteError::WrongSequence {
-        named: note.note,
-        published: expected,
-    })
 }
 
 fn render(checked: &[Checked]) -> String {
-    let line =
-        |entry: &Checked| format!("{}: note {} is valid\n", entry.file.display(), entry.note);
-    checked.iter().map(line).collect()
+    checked.iter().map(render_one).collect()
+}
+
+fn render_one(entry: &Checked) -> String {
+    let file = entry.file.display();
+    if let Some(fault) = &entry.fault {
+        return format!("{file}: refused: {}\n", fault.text);
+    }
+    let note = entry.note.unwrap_or_default();
+    if entry.against_base {
+        return format!("{file}: note {note} is valid\n");
+    }
+    format!("{file}: the form of note {note} is valid; give --base to check what it refers to\n")
 }
--- a/crates/cli/src/command/note/diff.rs
+++ b/crates/cli/src/command/note/diff.rs
@@ -9,10 +9,15 @@
 use clap::Args;
 use serde::Serialize;
 use serde_json::Value;
+use snafu::ResultExt;
 use wagtaillever_coordination::{Config, Sequence};
 
 use super::input;
-use crate::{error::CliError, output, output::Exit};
+use crate::{
+    error::{CliError, NoteSnafu},
+    output,
+    output::Exit,
+};
 
 /// Arguments of `note diff`.
 #[derive(Debug, Args)]
@@ -68,8 +73,8 @@
     {
         return input::read_base(Some(path));
     }
-    let (_, config) = input::apply(old, path)?;
-    Ok(config)
+    let (sequence, text) = input::read_numbered(path)?;
+    old.apply_text(sequence, &text).context(NoteSnafu { path })
 }
 
 fn compare<N, T>(old: &BTreeMap<N, Arc<T>>, new: &BTreeMap<N, Arc<T>>) -> Result<Changed, CliError>
--- a/crates/cli/src/command/note/input.rs
+++ b/crates/cli/src/command/note/input.rs
@@ -21,14 +21,6 @@
     Config::parse(&text).context(NoteSnafu { path })
 }
 
-/// Reads a note and applies it to a configuration.
-pub(crate) fn apply(config: &Config, path: &Path) -> Result<(ReleaseNote, Config), CliError> {
-    let text = read(path)?;
-    let note = ReleaseNote::parse(&text).context(NoteSnafu { path })?;
-    let next = config.apply(&note).context(NoteSnafu { path })?;
-    Ok((note, next))
-}
-
 /// Reads a note and the sequence number under which it stands: the number that
 /// is its file name, or else the one that the note names.
 pub(crate) fn read_numbered(path: &Path) -> Result<(Sequence, Vec<u8>), CliError> {
--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -1,15 +1,21 @@
 //! The platform's `base` value: a whole configuration, or an index of its parts.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::IgnoredAny};
 
 use crate::{
-    config::Config, error::NoteError, name::ServiceName, note::MAX_NOTE_BYTES, sequence::Sequence,
+    border::{self, MAX_VALUE_BYTES},
+    config::Config,
+    error::NoteError,
+    name::ServiceName,
+    named::Named,
+    rule::Rule,
+    sequence::Sequence,
 };
 
 /// What the platform's `base` key holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(untagged)]
 pub enum Base {
     /// The configuration was split by service.
@@ -19,8 +25,7 @@
 }
 
 /// Index of a configuration that is published in parts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct BaseIndex {
     /// Sequence of the configuration and of each part.
     pub sequence: Sequence,
@@ -37,8 +42,11 @@
     pub text: String,
 }
 
-/// Highest size of a value of the platform in bytes.
-const MAX_VALUE_BYTES: usize = MAX_NOTE_BYTES;
+/// What tells an index from a whole configuration.
+#[derive(Deserialize)]
+struct Shape {
+    parts: Option<IgnoredAny>,
+}
 
 impl Base {
     /// Parses the value of the `base` key.
@@ -47,9 +55,13 @@
     ///
     /// Returns an error that names the line of the fault.
     pub fn parse(text: &[u8]) -> Result<Self, NoteError> {
-        let value: serde_json::Value = parse_json(text)?;
-        if value.get("parts").is_some() {
-            return parse_json(text).map(Self::Split);
+        let shape: Shape = border::from_json(text)?;
+        if shape.parts.is_some() {
+            let index: border::BaseIndex = border::from_json(text)?;
+            return Ok(Self::Split(BaseIndex {
+                sequence: Sequence(index.sequence),
+                parts: index.parts,
+            }));
         }
         Config::parse(text).map(Self::Whole)
     }
@@ -69,31 +81,26 @@
         };
         for part in parts {
             if part.sequence != self.sequence {
-                return Err(NoteError::WrongSequence {
-                    named: part.sequence,
-                    published: self.sequence,
-                });
+                return Err(NoteError::wrong_sequence(part.sequence, self.sequence));
             }
-            merge("service", &mut whole.services, part.services)?;
-            merge("route", &mut whole.routes, part.routes)?;
-            merge("upstream", &mut whole.upstreams, part.upstreams)?;
+            merge(&mut whole.services, part.services)?;
+            merge(&mut whole.routes, part.routes)?;
+            merge(&mut whole.upstreams, part.upstreams)?;
         }
         whole.validate()?;
         Ok(whole)
     }
 }
 
-fn merge<N: Ord + ToString, T>(
-    kind: &'static str,
-    whole: &mut std::collections::BTreeMap<N, T>,
-    part: std::collections::BTreeMap<N, T>,
+fn merge<S: Named>(
+    whole: &mut BTreeMap<S::Name, Arc<S>>,
+    part: BTreeMap<S::Name, Arc<S>>,
 ) -> Result<(), NoteError> {
     for (name, thing) in part {
         if whole.contains_key(&name) {
-            return Err(NoteError::Duplicate {
-                kind,
-                name: name.to_string(),
-            });
+            let kind = S::KIND.as_str();
+            let reason = format!("{kind} {} is in two parts", name.as_ref());
+            return Err(NoteError::new(Rule::Unique, reason));
         }
         whole.insert(name, thing);
     }
@@ -107,7 +114,8 @@
     ///
     /// Returns an error that names the line of the fault or the rule that is broken.
     pub fn parse(text: &[u8]) -> Result<Self, NoteError> {
-        let config: Self = parse_json(text)?;
+        let base: border::Base = border::from_json(text)?;
+        let config = Self::try_from(base)?;
         config.validate()?;
         Ok(config)
     }
@@ -197,13 +205,6 @@
     }
 }
 
-fn parse_json<T: for<'a> Deserialize<'a>>(text: &[u8]) -> Result<T, NoteError> {
-    serde_json::from_slice(text).map_err(|err| NoteError::Syntax {
-        line: err.line(),
-        reason: err.to_string(),
-    })
-}
-
 /// # Panics
 ///
 /// Does not panic: names serialise as keys and all values as text or numbers.
--- /dev/null
+++ b/crates/coordination/src/border/config.rs
@@ -0,0 +1,47 @@
+//! Conversion of whole configurations.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::{generated, unique_map::UniqueMap};
+use crate::{
+    config::Config,
+    error::{Kind, NoteError},
+    named::Named,
+    rule::Rule,
+    sequence::Sequence,
+};
+
+impl TryFrom<generated::Base> for Config {
+    type Error = NoteError;
+
+    fn try_from(base: generated::Base) -> Result<Self, NoteError> {
+        Ok(Self {
+            sequence: Sequence(base.sequence),
+            services: convert(base.services)?,
+            routes: convert(base.routes)?,
+            upstreams: convert(base.upstreams)?,
+        })
+    }
+}
+
+fn convert<B, S>(things: UniqueMap<String, B>) -> Result<BTreeMap<S::Name, Arc<S>>, NoteError>
+where
+    S: Named + TryFrom<B, Error = NoteError>,
+{
+    let mut converted = BTreeMap::new();
+    for (key, thing) in things.0 {
+        let thing = S::try_from(thing)?;
+        check_key(&key, thing.name().as_ref(), S::KIND)?;
+        converted.insert(thing.name().clone(), Arc::new(thing));
+    }
+    Ok(converted)
+}
+
+fn check_key(key: &str, name: &str, kind: Kind) -> Result<(), NoteError> {
+    if key == name {
+        return Ok(());
+    }
+    let kind = kind.as_str();
+    let reason = format!("{kind} {name} stands under the key {key:?}");
+    Err(NoteError::new(Rule::Name, reason))
+}
--- /dev/null
+++ b/crates/coordination/src/border/vms.rs
@@ -0,0 +1,65 @@
+//! Conversion of the list of VMs.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use super::{from_json, generated, name};
+use crate::{
+    error::NoteError,
+    rule::Rule,
+    vm::{VmEntry, VmList, VmState},
+};
+
+impl VmList {
+    /// Parses the platform's value `vms`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the line and the rule that the text breaks.
+    pub fn parse(text: &[u8]) -> Result<Self, NoteError> {
+        from_json::<generated::Vms>(text)?.try_into()
+    }
+}
+
+impl TryFrom<generated::Vms> for VmList {
+    type Error = NoteError;
+
+    fn try_from(list: generated::Vms) -> Result<Self, NoteError> {
+        let mut names = BTreeSet::new();
+        let mut vms = Vec::with_capacity(list.vms.len());
+        for vm in list.vms {
+            let entry = VmEntry::try_from(vm)?;
+            if !names.insert(entry.vm.clone()) {
+                let reason = format!("VM {} is listed twice", entry.vm);
+                return Err(NoteError::new(Rule::Unique, reason));
+            }
+            vms.push(Arc::new(entry));
+        }
+        Ok(Self {
+            number: list.number,
+            vms,
+        })
+    }
+}
+
+impl TryFrom<generated::Vm> for VmEntry {
+    type Error = NoteError;
+
+    fn try_from(vm: generated::Vm) -> Result<Self, NoteError> {
+        Ok(Self {
+            vm: name("VM", &vm.vm)?,
+            domain: name("failure domain", &vm.domain)?,
+            region: name("region", &vm.region)?,
+            address: vm.address,
+            state: vm.state.unwrap_or_default().into(),
+        })
+    }
+}
+
+impl From<generated::VmState> for VmState {
+    fn from(state: generated::VmState) -> Self {
+        match state {
+            generated::VmState::Live => Self::Live,
+            generated::VmState::Leaving => Self::Leaving,
+        }
+    }
+}
--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -2,77 +2,116 @@
 
 use snafu::Snafu;
 
-use crate::sequence::Sequence;
+use crate::{locator, rule::Rule, sequence::Sequence};
 
-/// Why a release note is refused.
+/// Why a release note or another published value is refused.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(visibility(pub(crate)))]
-#[non_exhaustive]
-pub enum NoteError {
-    /// The note is larger than the platform holds.
-    #[snafu(display("the note has {bytes} bytes; the limit is {limit}"))]
-    TooLarge {
-        /// Size of the note in bytes.
-        bytes: usize,
-        /// Highest size in bytes.
-        limit: usize,
-    },
-    /// The note is not UTF-8 text.
-    #[snafu(display("the note is not UTF-8 at byte {offset}"))]
-    NotUtf8 {
-        /// Offset of the first bad byte.
-        offset: usize,
-    },
-    /// The note is not YAML of the expected shape.
-    #[snafu(display("line {line}: {reason}"))]
-    Syntax {
-        /// Line of the fault, counted from 1.
-        line: usize,
-        /// What was expected.
-        reason: String,
-    },
-    /// The note stands under another sequence number than it names.
-    #[snafu(display("the note names sequence {named} but stands under {published}"))]
-    WrongSequence {
-        /// Sequence in the text.
-        named: Sequence,
-        /// Sequence of the key.
-        published: Sequence,
-    },
-    /// Something is added that exists already, or named twice in one note.
-    #[snafu(display("{kind} {name} is named twice or exists already"))]
-    Duplicate {
-        /// Kind of the thing.
-        kind: &'static str,
-        /// Name of the thing.
-        name: String,
-    },
-    /// Something is changed, withdrawn or referred to that does not exist.
-    #[snafu(display("{kind} {name}, which {referrer} names, does not exist"))]
-    Unknown {
-        /// Kind of the thing.
-        kind: &'static str,
-        /// Name of the thing.
-        name: String,
-        /// What names it.
-        referrer: String,
-    },
-    /// Something is withdrawn that is still referred to.
-    #[snafu(display("{kind} {name} is withdrawn but {referrer} still needs it"))]
-    InUse {
-        /// Kind of the thing.
-        kind: &'static str,
-        /// Name of the thing.
-        name: String,
-        /// What needs it.
-        referrer: String,
-    },
-    /// A value is outside what its field allows.
-    #[snafu(display("{owner}: {reason}"))]
-    Invalid {
-        /// What holds the value.
-        owner: String,
-        /// Rule that the value breaks.
-        reason: String,
-    },
+#[snafu(display("{}{reason} (rule {rule})", prefix(*line)))]
+pub struct NoteError {
+    rule: Rule,
+    line: Option<usize>,
+    reason: String,
+    subjects: Vec<Subject>,
+}
+
+/// A named thing that an error is about, by which its line is found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Subject {
+    /// Kind of the thing.
+    pub(crate) kind: Kind,
+    /// Name of the thing.
+    pub(crate) name: String,
+}
+
+/// Kind of a thing that notes name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A service.
+    Service,
+    /// A route.
+    Route,
+    /// An upstream.
+    Upstream,
+    /// The note itself.
+    Note,
+}
+
+impl Kind {
+    /// Returns the word for the kind.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Service => "service",
+            Self::Route => "route",
+            Self::Upstream => "upstream",
+            Self::Note => "note",
+        }
+    }
+
+    /// Returns the key of a note under which things of the kind stand.
+    pub(crate) fn section(self) -> &'static str {
+        match self {
+            Self::Service => "services",
+            Self::Route => "routes",
+            Self::Upstream => "upstreams",
+            Self::Note => "note",
+        }
+    }
+}
+
+impl NoteError {
+    /// Returns the rule that is broken.
+    #[must_use]
+    pub fn rule(&self) -> Rule {
+        self.rule
+    }
+
+    /// Returns the line of the fault, counted from 1, if it is known.
+    #[must_use]
+    pub fn line(&self) -> Option<usize> {
+        self.line
+    }
+
+    /// Returns what is wrong, without the line and the rule.
+    #[must_use]
+    pub fn reason(&self) -> &str {
+        &self.reason
+    }
+
+    pub(crate) fn new(rule: Rule, reason: impl Into<String>) -> Self {
+        Self {
+            rule,
+            line: None,
+            reason: reason.into(),
+            subjects: Vec::new(),
+        }
+    }
+
+    pub(crate) fn wrong_sequence(named: Sequence, published: Sequence) -> Self {
+        let reason = format!("the value names sequence {named} but stands under {published}");
+        Self::new(Rule::Sequence, reason).about(Kind::Note, "")
+    }
+
+    /// Names a thing that the error is about; those named first are looked for first.
+    pub(crate) fn about(mut self, kind: Kind, name: impl Into<String>) -> Self {
+        let name = name.into();
+        self.subjects.push(Subject { kind, name });
+        self
+    }
+
+    pub(crate) fn at_line(mut self, line: usize) -> Self {
+        self.line = (line > 0).then_some(line);
+        self
+    }
+
+    /// Adds the line on which the text of a note names what the error is about.
+    pub(crate) fn located(mut self, text: &str) -> Self {
+        if self.line.is_none() {
+            self.line = locator::find(text, &self.subjects);
+        }
+        self
+    }
+}
+
+fn prefix(line: Option<usize>) -> String {
+    line.map_or_else(String::new, |line| format!("line {line}: "))
 }
--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -6,7 +6,6 @@
     config::Config,
     error::NoteError,
     history::{History, Verdict},
-    note::ReleaseNote,
     sequence::Sequence,
 };
 
@@ -97,7 +96,7 @@
 
     fn fold_next(&mut self, text: Arc<[u8]>) -> FoldEvent {
         let sequence = self.sequence().next();
-        match apply_text(&self.config, sequence, &text) {
+        match self.config.apply_text(sequence, &text) {
             Ok(config) => {
                 self.replace(config);
                 self.history.push(sequence, text, Verdict::Accepted);
@@ -123,14 +122,3 @@
         self.config = Arc::new(config);
     }
 }
-
-fn apply_text(config: &Config, sequence: Sequence, text: &[u8]) -> Result<Config, NoteError> {
-    let note = ReleaseNote::parse(text)?;
-    if note.note != sequence {
-        return Err(NoteError::WrongSequence {
-            named: note.note,
-            published: sequence,
-        });
-    }
-    config.apply(&note)
-}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod balancer;
 mod base;
+mod border;
 mod budget;
 mod candidates;
 mod config;
@@ -17,14 +18,17 @@
 mod history;
 mod join;
 mod key;
+mod locator;
 mod message;
 mod name;
+mod named;
 mod note;
 mod overlay;
 mod replica;
 mod report;
 mod retry;
 mod routing;
+mod rule;
 mod sequence;
 mod share;
 mod soft_report;
@@ -59,6 +63,7 @@
     },
     retry::{AttemptEnd, Attempts, Next, RequestKind, RetryBudget},
     routing::RouteTable,
+    rule::Rule,
     sequence::Sequence,
     share::CallShares,
     soft_report::SoftReport,
--- /dev/null
+++ b/crates/coordination/src/locator.rs
@@ -0,0 +1,72 @@
+//! Finds the line of a note's text on which a thing is named.
+
+use crate::error::{Kind, Subject};
+
+/// Returns the line, counted from 1, that names the first subject which the text names at all.
+///
+/// A thing that is named more than once is found where it is named last.
+pub(crate) fn find(text: &str, subjects: &[Subject]) -> Option<usize> {
+    let found = subjects.iter().find_map(|subject| find_name(text, subject));
+    found.or_else(|| {
+        let kinds = subjects.iter().map(|subject| subject.kind);
+        kinds.into_iter().find_map(|kind| find_section(text, kind))
+    })
+}
+
+fn find_name(text: &str, subject: &Subject) -> Option<usize> {
+    let mut section = "";
+    let mut found = None;
+    for (index, line) in text.lines().enumerate() {
+        if let Some(key) = top_level_key(line) {
+            section = key;
+        }
+        if section == subject.kind.section() && names(line, &subject.name) {
+            found = Some(index + 1);
+        }
+    }
+    found
+}
+
+fn find_section(text: &str, kind: Kind) -> Option<usize> {
+    let mut lines = text.lines();
+    let index = lines.position(|line| top_level_key(line) == Some(kind.section()))?;
+    Some(index + 1)
+}
+
+fn top_level_key(line: &str) -> Option<&str> {
+    let first = line.chars().next()?;
+    if first.is_whitespace() || matches!(first, '#' | '-') {
+        return None;
+    }
+    let (key, _) = line.split_once(':')?;
+    Some(key.trim_matches(|c: char| c.is_whitespace() || "\"'{".contains(c)))
+}
+
+/// Tells whether a line holds the name as an item of a list or as the value of `name`.
+fn names(line: &str, name: &str) -> bool {
+    let line = line.split(" #").next().unwrap_or(line).trim();
+    let item = line.strip_prefix('-').map(str::trim);
+    if item.is_some_and(|item| unquoted(item) == name) {
+        return true;
+    }
+    line.match_indices("name").any(|(at, key)| {
+        let rest = line[at + key.len()..].trim_start_matches(['"', '\'']);
+        let value = rest.trim_start().strip_prefix(':');
+        value.is_some_and(|value| unquoted(first_scalar(value)) == name)
+    }) || flow_items(line).any(|item| item == name)
+}
+
+fn first_scalar(value: &str) -> &str {
+    value.split([',', '}']).next().unwrap_or(value).trim()
+}
+
+/// Iterates over the items of a list that stands in brackets on the line.
+fn flow_items(line: &str) -> impl Iterator<Item = &str> {
+    let list = line.split_once('[').map(|(_, rest)| rest);
+    let list = list.map(|rest| rest.split(']').next().unwrap_or(rest));
+    list.unwrap_or_default().split(',').map(unquoted)
+}
+
+fn unquoted(text: &str) -> &str {
+    text.trim().trim_matches(['"', '\''])
+}
--- a/crates/coordination/src/note.rs
+++ b/crates/coordination/src/note.rs
@@ -5,31 +5,26 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    border,
     error::NoteError,
     name::{DomainName, RouteName, ServiceName, UpstreamName, VmName},
     sequence::Sequence,
 };
 
-/// Highest size of a note in bytes, as the platform holds values up to a megabyte.
-pub(crate) const MAX_NOTE_BYTES: usize = 1_000_000;
-
 /// A release note: what is added, changed and withdrawn, whole or not at all.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "border::ReleaseNote")]
 pub struct ReleaseNote {
     /// Sequence number under which the note is published.
     pub note: Sequence,
     /// Free text for people.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub summary: Option<String>,
     /// Changes of services.
-    #[serde(default)]
     pub services: Changes<ServiceSpec, ServiceName>,
     /// Changes of routes.
-    #[serde(default)]
     pub routes: Changes<RouteSpec, RouteName>,
     /// Changes of upstreams.
-    #[serde(default)]
     pub upstreams: Changes<UpstreamSpec, UpstreamName>,
 }
 
@@ -40,34 +35,19 @@
     ///
     /// Returns an error that names the line and the rule that the text breaks.
     pub fn parse(text: &[u8]) -> Result<Self, NoteError> {
-        if text.len() > MAX_NOTE_BYTES {
-            return Err(NoteError::TooLarge {
-                bytes: text.len(),
-                limit: MAX_NOTE_BYTES,
-            });
-        }
-        let text = std::str::from_utf8(text).map_err(|err| NoteError::NotUtf8 {
-            offset: err.valid_up_to(),
-        })?;
-        serde_yaml_ng::from_str(text).map_err(|err| NoteError::Syntax {
-            line: err.location().map_or(0, |at| at.line()),
-            reason: err.to_string(),
-        })
+        let note: border::ReleaseNote = border::from_yaml(text)?;
+        Self::try_from(note).map_err(|err| err.located(&String::from_utf8_lossy(text)))
     }
 }
 
 /// Additions, changes and withdrawals of one kind of thing.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Changes<S, N> {
     /// Things that must not exist yet.
-    #[serde(default = "Vec::new")]
     pub add: Vec<Arc<S>>,
     /// Things that must exist and are replaced whole.
-    #[serde(default = "Vec::new")]
     pub change: Vec<Arc<S>>,
     /// Names of things that must exist and go away.
-    #[serde(default = "Vec::new")]
     pub withdraw: Vec<N>,
 }
 
@@ -83,7 +63,7 @@
 
 /// A service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "border::Service")]
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: ServiceName,
@@ -91,32 +71,26 @@
 
 /// A route from a path prefix to a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "border::Route")]
 pub struct RouteSpec {
     /// Name of the route.
     pub name: RouteName,
     /// Path prefix, which starts with a slash and matches whole segments.
     pub path: String,
     /// Methods of the route; an empty list stands for all.
-    #[serde(default)]
     pub methods: Vec<Method>,
     /// Service to which the route leads.
     pub service: ServiceName,
     /// Whether a request may run more than once; by default what HTTP says of the method.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub idempotent: Option<bool>,
     /// Longest time in milliseconds that a call may take.
-    #[serde(default = "default_timeout_ms")]
     pub timeout_ms: u64,
 }
 
-const fn default_timeout_ms() -> u64 {
-    10_000
-}
-
 /// An upstream: one server of a service on one VM.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "border::Upstream")]
 pub struct UpstreamSpec {
     /// Name of the upstream.
     pub name: UpstreamName,
@@ -136,7 +110,7 @@
 
 /// HTTP methods that a route can name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
+#[serde(from = "border::Method", rename_all = "UPPERCASE")]
 pub enum Method {
     /// `GET`
     Get,
--- /dev/null
+++ b/crates/xtask/src/generator.rs
@@ -0,0 +1,64 @@
+//! Rust code of the border types.
+
+use schemars::schema::{InstanceType, SchemaObject};
+use snafu::ResultExt;
+use typify::{TypeSpace, TypeSpaceImpl, TypeSpaceSettings};
+
+use crate::{
+    error::{CodeSnafu, GenerateSnafu, TaskError},
+    schemas::Schemas,
+};
+
+/// Head of the generated file.
+const HEAD: &str =
+    "// Generated from `schema/` by `cargo run -p xtask -- generate`; do not edit.\n\n";
+
+/// Returns the code of the types that follow from the schemas.
+///
+/// # Errors
+///
+/// Returns an error when a schema has no equivalent in types.
+pub(crate) fn generate(schemas: &Schemas) -> Result<String, TaskError> {
+    let mut space = TypeSpace::new(&settings());
+    let definitions = schemas.definitions.clone();
+    space.add_ref_types(definitions).context(GenerateSnafu)?;
+    let file = syn::parse2(space.to_stream()).context(CodeSnafu)?;
+    let code = without_schemas(&prettyplease::unparse(&file));
+    Ok(format!("{HEAD}{code}"))
+}
+
+/// Drops the copies of the schemas from the comments.
+fn without_schemas(code: &str) -> String {
+    let mut is_schema = false;
+    let mut lines = Vec::new();
+    for line in code.lines() {
+        is_schema |= line.trim() == "/// <details><summary>JSON schema</summary>";
+        if !is_schema {
+            lines.push(line);
+        }
+        is_schema &= line.trim() != "/// </details>";
+    }
+    lines.push("");
+    lines.join("\n")
+}
+
+fn settings() -> TypeSpaceSettings {
+    let mut settings = TypeSpaceSettings::default();
+    settings.with_derive("PartialEq".into());
+    settings.with_map_type("crate::border::unique_map::UniqueMap".to_string());
+    settings.with_conversion(
+        socket_address(),
+        "::std::net::SocketAddr",
+        [TypeSpaceImpl::FromStr, TypeSpaceImpl::Display].into_iter(),
+    );
+    settings
+}
+
+/// Returns the schema of an address with its port, which the standard library parses.
+fn socket_address() -> SchemaObject {
+    SchemaObject {
+        instance_type: Some(InstanceType::String.into()),
+        format: Some("socket-address".into()),
+        ..SchemaObject::default()
+    }
+}
