--- a/crates/coordination/src/border/parse.rs
+++ b/crates/coordination/src/border/parse.rs
@@ -24,6 +24,7 @@
     if text.trim().is_empty() {
         return Err(NoteError::new(Rule::Syntax, "the value is empty"));
     }
+    check_single(text)?;
     shape::check(text)?;
     serde_yaml_ng::from_str(text).map_err(|err| yaml_error(&err))
 }
@@ -60,6 +61,20 @@
     })
 }
 
+/// Refuses a second document, for which the YAML library tells no line.
+fn check_single(text: &str) -> Result<(), NoteError> {
+    let mut has_content = false;
+    for (index, line) in text.lines().enumerate() {
+        let is_marker = line == "---" || line.starts_with("--- ");
+        if is_marker && has_content {
+            let reason = "a value holds one document, not more";
+            return Err(NoteError::new(Rule::Syntax, reason).at_line(index + 1));
+        }
+        has_content |= is_marker || !(line.trim().is_empty() || line.starts_with('#'));
+    }
+    Ok(())
+}
+
 /// Converts an error of the YAML library.
 pub(super) fn yaml_error(err: &serde_yaml_ng::Error) -> NoteError {
     let line = err.location().map_or(0, |place| place.line());
--- a/crates/coordination/src/config/tests.rs
+++ b/crates/coordination/src/config/tests.rs
@@ -88,14 +88,14 @@
     refuse("just words", 1, Rule::Syntax, "invalid type");
     refuse("", None, Rule::Syntax, "the value is empty");
     refuse(
-        "note: 2\n---\nnote: 3\n",
-        None,
+        "---\nnote: 2\n---\nnote: 3\n",
+        3,
         Rule::Syntax,
-        "more than one document",
+        "holds one document",
     );
     refuse(
         "note: 2\nsummary: \"open\n",
-        2,
+        3,
         Rule::Syntax,
         "unexpected end of stream",
     );
