--- a/crates/bench/src/error.rs
+++ b/crates/bench/src/error.rs
@@ -40,6 +40,16 @@
     /// No block of ports is free.
     #[snafu(display("no block of ports is free"))]
     NoPorts,
+    /// A line of a file is no result of an experiment.
+    #[snafu(display("{}, line {line}: {source}", path.display()))]
+    Result {
+        /// The file.
+        path: std::path::PathBuf,
+        /// Line, counted from 1.
+        line: usize,
+        /// Cause.
+        source: serde_json::Error,
+    },
     /// The run was interrupted.
     #[snafu(display("interrupted"))]
     Interrupted,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod platform;
 mod ports;
 mod proxy;
+mod report;
 mod service;
 mod subcommand;
 mod upstream;
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,14 @@
+//! Report: one self-contained page with plots of measured results.
+
+mod chart;
+mod page;
+mod record;
+
+pub(crate) use self::{
+    chart::{Chart, Line},
+    page::Page,
+    record::Record,
+};
+
+#[cfg(test)]
+mod tests;
--- a/crates/bench/src/subcommand.rs
+++ b/crates/bench/src/subcommand.rs
@@ -4,6 +4,7 @@
 mod converge;
 mod demo;
 mod platform;
+mod report;
 mod service;
 
 use std::process::ExitCode;
@@ -21,6 +22,8 @@
     Converge(converge::Converge),
     /// Loads a deployment and measures how calls are answered.
     Service(service::Service),
+    /// Writes one page with plots from the JSON of experiments.
+    Report(report::Report),
     /// Runs a random schedule of faults and checks what must always hold.
     Chaos(chaos::Chaos),
 }
@@ -37,6 +40,7 @@
             Self::Demo(demo) => demo.run().await,
             Self::Converge(converge) => converge.run().await,
             Self::Service(service) => service.run().await,
+            Self::Report(report) => report.run().await,
             Self::Chaos(chaos) => chaos.run().await,
         }
     }
--- /dev/null
+++ b/crates/bench/src/subcommand/report.rs
@@ -0,0 +1,53 @@
+//! Report of measured results.
+
+use std::{fs, path::PathBuf};
+
+use clap::Args;
+use snafu::ResultExt;
+
+use crate::{
+    error::{BenchError, IoSnafu},
+    report::{Page, Record},
+    subcommand::Verdict,
+};
+
+/// Writes one page with plots from the JSON of experiments.
+#[derive(Debug, Args)]
+pub(crate) struct Report {
+    /// Files with one JSON result a line.
+    #[arg(required = true)]
+    results: Vec<PathBuf>,
+    /// Page that is written.
+    #[arg(long, default_value = "report.html")]
+    output: PathBuf,
+    /// Machine on which the results were measured.
+    #[arg(long, default_value = "not stated")]
+    machine: String,
+    /// Commit that was measured.
+    #[arg(long, default_value = "not stated")]
+    commit: String,
+}
+
+impl Report {
+    /// Writes the page.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a result can't be read or the page can't be written.
+    pub(crate) async fn run(self) -> Result<Verdict, BenchError> {
+        let mut records = Vec::new();
+        for path in &self.results {
+            records.extend(Record::read(path)?);
+        }
+        let page = Page {
+            machine: self.machine,
+            commit: self.commit,
+            records,
+        };
+        fs::write(&self.output, page.html()).with_context(|_| IoSnafu {
+            what: self.output.display().to_string(),
+        })?;
+        eprintln!("{} written", self.output.display());
+        Ok(Verdict::Held)
+    }
+}
