Wait only for the direction of a proxied connection that still runs

Cause: after one direction ended in the regular way, both were awaited, also the one that had ended. Change: only the other one is awaited.

--- a/crates/bench/src/proxy/listener.rs
+++ b/crates/bench/src/proxy/listener.rs
@@ -188,12 +188,17 @@
         let there = self.pump(self.from, self.to).run(client_read, server_write);
         let back = self.pump(self.to, self.from).run(server_read, client_write);
         tokio::pin!(there, back);
-        let ended = tokio::select! {
-            ended = &mut there => ended,
-            ended = &mut back => ended,
-        };
-        if ended == Ended::Regular {
-            tokio::join!(there, back);
+        tokio::select! {
+            ended = &mut there => {
+                if ended == Ended::Regular {
+                    back.await;
+                }
+            }
+            ended = &mut back => {
+                if ended == Ended::Regular {
+                    there.await;
+                }
+            }
         }
     }
 
