Measure how fast and at what cost notes come into force

Times are read from the nodes' own time lines afterwards, bytes from the proxy and the platform stand-in, so that measuring costs the nodes next to nothing. A node that could not be reached counts from when it could.

--- a/crates/bench/src/arguments.rs
+++ b/crates/bench/src/arguments.rs
@@ -14,7 +14,12 @@
 #[command(name = "wagtaillever-bench", version)]
 pub struct Arguments {
     /// Log filter, as `env_logger` reads it.
-    #[arg(long, global = true, default_value = "warn", value_name = "FILTER")]
+    #[arg(
+        long,
+        global = true,
+        default_value = "warn,wagtaillever_bench=info",
+        value_name = "FILTER"
+    )]
     log: String,
     /// What to run.
     #[command(subcommand)]
@@ -58,3 +63,9 @@
         _ = terminate.recv() => {}
     }
 }
+
+/// Returns the name of a value as the command line takes it.
+pub(crate) fn value_name(value: &impl clap::ValueEnum) -> String {
+    let value = value.to_possible_value();
+    value.map_or_else(String::new, |value| value.get_name().to_owned())
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,11 +5,14 @@
 mod arguments;
 mod caller;
 mod checks;
+mod clock;
+mod converge;
 mod deployment;
 mod error;
 mod fleet;
 mod http_client;
 mod layout;
+mod meter;
 mod pattern;
 pub mod platform;
 mod ports;
--- a/crates/bench/src/platform/handle.rs
+++ b/crates/bench/src/platform/handle.rs
@@ -1,6 +1,7 @@
 //! Control over a platform stand-in from the same process.
 
 use std::{
+    collections::BTreeMap,
     net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -19,6 +20,8 @@
 
 /// Chance that a crossed answer leaves its older half to the next watch.
 const LATER_CHANCE: f64 = 0.3;
+/// Bytes of the heads of a request and its answer.
+const HEAD_BYTES: u64 = 250;
 /// Revisions that a repeated answer goes back.
 const REPEATED_REVISIONS: u64 = 5;
 
@@ -40,6 +43,24 @@
     meter: Meter,
     rng: SmallRng,
     bytes: u64,
+    watchers: BTreeMap<IpAddr, usize>,
+}
+
+/// A watch that is counted until it is dropped.
+pub(crate) struct Watcher {
+    shared: Arc<Shared>,
+    peer: IpAddr,
+}
+
+impl Drop for Watcher {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock();
+        let watches = state.watchers.entry(self.peer).or_default();
+        *watches = watches.saturating_sub(1);
+        if *watches == 0 {
+            state.watchers.remove(&self.peer);
+        }
+    }
 }
 
 /// Calls that a platform stand-in has counted.
@@ -51,7 +72,7 @@
     pub refused: u64,
     /// Most calls of any window of one second, refused ones too.
     pub peak: usize,
-    /// Bytes of values that were answered.
+    /// Bytes of requests and answers; those of their heads are estimated.
     pub bytes: u64,
 }
 
@@ -65,6 +86,7 @@
             meter: Meter::new(rate),
             rng: SmallRng::seed_from_u64(seed),
             bytes: 0,
+            watchers: BTreeMap::new(),
         };
         Self {
             shared: Arc::new(Shared {
@@ -145,6 +167,23 @@
         self.shared.state.lock().meter.reset_peak();
     }
 
+    /// Returns the addresses from which watches are waiting.
+    #[must_use]
+    pub fn watchers(&self) -> Vec<IpAddr> {
+        let state = self.shared.state.lock();
+        state.watchers.keys().copied().collect()
+    }
+
+    /// Counts a waiting watch of a reader.
+    pub(crate) fn watcher(&self, peer: IpAddr) -> Watcher {
+        let mut state = self.shared.state.lock();
+        *state.watchers.entry(peer).or_default() += 1;
+        Watcher {
+            shared: Arc::clone(&self.shared),
+            peer,
+        }
+    }
+
     /// Counts one call, or returns the time after which one is admitted again.
     pub(crate) fn count(&self) -> Result<(), Duration> {
         self.shared.state.lock().meter.count(Instant::now())
@@ -165,7 +204,8 @@
         let mut state = self.shared.state.lock();
         let at = state.visible();
         let entry = state.store.get(key, at).cloned();
-        state.bytes += entry.as_ref().map_or(0, |entry| entry.value.len() as u64);
+        let value = entry.as_ref().map_or(0, |entry| entry.value.len() as u64);
+        state.bytes += HEAD_BYTES + value;
         (entry, at)
     }
 
@@ -185,8 +225,9 @@
         if state.faults.crossed {
             cross(&mut answer, after, &mut state.rng);
         }
-        let bytes: usize = answer.events.iter().map(|event| event.value.len()).sum();
-        state.bytes += bytes as u64;
+        let bytes = |event: &Entry| (event.key.len() + event.value.len()) as u64;
+        let bytes: u64 = answer.events.iter().map(bytes).sum();
+        state.bytes += HEAD_BYTES + bytes;
         Ok(answer)
     }
 
--- a/crates/bench/src/platform/server.rs
+++ b/crates/bench/src/platform/server.rs
@@ -52,6 +52,7 @@
                 .service(watch)
         })
         .workers(WORKERS)
+        .h1_allow_half_closed(false)
         .disable_signals()
         .shutdown_timeout(0);
         for &address in addresses {
@@ -118,6 +119,8 @@
         return refusal;
     }
     let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
+    let peer = request.peer_addr().map(|peer| peer.ip());
+    let _watcher = peer.map(|peer| platform.watcher(peer));
     let answer = wait_for_events(&platform, local, query.after, wait).await;
     match answer {
         Ok(answer) => HttpResponse::Ok().json(answer),
--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -7,6 +7,7 @@
 use wagtaillever_coordination::DrainAction;
 
 use crate::{
+    arguments::value_name,
     caller::{Answered, Bucket, CallRecord, CallerLoad, Tally, Target},
     deployment::Deployment,
     error::BenchError,
@@ -221,10 +222,3 @@
         result.invariants_broken = self.site.broken_invariants().await;
     }
 }
-
-fn value_name(value: &impl clap::ValueEnum) -> String {
-    let value = value.to_possible_value();
-    value
-        .map(|value| value.get_name().to_string())
-        .unwrap_or_default()
-}
--- a/crates/bench/src/subcommand/demo/act.rs
+++ b/crates/bench/src/subcommand/demo/act.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     path::PathBuf,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use tokio::time::sleep;
@@ -16,6 +16,7 @@
 use crate::{
     caller::{Answered, CallerLoad, Tally, Workload},
     checks::Checks,
+    clock::wall_ms,
     deployment::ServiceShape,
     error::BenchError,
     fleet::{FleetOptions, json},
@@ -358,8 +359,3 @@
         timeout_ms: 5_000,
     }
 }
-
-fn wall_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
-}
