Report the fleet, refused notes and orders through the admin interface

The admin interface knew only its own node. Status, readiness and a note's report are now made of what the peers service hears: nodes listed and heard of in each failure domain, how many have which note in force, who is behind, and why the node takes no work. Orders go through the peers service, which relays them. Orders and VM lists of the platform are read through the border types.

--- a/crates/cli/src/command/note/status.rs
+++ b/crates/cli/src/command/note/status.rs
@@ -44,7 +44,7 @@
 
 /// A note reaches nodes and never leaves them, so the larger count is the newer one.
 fn is_newer(spread: &SpreadReport, known: &SpreadReport) -> bool {
-    (spread.reached, spread.nodes) > (known.reached, known.nodes)
+    (spread.reached, spread.heard) > (known.reached, known.heard) || known.nodes == 0
 }
 
 fn weight(verdict: NoteVerdict) -> u8 {
@@ -57,13 +57,14 @@
 }
 
 fn render(report: &NoteReport) -> String {
-    let mut table = Table::new(&["DOMAIN", "NODES", "IN FORCE", "BEHIND"]);
+    let mut table = Table::new(&["DOMAIN", "NODES", "HEARD", "IN FORCE", "BEHIND"]);
     for (domain, spread) in &report.fleet {
         let behind = spread.laggards.iter();
         let behind = behind.map(|laggard| format!("{} ({})", laggard.vm, laggard.reason));
         table.row([
             domain.to_string(),
             spread.nodes.to_string(),
+            spread.heard.to_string(),
             spread.reached.to_string(),
             behind.collect::<Vec<_>>().join(", "),
         ]);
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -30,15 +30,15 @@
 
 fn render_nodes(reports: &[&StatusReport]) -> String {
     let mut table = Table::new(&[
-        "VM", "DOMAIN", "PHASE", "NOTE", "GAP", "DIGEST", "PLATFORM", "PEERS",
+        "VM", "DOMAIN", "PHASE", "NOTE", "HIGHEST", "DIGEST", "PLATFORM", "PEERS",
     ]);
     for report in reports {
         table.row([
             report.vm.to_string(),
             report.domain.to_string(),
-            report.phase.clone(),
+            render_phase(report),
             report.note.to_string(),
-            report.gap.map_or("-".into(), |gap| gap.to_string()),
+            report.highest.to_string(),
             report.digest.clone(),
             render_age(report.age_ms),
             report.peers.len().to_string(),
@@ -47,6 +47,13 @@
     table.render()
 }
 
+fn render_phase(report: &StatusReport) -> String {
+    match &report.waiting {
+        Some(reason) => format!("{} ({reason})", report.phase),
+        None => report.phase.clone(),
+    }
+}
+
 fn render_age(age_ms: Option<u64>) -> String {
     age_ms.map_or("never".into(), |age| format!("{age} ms ago"))
 }
@@ -55,11 +62,12 @@
     if report.fleet.is_empty() {
         return String::new();
     }
-    let mut table = Table::new(&["DOMAIN", "NODES", "IN FORCE", "BEHIND"]);
+    let mut table = Table::new(&["DOMAIN", "NODES", "HEARD", "IN FORCE", "BEHIND"]);
     for (domain, entry) in &report.fleet {
         table.row([
             domain.to_string(),
             entry.nodes.to_string(),
+            entry.heard.to_string(),
             render_notes(entry),
             render_laggards(entry),
         ]);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -58,8 +58,8 @@
         Identity, LinkId, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy,
     },
     report::{
-        DomainReport, LaggardReport, NoteReport, NoteVerdict, PeerReport, RefusedReport,
-        SpreadReport, StatusReport,
+        DomainReport, LaggardReport, NoteReport, NoteVerdict, RefusedReport, SpreadReport,
+        StatusReport,
     },
     retry::{AttemptEnd, Attempts, Next, RequestKind, RetryBudget},
     routing::RouteTable,
--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -31,12 +31,18 @@
     /// Time since the last word from the platform in milliseconds, if there was one.
     #[serde(default)]
     pub age_ms: Option<u64>,
-    /// Sequence that is missing while later notes wait for it.
+    /// Highest sequence that the node has heard of.
     #[serde(default)]
-    pub gap: Option<Sequence>,
-    /// Nodes that this node is linked to.
+    pub highest: Sequence,
+    /// Why the node takes no work, if it takes none.
     #[serde(default)]
-    pub peers: Vec<PeerReport>,
+    pub waiting: Option<String>,
+    /// Whether the node reads the platform for others.
+    #[serde(default)]
+    pub relay: bool,
+    /// VMs to which the node has links.
+    #[serde(default)]
+    pub peers: Vec<VmName>,
     /// Nodes of each failure domain, as far as this node heard of them.
     #[serde(default)]
     pub fleet: BTreeMap<DomainName, DomainReport>,
@@ -48,27 +54,16 @@
     pub orders: Vec<DrainOrder>,
 }
 
-/// A node that another one is linked to.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerReport {
-    /// VM of the peer.
-    pub vm: VmName,
-    /// Failure domain of the peer.
-    pub domain: DomainName,
-    /// Sequence in force at the peer when it was last heard.
-    pub note: Sequence,
-    /// Time since the peer was last heard in milliseconds.
-    pub heard_ms: u64,
-}
-
 /// What is in force on the nodes of one failure domain.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DomainReport {
-    /// Nodes of the failure domain.
+    /// Nodes that the platform lists in the failure domain.
     pub nodes: u32,
+    /// Nodes that were heard of lately.
+    pub heard: u32,
     /// How many nodes have which sequence in force.
     pub notes: BTreeMap<Sequence, u32>,
-    /// Nodes that are behind or not heard of.
+    /// Nodes that are known to be behind, the furthest first.
     #[serde(default)]
     pub laggards: Vec<LaggardReport>,
 }
@@ -78,9 +73,8 @@
 pub struct LaggardReport {
     /// VM of the node.
     pub vm: VmName,
-    /// Sequence last heard from it, if any.
-    #[serde(default)]
-    pub note: Option<Sequence>,
+    /// Sequence in force on it when it was last heard.
+    pub note: Sequence,
     /// Why it is behind, as far as the reporting node can tell.
     pub reason: String,
 }
@@ -125,11 +119,13 @@
 /// On how many nodes of a failure domain a note is in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpreadReport {
-    /// Nodes of the failure domain.
+    /// Nodes that the platform lists in the failure domain.
     pub nodes: u32,
+    /// Nodes that were heard of lately.
+    pub heard: u32,
     /// Nodes on which the note or a later one is in force.
     pub reached: u32,
-    /// Nodes on which it is not known to be.
+    /// Nodes that are known to be behind, the furthest first.
     #[serde(default)]
     pub laggards: Vec<LaggardReport>,
 }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -2,6 +2,7 @@
 
 mod exporter;
 mod queries;
+mod report;
 mod routes;
 #[cfg(test)]
 mod tests;
@@ -43,7 +44,6 @@
             let address = context.settings().admin;
             let listener = TcpListener::bind(address).context(BindSnafu { address })?;
             let shared = Shared {
-                view: context.view().clone(),
                 timeline: context.timeline().clone(),
                 queries: Queries::new(context.clone()).start(),
                 exporter: Exporter::install(),
--- a/crates/node/src/admin/queries.rs
+++ b/crates/node/src/admin/queries.rs
@@ -1,23 +1,35 @@
 //! Actor on the main thread that answers the admin interface's threads.
 
-use std::collections::BTreeMap;
+use actix::{Actor, Handler, Message, MessageResult, ResponseFuture};
+use wagtaillever_coordination::{DrainOrder, NoteReport, Sequence, StatusReport, Verdict};
 
-use actix::{Actor, Handler, Message};
-use wagtaillever_coordination::{
-    DrainOrder, NoteReport, NoteVerdict, Sequence, SpreadReport, StatusReport,
-};
-
-use crate::{kernel::Context, peers::PeersHandle};
+use crate::{admin::report, kernel::Context, peers::PeersHandle};
 
 /// Actor that has access to the handles of the other services.
 pub(crate) struct Queries {
     context: Context,
+    /// Digest of the configuration at a sequence, as it takes long to work out.
+    digest: (Sequence, u64),
 }
 
 impl Queries {
     /// Returns the actor of a node.
     pub(crate) fn new(context: Context) -> Self {
-        Self { context }
+        let config = &context.view().load().config;
+        let digest = (config.sequence, config.digest());
+        Self { context, digest }
+    }
+
+    fn peers(&self) -> Option<PeersHandle> {
+        self.context.registry().find("peers").ok()
+    }
+
+    fn digest(&mut self) -> u64 {
+        let config = &self.context.view().load().config;
+        if self.digest.0 != config.sequence {
+            self.digest = (config.sequence, config.digest());
+        }
+        self.digest.1
     }
 }
 
@@ -35,71 +47,51 @@
 #[rtype(result = "NoteReport")]
 pub(crate) struct GetNote(pub(crate) Sequence);
 
-/// Gives an order and asks for all orders in force.
+/// Gives an order and asks for all orders in force; there is no answer while the node starts.
 #[derive(Message)]
-#[rtype(result = "Vec<DrainOrder>")]
+#[rtype(result = "Option<Vec<DrainOrder>>")]
 pub(crate) struct GiveOrder(pub(crate) DrainOrder);
 
 impl Handler<GetStatus> for Queries {
-    type Result = actix::MessageResult<GetStatus>;
+    type Result = MessageResult<GetStatus>;
 
     fn handle(&mut self, _: GetStatus, _: &mut Self::Context) -> Self::Result {
-        let settings = self.context.settings();
-        let view = self.context.view().load();
-        actix::MessageResult(StatusReport {
-            vm: settings.vm.clone(),
-            domain: settings.domain.clone(),
-            region: settings.region.clone(),
-            incarnation: self.context.incarnation(),
-            phase: view.phase.as_str().into(),
-            note: view.config.sequence,
-            digest: format!("{:016x}", view.config.digest()),
-            age_ms: None,
-            gap: None,
-            peers: Vec::new(),
-            fleet: BTreeMap::new(),
-            refused: Vec::new(),
-            orders: view.drains.iter().collect(),
-        })
+        let peers = self.peers().map(|peers| peers.status());
+        let digest = self.digest();
+        MessageResult(report::status(
+            &self.context,
+            &peers.unwrap_or_default(),
+            digest,
+        ))
     }
 }
 
 impl Handler<GetNote> for Queries {
-    type Result = actix::MessageResult<GetNote>;
+    type Result = ResponseFuture<NoteReport>;
 
     fn handle(&mut self, GetNote(note): GetNote, _: &mut Self::Context) -> Self::Result {
-        let in_force = self.context.view().load().config.sequence;
-        let is_folded = note <= in_force;
-        let own = SpreadReport {
-            nodes: 1,
-            reached: is_folded.into(),
-            laggards: Vec::new(),
-        };
-        actix::MessageResult(NoteReport {
-            note,
-            verdict: if is_folded {
-                NoteVerdict::Folded
-            } else {
-                NoteVerdict::Pending
-            },
-            reason: None,
-            fleet: BTreeMap::from([(self.context.settings().domain.clone(), own)]),
+        let view = self.context.view().load();
+        let peers = self.peers();
+        Box::pin(async move {
+            let status = peers.as_ref().map(PeersHandle::status).unwrap_or_default();
+            let verdict = verdict(peers, note).await;
+            report::note(&view, &status, note, verdict)
         })
     }
 }
 
+async fn verdict(peers: Option<PeersHandle>, note: Sequence) -> Option<Verdict> {
+    peers?.verdict(note).await
+}
+
 impl Handler<GiveOrder> for Queries {
-    type Result = actix::ResponseFuture<Vec<DrainOrder>>;
+    type Result = ResponseFuture<Option<Vec<DrainOrder>>>;
 
     fn handle(&mut self, GiveOrder(order): GiveOrder, _: &mut Self::Context) -> Self::Result {
-        let peers = self.context.registry().find::<PeersHandle>("peers");
-        let view = self.context.view().clone();
+        let peers = self.peers();
         Box::pin(async move {
-            let drains = match peers {
-                Ok(peers) => peers.order(order).await,
-                Err(_) => view.load().drains.as_ref().clone(),
-            };
-            drains.iter().collect()
+            let orders = peers?.order(order).await;
+            Some(orders.iter().collect())
         })
     }
 }
--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -3,7 +3,7 @@
 use actix::Addr;
 use actix_web::{
     HttpRequest, HttpResponse, Responder, get, post,
-    web::{Data, Json, JsonConfig, Path, Query, ServiceConfig},
+    web::{Bytes, Data, Path, PayloadConfig, Query, ServiceConfig},
 };
 use serde::{Deserialize, Serialize};
 use wagtaillever_coordination::{DrainOrder, Sequence};
@@ -15,13 +15,11 @@
         token::{Denial, Guard},
     },
     timeline::{Timeline, Timestamp},
-    view::{Phase, ViewCell},
 };
 
 /// What the routes need, shared by all workers.
 #[derive(Clone)]
 pub(crate) struct Shared {
-    pub(crate) view: ViewCell,
     pub(crate) timeline: Timeline,
     pub(crate) queries: Addr<Queries>,
     pub(crate) exporter: Exporter,
@@ -34,7 +32,7 @@
 /// Adds the routes to an application.
 pub(crate) fn configure(config: &mut ServiceConfig) {
     config
-        .app_data(JsonConfig::default().limit(MAX_BODY_BYTES))
+        .app_data(PayloadConfig::new(MAX_BODY_BYTES))
         .service(health)
         .service(ready)
         .service(status)
@@ -52,19 +50,21 @@
 #[derive(Serialize)]
 struct Readiness {
     ready: bool,
-    phase: Phase,
+    phase: String,
     note: Sequence,
-    reason: &'static str,
+    reason: Option<String>,
 }
 
 #[get("/ready")]
 async fn ready(shared: Data<Shared>) -> impl Responder {
-    let view = shared.view.load();
+    let Ok(report) = shared.queries.send(GetStatus).await else {
+        return stopping();
+    };
     let readiness = Readiness {
-        ready: view.phase == Phase::Serving,
-        phase: view.phase,
-        note: view.config.sequence,
-        reason: reason_of(view.phase),
+        ready: report.waiting.is_none(),
+        phase: report.phase,
+        note: report.note,
+        reason: report.waiting,
     };
     if readiness.ready {
         return HttpResponse::Ok().json(readiness);
@@ -72,15 +72,6 @@
     HttpResponse::ServiceUnavailable().json(readiness)
 }
 
-fn reason_of(phase: Phase) -> &'static str {
-    match phase {
-        Phase::Starting => "the services start",
-        Phase::Joining => "the node learns what is in force",
-        Phase::Serving => "the node serves",
-        Phase::Stopping => "the node stops",
-    }
-}
-
 #[get("/status")]
 async fn status(shared: Data<Shared>) -> impl Responder {
     match shared.queries.send(GetStatus).await {
@@ -136,17 +127,22 @@
 async fn drains(
     shared: Data<Shared>,
     request: HttpRequest,
-    order: Result<Json<DrainOrder>, actix_web::Error>,
+    body: Result<Bytes, actix_web::Error>,
 ) -> impl Responder {
     if let Err(denial) = shared.guard.check(request.headers()) {
         return denied(denial);
     }
-    let order = match order {
-        Ok(order) => order.into_inner(),
+    let body = match body {
+        Ok(body) => body,
+        Err(err) => return refusal(HttpResponse::BadRequest(), &err.to_string()),
+    };
+    let order = match DrainOrder::parse(&body) {
+        Ok(order) => order,
         Err(err) => return refusal(HttpResponse::BadRequest(), &err.to_string()),
     };
     match shared.queries.send(GiveOrder(order)).await {
-        Ok(orders) => HttpResponse::Ok().json(orders),
+        Ok(Some(orders)) => HttpResponse::Ok().json(orders),
+        Ok(None) => refusal(HttpResponse::ServiceUnavailable(), "the node starts"),
         Err(_) => stopping(),
     }
 }
--- a/crates/node/src/source/value.rs
+++ b/crates/node/src/source/value.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use serde::de::DeserializeOwned;
 use wagtaillever_coordination::{DrainOrder, PlatformValue, Sequence, VmList};
 
 use super::error::SourceError;
@@ -21,24 +20,19 @@
         return Ok(Some(PlatformValue::Note(Sequence(number), text)));
     }
     match key {
-        "vms" => json::<VmList>(key, text).map(|list| Some(PlatformValue::Vms(list))),
+        "vms" => VmList::parse(text)
+            .map(|list| Some(PlatformValue::Vms(list)))
+            .map_err(|err| bad(key, &err)),
         "drains" => {
-            let orders = json::<Vec<DrainOrder>>(key, text);
-            orders.map(|orders| Some(PlatformValue::Drains(orders)))
+            let orders = DrainOrder::parse_list(text);
+            orders
+                .map(|orders| Some(PlatformValue::Drains(orders)))
+                .map_err(|err| bad(key, &err))
         }
         _ => Ok(None),
     }
 }
 
-/// Parses JSON.
-///
-/// # Errors
-///
-/// Returns an error when the text is not of the expected shape.
-pub(super) fn json<T: DeserializeOwned>(key: &str, text: &[u8]) -> Result<T, SourceError> {
-    serde_json::from_slice(text).map_err(|err| bad(key, &err))
-}
-
 /// Returns the error for a value that is not of the expected shape.
 pub(super) fn bad(key: &str, reason: &impl ToString) -> SourceError {
     SourceError::BadValue {
