Choose upstreams by load, failure domain and health

Round robin sends as much to a cold, loaded or failing upstream as to any other. Evidence of calls from before an ejection or a return changes nothing.

Connections count as open only once the sidecar answers a ping, since the kernel accepts for a paused process too. One that misses a ping for 500 ms gets no new calls and calls that may run twice leave it; after 3 s all do. A refusal for another configuration waits for the newer view and routes the call anew. Refusals, ejections, probes and pauses go to the time line.

--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -1,1 +1,247 @@
+use std::{collections::BTreeMap, sync::Arc};
 
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::*;
+use crate::config::Upstream;
+
+struct Scene {
+    balancer: Balancer,
+    candidates: Vec<Candidate>,
+    now: Instant,
+    rng: SmallRng,
+}
+
+const ALL: BalancerPolicy = BalancerPolicy {
+    balance: true,
+    ejection: true,
+};
+
+impl Scene {
+    fn new(upstreams: &[(&str, &str)], policy: BalancerPolicy, seed: u64) -> Self {
+        Self {
+            balancer: Balancer::new("a".into(), policy),
+            candidates: upstreams.iter().map(|&(n, d)| candidate(n, d)).collect(),
+            now: Instant::now(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn choose_but(
+        &mut self,
+        excluded: &[UpstreamName],
+        idempotent: bool,
+    ) -> Result<Ticket, NoChoice> {
+        let wish = Wish {
+            excluded,
+            idempotent,
+        };
+        let chosen = self
+            .balancer
+            .choose(&self.candidates, wish, self.now, &mut self.rng);
+        chosen.map(|(_, ticket)| ticket)
+    }
+
+    fn choose(&mut self) -> Ticket {
+        self.choose_but(&[], true).unwrap()
+    }
+
+    /// Makes calls that end at once and returns how many each upstream got.
+    fn spread(&mut self, calls: usize) -> BTreeMap<String, usize> {
+        let mut spread = BTreeMap::new();
+        for _ in 0..calls {
+            let ticket = self.choose();
+            *spread.entry(ticket.upstream.to_string()).or_default() += 1;
+            self.balancer.release(&ticket, self.now);
+        }
+        spread
+    }
+
+    fn report(&mut self, upstream: &str, active: u32, limit: u32) {
+        let ticket = self.balancer.direct(&upstream.into());
+        let load = ReportedLoad {
+            active,
+            limit,
+            queued: 0,
+        };
+        self.balancer.report(&ticket, load, self.now);
+        self.balancer.release(&ticket, self.now);
+    }
+
+    fn fail(&mut self, upstream: &str, evidence: Evidence) {
+        for _ in 0..3 {
+            let ticket = self.balancer.direct(&upstream.into());
+            self.balancer
+                .observe(&ticket, evidence, self.now, &mut self.rng);
+            self.balancer.release(&ticket, self.now);
+        }
+    }
+}
+
+fn candidate(name: &str, domain: &str) -> Candidate {
+    Candidate {
+        upstream: Arc::new(Upstream {
+            name: name.into(),
+            service: "s".into(),
+            vm: name.into(),
+            domain: domain.into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            slots: 8,
+            connections: 8,
+        }),
+        address: "127.0.0.1:2".parse().unwrap(),
+    }
+}
+
+#[test]
+fn the_own_failure_domain_is_preferred_while_it_bears_the_load() {
+    let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], ALL, 1);
+    scene.report("a1", 2, 8);
+    scene.report("b1", 0, 8);
+    assert_eq!(scene.spread(100).get("b1"), None);
+    scene.report("a1", 8, 8);
+    assert_eq!(
+        scene.spread(100).get("a1"),
+        None,
+        "a full domain spills over"
+    );
+}
+
+#[test]
+fn a_cold_upstream_gets_a_trickle() {
+    let mut scene = Scene::new(&[("a1", "a"), ("a2", "a"), ("a3", "a")], ALL, 1);
+    scene.report("a1", 1, 12);
+    scene.report("a2", 1, 12);
+    let cold = scene.spread(1_000).get("a3").copied().unwrap_or(0);
+    assert!((1..150).contains(&cold), "{cold} of 1000");
+}
+
+#[test]
+fn calls_in_flight_count_before_any_report() {
+    let mut scene = Scene::new(&[("a1", "a"), ("a2", "a")], ALL, 1);
+    let first = scene.choose();
+    let second = scene.choose();
+    assert_ne!(first.upstream, second.upstream);
+}
+
+#[test]
+fn an_upstream_that_asks_for_rest_gets_nothing_while_there_are_others() {
+    let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], ALL, 1);
+    let ticket = scene.balancer.direct(&"a1".into());
+    let until = scene.now + Duration::from_millis(100);
+    scene.balancer.rest(&ticket, until);
+    scene.balancer.release(&ticket, scene.now);
+    assert_eq!(scene.spread(50).get("a1"), None);
+    scene.now = until;
+    assert!(scene.spread(50).contains_key("a1"));
+}
+
+#[test]
+fn one_call_at_a_time_probes_and_first_one_that_may_run_twice() {
+    let mut scene = Scene::new(&[("a1", "a"), ("a2", "a")], ALL, 1);
+    scene.fail("a1", Evidence::Unreachable);
+    assert_eq!(scene.spread(50).get("a1"), None);
+    scene.now += Duration::from_millis(200);
+    assert!(!scene.choose_but(&[], false).unwrap().is_probe());
+    let probe = scene.choose();
+    assert!(probe.is_probe());
+    assert!(!scene.choose().is_probe());
+    let seen = Evidence::Answered;
+    let change = scene
+        .balancer
+        .observe(&probe, seen, scene.now, &mut scene.rng);
+    assert_eq!(change, Some(HealthChange::Returned));
+    scene.fail("a1", Evidence::Unreachable);
+    scene.now += Duration::from_secs(3);
+    assert!(
+        scene.choose_but(&[], false).unwrap().is_probe(),
+        "after a while any call may"
+    );
+}
+
+#[test]
+fn upstreams_that_all_are_out_of_reach_get_nothing() {
+    let mut scene = Scene::new(&[("a1", "a"), ("a2", "a")], ALL, 1);
+    scene.fail("a1", Evidence::Unreachable);
+    scene.fail("a2", Evidence::Unreachable);
+    let NoChoice { after } = scene.choose_but(&[], true).unwrap_err();
+    assert!(after <= Duration::from_millis(200));
+}
+
+#[test]
+fn in_turn_without_the_policy() {
+    let policy = BalancerPolicy {
+        balance: false,
+        ejection: false,
+    };
+    let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], policy, 1);
+    scene.fail("a1", Evidence::Failed);
+    let spread = scene.spread(10);
+    assert_eq!((spread["a1"], spread["b1"]), (5, 5));
+}
+
+#[test]
+fn a_ticket_of_an_upstream_that_was_forgotten_changes_nothing() {
+    let mut scene = Scene::new(&[("a1", "a")], ALL, 1);
+    let old = scene.choose();
+    scene.balancer.release(&old, scene.now);
+    scene.balancer.retain(&Candidates::default());
+    let new = scene.choose();
+    scene.balancer.release(&old, scene.now);
+    assert_eq!(scene.balancer.outstanding(&"a1".into()), 1);
+    let change = scene
+        .balancer
+        .observe(&old, Evidence::Unreachable, scene.now, &mut scene.rng);
+    assert_eq!(change, None);
+    scene.balancer.release(&new, scene.now);
+    assert_eq!(scene.balancer.outstanding(&"a1".into()), 0);
+}
+
+proptest! {
+    #[test]
+    fn at_least_half_of_a_service_that_can_be_reached_gets_work(
+        failed in proptest::collection::vec(any::<bool>(), 1..9),
+        seed in any::<u64>(),
+    ) {
+        let names: Vec<String> = (0..failed.len()).map(|i| format!("u{i}")).collect();
+        let upstreams: Vec<_> = names.iter().map(|name| (name.as_str(), "a")).collect();
+        let mut scene = Scene::new(&upstreams, ALL, seed);
+        for (name, _) in names.iter().zip(&failed).filter(|(_, failed)| **failed) {
+            scene.fail(name, Evidence::Failed);
+        }
+        let spread = scene.spread(2_000);
+        prop_assert!(spread.len() >= failed.len() - failed.len() / 2);
+    }
+
+    #[test]
+    fn the_count_of_calls_is_exact_and_the_excluded_get_none(
+        steps in proptest::collection::vec((any::<bool>(), 0u8..4), 1..300),
+        seed in any::<u64>(),
+    ) {
+        let upstreams = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+        let mut scene = Scene::new(&upstreams, ALL, seed);
+        let mut held: Vec<Ticket> = Vec::new();
+        for (is_start, step) in steps {
+            scene.now += Duration::from_millis(u64::from(step) * 40);
+            if is_start {
+                let excluded = [UpstreamName::from("a1")];
+                let chosen = scene.choose_but(&excluded, step > 1);
+                if let Ok(ticket) = chosen {
+                    prop_assert_ne!(ticket.upstream.as_str(), "a1");
+                    held.push(ticket);
+                }
+            } else if let Some(ticket) = held.pop() {
+                let evidence = [Evidence::Answered, Evidence::Failed, Evidence::Unreachable];
+                let evidence = evidence[usize::from(step) % 3];
+                scene.balancer.observe(&ticket, evidence, scene.now, &mut scene.rng);
+                scene.balancer.release(&ticket, scene.now);
+            }
+            let counted: u32 = upstreams
+                .iter()
+                .map(|(name, _)| scene.balancer.outstanding(&(*name).into()))
+                .sum();
+            prop_assert_eq!(counted as usize, held.len());
+        }
+    }
+}
--- a/crates/coordination/src/health.rs
+++ b/crates/coordination/src/health.rs
@@ -159,11 +159,17 @@
         }
         match evidence {
             Evidence::Answered => self.succeed(),
+            Evidence::Unreachable if self.is_shut_out(now) => None,
             Evidence::Unreachable => Some(self.eject(true, now, rng)),
             Evidence::Failed => self.fail(now, rng),
         }
     }
 
+    /// Returns whether an ejection is under way, which further failures don't lengthen.
+    fn is_shut_out(&self, now: Instant) -> bool {
+        matches!(self.state, State::Ejected { until, .. } if now < until)
+    }
+
     fn succeed(&mut self) -> Option<HealthChange> {
         let was_admitted = matches!(self.state, State::Admitted { .. });
         self.state = State::Admitted { failures: 0 };
--- a/crates/coordination/src/share/tests.rs
+++ b/crates/coordination/src/share/tests.rs
@@ -1,1 +1,35 @@
+use proptest::prelude::*;
 
+use super::*;
+
+#[test]
+fn one_caller_alone_gets_half() {
+    let mut shares = CallShares::new(8);
+    let greedy: Arc<str> = "greedy".into();
+    let taken = (0..8).filter(|_| shares.try_take(&greedy)).count();
+    assert_eq!(taken, 4);
+    assert!(shares.try_take(&"other".into()));
+}
+
+proptest! {
+    #[test]
+    fn the_bound_holds_and_a_new_caller_finds_room(
+        steps in proptest::collection::vec((0usize..4, any::<bool>()), 0..400),
+        limit in 16usize..64,
+    ) {
+        let callers: Vec<Arc<str>> = (0..4).map(|i| format!("c{i}").into()).collect();
+        let mut held = [0usize; 4];
+        let mut shares = CallShares::new(limit);
+        for (i, is_take) in steps {
+            if is_take {
+                held[i] += usize::from(shares.try_take(&callers[i]));
+            } else if held[i] > 0 {
+                shares.release(&callers[i]);
+                held[i] -= 1;
+            }
+            prop_assert_eq!(shares.total(), held.iter().sum::<usize>());
+            prop_assert!(shares.total() < limit);
+        }
+        prop_assert!(shares.try_take(&"new".into()));
+    }
+}
--- a/crates/coordination/src/stall/tests.rs
+++ b/crates/coordination/src/stall/tests.rs
@@ -1,1 +1,40 @@
+use super::*;
 
+fn at(start: Instant, ms: u64) -> Instant {
+    start + Duration::from_millis(ms)
+}
+
+#[test]
+fn a_gap_between_ticks_is_a_pause() {
+    let start = Instant::now();
+    let mut detector = StallDetector::new(start);
+    for i in 1..20 {
+        assert_eq!(detector.tick(at(start, 50 * i)), None);
+    }
+    assert_eq!(detector.generation(), 0);
+    let paused = detector.tick(at(start, 950 + 700));
+    assert_eq!(paused, Some(Duration::from_millis(700)));
+    assert_eq!(detector.generation(), 1);
+    assert!(detector.is_quarantined(at(start, 1_700)));
+}
+
+#[test]
+fn fresh_word_ends_the_quarantine_but_word_from_before_the_pause_does_not() {
+    let start = Instant::now();
+    let mut detector = StallDetector::new(start);
+    let before = detector.generation();
+    detector.tick(at(start, 600));
+    detector.heard(before);
+    assert!(detector.is_quarantined(at(start, 650)));
+    detector.heard(detector.generation());
+    assert!(!detector.is_quarantined(at(start, 650)));
+}
+
+#[test]
+fn a_node_that_is_cut_off_serves_again_after_a_bounded_time() {
+    let start = Instant::now();
+    let mut detector = StallDetector::new(start);
+    detector.tick(at(start, 600));
+    assert!(detector.is_quarantined(at(start, 600 + 1_999)));
+    assert!(!detector.is_quarantined(at(start, 600 + 2_000)));
+}
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -59,6 +59,15 @@
     builder
 }
 
+/// Returns the answer to a request of an HTTP version in which a body that breaks off can look
+/// whole.
+pub(super) fn old_version() -> HttpResponseBuilder {
+    let mut builder = HttpResponse::build(StatusCode::HTTP_VERSION_NOT_SUPPORTED);
+    builder.insert_header(("x-outcome", outcome_text(Outcome::DidNotRun)));
+    builder.insert_header(("x-reason", "http-version"));
+    builder
+}
+
 /// Returns the answer to a call that got none of an upstream.
 pub(super) fn refused(refusal: &Refusal) -> HttpResponseBuilder {
     let mut builder = HttpResponse::build(status(refusal));
@@ -87,7 +96,8 @@
     }
 }
 
-fn outcome_text(outcome: Outcome) -> &'static str {
+/// Returns the text of an outcome as callers see it.
+pub(super) fn outcome_text(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::DidNotRun => "did-not-run",
         Outcome::Ran => "ran",
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -8,9 +8,10 @@
 use crate::{
     ingress::{
         body::RequestBody,
+        channel::Channel,
         pool::{Pool, Unreachable},
     },
-    transport::{Connection, FrameReader, TransportError},
+    transport::{FrameReader, TransportError},
     wire::{CallHead, ReplyHead},
 };
 
@@ -41,8 +42,8 @@
     pub(super) reader: FrameReader,
     /// Rest of the request's body on its way to the sidecar.
     pub(super) upload: Option<LocalBoxFuture<'static, ()>>,
-    /// Connection, which stays open as long as the reply.
-    pub(super) connection: Rc<Connection>,
+    /// Channel, which stays open as long as the reply.
+    pub(super) channel: Rc<Channel>,
 }
 
 /// Sends a call to the sidecar at an address and waits for the head of its reply.
@@ -67,11 +68,11 @@
     body: &RequestBody,
     is_sent: &Cell<bool>,
 ) -> AttemptEnd {
-    let connection = match pool.get(address).await {
-        Ok(connection) => connection,
+    let channel = match pool.get(address).await {
+        Ok(channel) => channel,
         Err(Unreachable) => return AttemptEnd::Unreachable,
     };
-    let Ok((mut writer, pending)) = connection.open("call").await else {
+    let Ok((mut writer, pending)) = channel.connection().open("call").await else {
         return AttemptEnd::NotSent;
     };
     if writer.frame(head).await.is_err() {
@@ -84,12 +85,19 @@
         let head = reader.frame::<ReplyHead>().await?;
         Ok((head.ok_or(TransportError::Ended)?, reader))
     };
-    match drive(reply, &mut upload).await {
+    let reply = drive(reply, &mut upload);
+    let reply = tokio::select! {
+        biased;
+        reply = reply => reply,
+        // A call that may run more than once need not wait for a sidecar that may be gone.
+        () = channel.suspected(), if head.idempotent => Err(TransportError::Ended),
+    };
+    match reply {
         Ok((head, reader)) => AttemptEnd::Replied(Reply {
             head,
             reader,
             upload,
-            connection,
+            channel,
         }),
         Err(err) if is_not_taken(&err) => AttemptEnd::NotTaken,
         Err(_) => AttemptEnd::Broken,
--- /dev/null
+++ b/crates/node/src/ingress/channel.rs
@@ -0,0 +1,63 @@
+//! Connection to a sidecar that has shown that it answers.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use h2::{Ping, PingPong};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::transport::{Connection, TransportError, connect_windowed};
+
+/// Flow-control window of one call in bytes, which bounds what a slow caller holds back.
+pub(super) const CALL_WINDOW_BYTES: u32 = 64 << 10;
+/// Longest time until the first answer on a new connection.
+const FIRST_PONG_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Connection to a sidecar, with the doubt whether the sidecar still answers.
+pub(super) struct Channel {
+    connection: Connection,
+    doubt: CancellationToken,
+}
+
+impl Channel {
+    /// Opens a connection and waits until the other side answers on it: the kernel accepts
+    /// connections also for a process that is paused.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the sidecar can't be reached or doesn't answer.
+    pub(super) async fn open(
+        local: IpAddr,
+        address: SocketAddr,
+    ) -> Result<(Self, PingPong), TransportError> {
+        let connection = connect_windowed(local, address, CALL_WINDOW_BYTES).await?;
+        let mut ping = connection.take_ping().ok_or(TransportError::Ended)?;
+        let answered = timeout(FIRST_PONG_TIMEOUT, ping.ping(Ping::opaque())).await;
+        answered.map_err(|_| TransportError::Ended)??;
+        let doubt = CancellationToken::new();
+        Ok((Self { connection, doubt }, ping))
+    }
+
+    /// Returns the connection.
+    pub(super) fn connection(&self) -> &Connection {
+        &self.connection
+    }
+
+    /// Returns whether new calls may be sent.
+    pub(super) fn is_usable(&self) -> bool {
+        !self.connection.is_closed() && !self.doubt.is_cancelled()
+    }
+
+    /// Notes that the other side has not answered in time; calls in flight go on.
+    pub(super) fn suspect(&self) {
+        self.doubt.cancel();
+    }
+
+    /// Waits until the other side fails to answer in time.
+    pub(super) async fn suspected(&self) {
+        self.doubt.cancelled().await;
+    }
+}
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -7,11 +7,11 @@
 };
 
 use actix_web::HttpResponse;
+use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
     AttemptEnd, Attempts, Evidence, Next, NoChoice, RequestKind, Sequence, UpstreamName, Wish,
     key_owner,
 };
-use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
     ingress::{
@@ -19,6 +19,8 @@
         attempt::{AttemptEnd as Sent, Reply, attempt},
         body::{CallerGone, RequestBody},
         feedback::{Feedback, feedback},
+        fingerprint::fingerprint,
+        refusal::{NO_UPSTREAM_AFTER_MS, bad_answer, no_choice, not_run, soonest},
         reply_body::{no_body, reply_body},
         request::CallerRequest,
         visit::{Permit, Visit},
@@ -27,8 +29,6 @@
     wire::{CallHead, CallStage, Outcome, Refusal, RefusalReason, ReplyHead},
 };
 
-/// Headers whose values tell requests of different callers apart.
-const FINGERPRINT_HEADERS: [&str; 2] = ["authorization", "x-caller"];
 /// Shortest attempt whose running out of time says something of the upstream.
 const MIN_BLAME: Duration = Duration::from_secs(1);
 
@@ -85,38 +85,26 @@
             }
             let end = feedback.end.unwrap_or(AttemptEnd::Undecided);
             self.attempts.record(end);
-            let refusal = soonest(last, feedback.refusal.unwrap_or_else(unknown));
+            let refusal = soonest(last, feedback.refusal.unwrap_or_else(bad_answer));
+            drop(place);
             if !self.prepare_next(end).await {
                 return self.refuse(refusal);
             }
+            if end == AttemptEnd::Stale && !self.reroute(feedback.sequence).await {
+                return self.refuse(refusal);
+            }
             last = Some(refusal);
         }
     }
 
     async fn read_prefix(&mut self) -> Result<(), Refusal> {
-        let mut hash = Xxh3Default::new();
-        let request = &self.request;
-        hash.update(request.method.as_bytes());
-        hash.update(request.target.as_bytes());
-        hash.update(&request.length.unwrap_or(u64::MAX).to_le_bytes());
-        if let Some(key) = &request.key {
-            hash.update(key.as_str().as_bytes());
-        }
-        let headers = request.headers.iter();
-        for (name, value) in headers.filter(|(n, _)| FINGERPRINT_HEADERS.contains(&n.as_str())) {
-            hash.update(name.as_bytes());
-            hash.update(value);
-        }
-        let prefix = self.body.prefix(|part| hash.update(part));
-        let read = tokio::time::timeout_at(request.deadline.into(), prefix).await;
-        match read {
-            Ok(Ok(())) => {
-                self.fingerprint = hash.digest();
-                Ok(())
-            }
-            Ok(Err(CallerGone)) => Err(not_run(RefusalReason::Broken, 0)),
-            Err(_) => Err(not_run(RefusalReason::Deadline, 0)),
+        let read = fingerprint(&self.request, &self.body);
+        match timeout_at(self.request.deadline.into(), read).await {
+            Ok(Ok(fingerprint)) => self.fingerprint = fingerprint,
+            Ok(Err(CallerGone)) => return Err(not_run(RefusalReason::Broken, 0)),
+            Err(_) => return Err(not_run(RefusalReason::Deadline, 0)),
         }
+        Ok(())
     }
 
     fn place(&mut self) -> Result<Place, Refusal> {
@@ -160,7 +148,10 @@
         let mut balancer = self.worker.balancer.borrow_mut();
         let mut rng = self.worker.rng.borrow_mut();
         let chosen = balancer.choose(candidates, wish, now, &mut *rng);
-        let (candidate, ticket) = chosen.map_err(out_of_reach)?;
+        let (candidate, ticket) = chosen.map_err(no_choice)?;
+        if ticket.is_probe() {
+            self.worker.recorder.probed(&candidate.upstream.name);
+        }
         Ok(Place {
             upstream: candidate.upstream.name.clone(),
             address: candidate.address,
@@ -180,6 +171,11 @@
         if is_stalled || is_short {
             feedback.evidence = feedback.evidence.filter(|e| *e == Evidence::Answered);
         }
+        if self.request.key.is_some() && matches!(sent, Sent::Replied(_)) {
+            // The owner of a key may have run the request on another upstream.
+            feedback.evidence = Some(Evidence::Answered);
+            feedback.load = None;
+        }
         self.teach(&place, &feedback);
         self.tried.push(place.upstream.clone());
         (sent, place, feedback)
@@ -198,7 +194,10 @@
         }
         if let Some(evidence) = feedback.evidence {
             let mut rng = self.worker.rng.borrow_mut();
-            balancer.observe(ticket, evidence, now, &mut *rng);
+            let change = balancer.observe(ticket, evidence, now, &mut *rng);
+            if let Some(change) = change {
+                self.worker.recorder.health_changed(&place.upstream, change);
+            }
         }
     }
 
@@ -214,13 +213,26 @@
             Next::Stop => false,
             Next::Elsewhere { after } | Next::Owner { after } => {
                 if !after.is_zero() {
-                    tokio::time::sleep(after).await;
+                    sleep(after).await;
                 }
                 true
             }
         }
     }
 
+    /// Waits a short time for the configuration that the sidecar has, and routes the call anew.
+    ///
+    /// Returns false when the call no longer takes a route of the same kind; the caller's own
+    /// resend is then routed afresh.
+    async fn reroute(&mut self, sequence: Option<Sequence>) -> bool {
+        if let Some(sequence) = sequence {
+            let caught_up = self.worker.catch_up(sequence);
+            let _ = timeout_at(self.request.deadline.into(), caught_up).await;
+        }
+        let routes = Rc::clone(&self.worker.beliefs().routes);
+        self.request.reroute(&routes)
+    }
+
     fn head(&self, place: &Place) -> CallHead {
         let request = &self.request;
         let left_ms = u64::try_from(request.left().as_millis()).unwrap_or(u64::MAX);
@@ -257,13 +269,17 @@
             ..
         } = &reply.head
         else {
-            return self.refuse(unknown());
+            return self.refuse(bad_answer());
         };
         let (length, note) = (*length, Sequence(*sequence));
         let Some(mut builder) = answer::head(*status, headers, &place.upstream, note) else {
-            return self.refuse(unknown());
+            return self.refuse(bad_answer());
         };
         answer::add_call(&mut builder, self.request.call);
+        let service = &self.request.route.service;
+        let attempts = self.attempts.made() + 1;
+        let recorder = &self.worker.recorder;
+        recorder.answered(service, attempts, self.request.arrived);
         if self.request.method == "HEAD" {
             return builder.body(no_body(length));
         }
@@ -281,46 +297,16 @@
         if refusal.outcome == Outcome::DidNotRun && !self.attempts.is_not_run() {
             refusal.outcome = Outcome::Unknown;
         }
+        let service = &self.request.route.service;
+        let recorder = &self.worker.recorder;
+        recorder.refused(service, self.attempts.made(), self.request.call, &refusal);
         let mut builder = answer::refused(&refusal);
         answer::add_call(&mut builder, self.request.call);
         builder.finish()
     }
 }
 
-/// Time after which a caller is told to come back when a service has no upstream.
-const NO_UPSTREAM_AFTER_MS: u64 = 1_000;
-
 /// Returns whether answers with the status never have a body.
 fn is_bodiless(status: u16) -> bool {
     matches!(status, 100..200 | 204 | 304)
 }
-
-fn not_run(reason: RefusalReason, after_ms: u64) -> Refusal {
-    Refusal {
-        outcome: Outcome::DidNotRun,
-        reason,
-        after_ms,
-    }
-}
-
-/// Returns the newer refusal, with the sooner time of two that ask for less load.
-fn soonest(last: Option<Refusal>, mut refusal: Refusal) -> Refusal {
-    let last = last.filter(|last| last.reason == refusal.reason);
-    if let Some(last) = last {
-        refusal.after_ms = refusal.after_ms.min(last.after_ms);
-    }
-    refusal
-}
-
-fn out_of_reach(choice: NoChoice) -> Refusal {
-    let after_ms = u64::try_from(choice.after.as_millis()).unwrap_or(u64::MAX);
-    not_run(RefusalReason::Unreachable, after_ms)
-}
-
-fn unknown() -> Refusal {
-    Refusal {
-        outcome: Outcome::Unknown,
-        reason: RefusalReason::BadAnswer,
-        after_ms: 0,
-    }
-}
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtaillever_coordination::{AttemptEnd, Evidence, ReportedLoad};
+use wagtaillever_coordination::{AttemptEnd, Evidence, ReportedLoad, Sequence};
 
 use crate::{
     ingress::attempt::AttemptEnd as Sent,
@@ -22,6 +22,8 @@
     pub(super) evidence: Option<Evidence>,
     /// Load of the upstream.
     pub(super) load: Option<ReportedLoad>,
+    /// Sequence in force at the sidecar.
+    pub(super) sequence: Option<Sequence>,
     /// Time for which the upstream asked for no calls.
     pub(super) rest: Option<Duration>,
     /// Refusal that the caller gets when the attempt was the last one.
@@ -65,13 +67,19 @@
             end: None,
             evidence: Some(Evidence::Answered),
             load: Some(reported(*load)),
+            sequence: None,
             rest: None,
             refusal: None,
         },
-        ReplyHead::Refused { refusal, load, .. } => Feedback {
+        ReplyHead::Refused {
+            refusal,
+            load,
+            sequence,
+        } => Feedback {
             end: Some(end(refusal)),
             evidence: evidence(refusal.reason),
             load: Some(reported(*load)),
+            sequence: Some(Sequence(*sequence)),
             rest: rest(refusal),
             refusal: Some(refusal.clone()),
         },
@@ -88,6 +96,7 @@
         end: Some(end),
         evidence: Some(evidence),
         load: None,
+        sequence: None,
         rest: None,
         refusal: Some(Refusal {
             outcome,
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -2,7 +2,11 @@
 
 use std::{rc::Rc, time::Instant};
 
-use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, web};
+use actix_web::{
+    HttpRequest, HttpResponse, HttpResponseBuilder,
+    http::{ConnectionType, Version},
+    web,
+};
 
 use crate::{
     ingress::{
@@ -29,12 +33,15 @@
     worker: web::Data<Rc<Worker>>,
 ) -> HttpResponse {
     let arrived = Instant::now();
+    if request.version() < Version::HTTP_11 {
+        return answer::old_version().finish();
+    }
     let worker = Rc::clone(&worker);
     if worker.beliefs().view.phase != Phase::Serving {
         let mut answer = refuse(RefusalReason::NotReady, NOT_READY_AFTER_MS);
         return answer.force_close().finish();
     }
-    if worker.shared.stall.is_quarantined() {
+    if worker.is_quarantined() {
         return refuse(RefusalReason::NotReady, NOT_READY_AFTER_MS).finish();
     }
     let Some(permit) = Permit::take(&worker, caller_name(&request)) else {
@@ -49,8 +56,8 @@
     let body = RequestBody::new(payload, read.length);
     let mut response = Dispatch::new(&worker, read, body).run(permit).await;
     if worker.beliefs().view.phase != Phase::Serving {
-        let connection = actix_web::http::ConnectionType::Close;
-        response.head_mut().set_connection_type(connection);
+        let head = response.head_mut();
+        head.set_connection_type(ConnectionType::Close);
     }
     response
 }
--- a/crates/node/src/ingress/keepalive.rs
+++ b/crates/node/src/ingress/keepalive.rs
@@ -1,6 +1,7 @@
-//! Drops connections on which the other side no longer answers.
+//! Notices sidecars that no longer answer, long before TCP does.
 
 use std::{
+    future::poll_fn,
     net::SocketAddr,
     rc::{Rc, Weak},
     time::Duration,
@@ -10,68 +11,81 @@
 use log::info;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::transport::Connection;
+use crate::ingress::channel::Channel;
 
 /// Pause between pings while calls wait.
 const BUSY_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause between pings while no call waits.
 const IDLE_INTERVAL: Duration = Duration::from_secs(5);
-/// Longest time that a pong may take.
-const PONG_TIMEOUT: Duration = Duration::from_millis(750);
+/// Time after which a sidecar that does not answer gets no new calls.
+const SUSPECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Further time after which its calls in flight are given up.
+const ABORT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Overrun of a timer from which on this process itself must have been paused.
 const OWN_PAUSE: Duration = Duration::from_millis(200);
 
-/// Watches a connection until it ends.
-pub(super) fn spawn(address: SocketAddr, connection: &Rc<Connection>) {
-    let Some(ping) = connection.take_ping() else {
-        return;
-    };
-    let connection = Rc::downgrade(connection);
-    actix_rt::spawn(watch(address, connection, ping));
+/// Watches a channel until it ends.
+pub(super) fn spawn(address: SocketAddr, channel: &Rc<Channel>, ping: PingPong) {
+    actix_rt::spawn(watch(address, Rc::downgrade(channel), ping));
 }
 
-async fn watch(address: SocketAddr, connection: Weak<Connection>, mut ping: PingPong) {
+async fn watch(address: SocketAddr, channel: Weak<Channel>, mut ping: PingPong) {
     loop {
-        sleep_interval(&connection).await;
-        if !is_open(&connection) {
+        sleep_interval(&channel).await;
+        if !is_open(&channel) {
             return;
         }
-        let asked = Instant::now();
-        let answered = timeout(PONG_TIMEOUT, ping.ping(Ping::opaque())).await;
-        if matches!(answered, Ok(Ok(_))) {
+        if is_answered(&mut ping).await {
             continue;
         }
-        if answered.is_err() && asked.elapsed() > PONG_TIMEOUT + OWN_PAUSE {
-            let second = timeout(PONG_TIMEOUT, sleep_until_pong(&mut ping)).await;
-            if second.is_ok() {
-                continue;
-            }
-        }
-        info!("sidecar at {address} no longer answers; its connection is dropped");
-        if let Some(connection) = connection.upgrade() {
-            connection.abort();
+        info!("sidecar at {address} does not answer; it gets no new calls");
+        with(&channel, Channel::suspect);
+        if timeout(ABORT_TIMEOUT, pong(&mut ping)).await.is_ok() {
+            continue;
         }
+        info!("sidecar at {address} does not answer; its calls are given up");
+        with(&channel, |channel| channel.connection().abort());
         return;
     }
 }
 
-async fn sleep_until_pong(ping: &mut PingPong) {
-    let _ = std::future::poll_fn(|cx| ping.poll_pong(cx)).await;
+/// Sends a ping and waits for its answer; the time in which this process was paused itself
+/// doesn't count.
+async fn is_answered(ping: &mut PingPong) -> bool {
+    let asked = Instant::now();
+    match timeout(SUSPECT_TIMEOUT, ping.ping(Ping::opaque())).await {
+        Ok(answered) => answered.is_ok(),
+        Err(_) if asked.elapsed() > SUSPECT_TIMEOUT + OWN_PAUSE => {
+            timeout(SUSPECT_TIMEOUT, pong(ping)).await.is_ok()
+        }
+        Err(_) => false,
+    }
+}
+
+async fn pong(ping: &mut PingPong) {
+    let _ = poll_fn(|cx| ping.poll_pong(cx)).await;
 }
 
 /// Waits for the next ping; a call that starts to wait shortens the pause.
-async fn sleep_interval(connection: &Weak<Connection>) {
+async fn sleep_interval(channel: &Weak<Channel>) {
     let idle_since = Instant::now();
     loop {
         sleep(BUSY_INTERVAL).await;
-        let is_busy = Weak::strong_count(connection) > 1;
+        let is_busy = Weak::strong_count(channel) > 1;
         let is_over = idle_since.elapsed() >= IDLE_INTERVAL;
-        if is_busy || is_over || !is_open(connection) {
+        if is_busy || is_over || !is_open(channel) {
             return;
         }
     }
 }
 
-fn is_open(connection: &Weak<Connection>) -> bool {
-    connection.upgrade().is_some_and(|open| !open.is_closed())
+fn is_open(channel: &Weak<Channel>) -> bool {
+    let channel = channel.upgrade();
+    channel.is_some_and(|channel| !channel.connection().is_closed())
+}
+
+fn with(channel: &Weak<Channel>, visit: impl FnOnce(&Channel)) {
+    if let Some(channel) = channel.upgrade() {
+        visit(&channel);
+    }
 }
--- a/crates/node/src/ingress/pool.rs
+++ b/crates/node/src/ingress/pool.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use h2::PingPong;
 use log::debug;
 use rand::Rng;
 use tokio::{
@@ -17,12 +18,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    ingress::keepalive,
-    transport::{Connection, TransportError, connect_windowed},
+    ingress::{channel::Channel, keepalive},
+    transport::TransportError,
 };
 
-/// Flow-control window of one call in bytes, which bounds what a slow caller holds back.
-pub(super) const CALL_WINDOW_BYTES: u32 = 64 << 10;
 /// Shortest pause before a failed connection is tried again.
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause before a failed connection is tried again.
@@ -46,7 +45,7 @@
 enum State {
     Idle,
     Connecting,
-    Ready(Rc<Connection>),
+    Ready(Rc<Channel>),
     Resting { until: Instant },
 }
 
@@ -65,13 +64,13 @@
     /// # Errors
     ///
     /// Returns an error when the address can't be reached; nothing was sent then.
-    pub(super) async fn get(&self, address: SocketAddr) -> Result<Rc<Connection>, Unreachable> {
+    pub(super) async fn get(&self, address: SocketAddr) -> Result<Rc<Channel>, Unreachable> {
         let link = self.link(address);
         link.used.set(Instant::now());
         loop {
             let changed = link.changed.notified();
             match link.poll() {
-                Found::Ready(connection) => return Ok(connection),
+                Found::Ready(channel) => return Ok(channel),
                 Found::Resting => return Err(Unreachable),
                 Found::Idle => self.open(&link),
                 Found::Connecting => {}
@@ -110,9 +109,7 @@
         actix_rt::spawn(async move {
             tokio::select! {
                 () = token.cancelled() => link.fail(),
-                opened = connect_windowed(local, link.address, CALL_WINDOW_BYTES) => {
-                    link.settle(opened);
-                }
+                opened = Channel::open(local, link.address) => link.settle(opened),
             }
         });
     }
@@ -123,7 +120,7 @@
 pub(super) struct Unreachable;
 
 enum Found {
-    Ready(Rc<Connection>),
+    Ready(Rc<Channel>),
     Resting,
     Idle,
     Connecting,
@@ -142,17 +139,17 @@
 
     fn poll(&self) -> Found {
         match &*self.state.borrow() {
-            State::Ready(connection) if connection.is_closed() => Found::Idle,
-            State::Ready(connection) => Found::Ready(Rc::clone(connection)),
+            State::Ready(channel) if !channel.is_usable() => Found::Idle,
+            State::Ready(channel) => Found::Ready(Rc::clone(channel)),
             State::Resting { until } if Instant::now() < *until => Found::Resting,
             State::Resting { .. } | State::Idle => Found::Idle,
             State::Connecting => Found::Connecting,
         }
     }
 
-    fn settle(&self, opened: Result<Connection, TransportError>) {
+    fn settle(&self, opened: Result<(Channel, PingPong), TransportError>) {
         match opened {
-            Ok(connection) => self.succeed(Rc::new(connection)),
+            Ok((channel, ping)) => self.succeed(Rc::new(channel), ping),
             Err(err) => {
                 debug!("sidecar at {} is out of reach: {err}", self.address);
                 self.fail();
@@ -160,10 +157,10 @@
         }
     }
 
-    fn succeed(&self, connection: Rc<Connection>) {
+    fn succeed(&self, channel: Rc<Channel>, ping: PingPong) {
         self.failures.set(0);
-        keepalive::spawn(self.address, &connection);
-        self.state.replace(State::Ready(connection));
+        keepalive::spawn(self.address, &channel, ping);
+        self.state.replace(State::Ready(channel));
         self.changed.notify_waiters();
     }
 
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -15,9 +15,10 @@
 use crate::{
     ingress::{
         attempt::{Reply, drive},
+        channel::Channel,
         visit::{Permit, Visit},
     },
-    transport::{Connection, FrameReader},
+    transport::FrameReader,
 };
 
 /// Why a body breaks off; the caller's connection then ends without the regular end of the body.
@@ -39,7 +40,7 @@
     upload: Option<LocalBoxFuture<'static, ()>>,
     left: Option<u64>,
     idle: Duration,
-    _guards: (Visit, Permit, Rc<Connection>),
+    _guards: (Visit, Permit, Rc<Channel>),
 }
 
 /// Returns the body of a reply; the guards are held until its end.
@@ -55,7 +56,7 @@
         upload: reply.upload,
         left: length,
         idle,
-        _guards: (visit, permit, reply.connection),
+        _guards: (visit, permit, reply.channel),
     };
     let parts = stream::unfold(Some(body), next_part).boxed_local();
     sized(parts, length)
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -50,6 +50,8 @@
     pub(super) headers: Vec<(String, Vec<u8>)>,
     /// Length of the body in bytes, if it is known.
     pub(super) length: Option<u64>,
+    /// Time at which the request arrived.
+    pub(super) arrived: Instant,
     /// Time by which the caller must have an answer.
     pub(super) deadline: Instant,
     /// Hops that the call has taken, this one included.
@@ -75,9 +77,7 @@
         let target = request.uri().path_and_query().map_or("/", |t| t.as_str());
         let route = find_route(routes, request.method().as_str(), target)?;
         let hops = hops(headers)?;
-        let method = Method::from_name(request.method().as_str());
-        let by_method = method.is_some_and(Method::is_idempotent);
-        let idempotent = route.idempotent.unwrap_or(by_method);
+        let idempotent = is_idempotent(&route, request.method().as_str());
         let key = if idempotent { None } else { key(headers)? };
         Ok(Self {
             call: call_id(headers),
@@ -86,6 +86,7 @@
             target: target.to_string(),
             headers: passed_on(headers),
             length: length(headers),
+            arrived,
             deadline: arrived + time_left(headers, &route),
             hops,
             idempotent,
@@ -94,6 +95,19 @@
         })
     }
 
+    /// Routes the request by a newer table, and returns whether its kind is still the same.
+    pub(super) fn reroute(&mut self, routes: &RouteTable) -> bool {
+        let Ok(route) = find_route(routes, &self.method, &self.target) else {
+            return false;
+        };
+        if is_idempotent(&route, &self.method) != self.idempotent {
+            return false;
+        }
+        self.route = route;
+        self.sequence = routes.sequence();
+        true
+    }
+
     /// Returns what the request allows.
     pub(super) fn kind(&self) -> RequestKind {
         match (self.idempotent, &self.key) {
@@ -155,6 +169,11 @@
     route.cloned().ok_or(ReadError::NoRoute)
 }
 
+fn is_idempotent(route: &Route, method: &str) -> bool {
+    let by_method = Method::from_name(method).is_some_and(Method::is_idempotent);
+    route.idempotent.unwrap_or(by_method)
+}
+
 fn hops(headers: &HeaderMap) -> Result<u8, ReadError> {
     let Some(hops) = text(headers, "x-hops") else {
         return Ok(1);
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -1,7 +1,7 @@
 //! State of the thread that serves callers.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -18,7 +18,9 @@
 use crate::{
     ingress::{
         beliefs::Beliefs,
-        pool::{self, CALL_WINDOW_BYTES, Pool},
+        channel::CALL_WINDOW_BYTES,
+        pool::{self, Pool},
+        record::Recorder,
     },
     settings::Settings,
     stall::Stall,
@@ -56,8 +58,11 @@
     pub(super) balancer: RefCell<Balancer>,
     /// Calls in flight by caller.
     pub(super) shares: RefCell<CallShares>,
+    /// Metrics and events.
+    pub(super) recorder: Recorder,
     /// Source of randomness.
     pub(super) rng: RefCell<SmallRng>,
+    stalls: Cell<u64>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     beliefs: RefCell<Rc<Beliefs>>,
 }
@@ -77,6 +82,8 @@
             balancer: RefCell::new(Balancer::new(settings.domain.clone(), policy)),
             shares: RefCell::new(CallShares::new(calls.max(MIN_CALLS))),
             rng: RefCell::new(SmallRng::from_os_rng()),
+            recorder: Recorder::new(shared.timeline.clone()),
+            stalls: Cell::new(shared.stall.generation()),
             budgets: RefCell::default(),
             beliefs: RefCell::new(Rc::new(beliefs)),
             shared,
@@ -88,6 +95,17 @@
         worker
     }
 
+    /// Returns whether the node was paused and must take no new work yet; loads that were
+    /// reported before a pause are dropped.
+    pub(super) fn is_quarantined(&self) -> bool {
+        let stall = &self.shared.stall;
+        let stalls = stall.generation();
+        if self.stalls.replace(stalls) != stalls {
+            self.balancer.borrow_mut().forget_loads();
+        }
+        stall.is_quarantined()
+    }
+
     /// Returns what follows from the newest view.
     pub(super) fn beliefs(&self) -> Rc<Beliefs> {
         let view = self.shared.view.load();
--- a/crates/node/src/timeline/event.rs
+++ b/crates/node/src/timeline/event.rs
@@ -3,9 +3,15 @@
 use std::sync::Arc;
 
 use serde::Serialize;
-use wagtaillever_coordination::{DrainOrder, Incarnation, JoinRule, Sequence, VmName};
+use wagtaillever_coordination::{
+    DrainOrder, Incarnation, JoinRule, Sequence, ServiceName, UpstreamName, VmName,
+};
 
-use crate::{timeline::Timestamp, view::Phase};
+use crate::{
+    timeline::Timestamp,
+    view::Phase,
+    wire::{Outcome, RefusalReason},
+};
 
 /// One event of one process.
 #[derive(Clone, Debug, Serialize)]
@@ -87,4 +93,32 @@
         /// Rule that it breaks.
         reason: Arc<str>,
     },
+    /// A call got no answer of an upstream; only a sample is recorded.
+    CallRefused {
+        /// Identity of the call.
+        call: Arc<str>,
+        /// Service of the call.
+        service: ServiceName,
+        /// Whether the request ran.
+        outcome: Outcome,
+        /// Cause.
+        reason: RefusalReason,
+    },
+    /// An upstream gets no calls of this node for a while.
+    UpstreamEjected {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Length of the ejection in milliseconds.
+        span_ms: u64,
+    },
+    /// A call probes an ejected upstream.
+    UpstreamProbed {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
+    /// An ejected upstream gets calls of this node again.
+    UpstreamReturned {
+        /// The upstream.
+        upstream: UpstreamName,
+    },
 }
