Bound the wait for a connection and test the ingress at its edges

A sidecar that accepts connections but never answers held a call for up to two seconds while its connection was opened. A call that can go elsewhere now waits 250 ms; a keyed call waits, as it has nowhere else to go.

Tests: drained VM, silent sidecar, sidecar that is ahead, old HTTP version, a caller that holds all it can.

--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -1,9 +1,9 @@
 //! One attempt of a call at one sidecar.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::future::{FutureExt, LocalBoxFuture};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     ingress::{
@@ -12,9 +12,12 @@
         pool::{Pool, Unreachable},
     },
     transport::{FrameReader, TransportError},
-    wire::{CallHead, ReplyHead},
+    wire::{CallHead, CallStage, ReplyHead},
 };
 
+/// Longest time for which a call that can go elsewhere waits for a connection.
+const OPEN_PATIENCE: Duration = Duration::from_millis(250);
+
 /// What became of an attempt.
 pub(super) enum AttemptEnd {
     /// The sidecar replied.
@@ -61,6 +64,19 @@
     ended.unwrap_or(AttemptEnd::TimedOut { is_sent })
 }
 
+/// Returns the channel to an address; a call that can go elsewhere doesn't wait long for it.
+async fn channel(
+    pool: &Pool,
+    address: SocketAddr,
+    stage: CallStage,
+) -> Result<Rc<Channel>, Unreachable> {
+    if stage == CallStage::Decide {
+        return pool.get(address).await;
+    }
+    let channel = timeout(OPEN_PATIENCE, pool.get(address)).await;
+    channel.unwrap_or(Err(Unreachable))
+}
+
 async fn exchange(
     pool: &Pool,
     address: SocketAddr,
@@ -68,9 +84,8 @@
     body: &RequestBody,
     is_sent: &Cell<bool>,
 ) -> AttemptEnd {
-    let channel = match pool.get(address).await {
-        Ok(channel) => channel,
-        Err(Unreachable) => return AttemptEnd::Unreachable,
+    let Ok(channel) = channel(pool, address, head.stage).await else {
+        return AttemptEnd::Unreachable;
     };
     let Ok((mut writer, pending)) = channel.connection().open("call").await else {
         return AttemptEnd::NotSent;
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -15,15 +15,15 @@
     net::TcpStream,
 };
 use wagtaillever_coordination::{
-    Config, DomainName, Method, RouteSpec, Sequence, ServiceSpec, UpstreamSpec, VmEntry, VmList,
-    VmState,
+    Config, DomainName, DrainAction, DrainOrder, DrainScope, Method, RouteSpec, Sequence,
+    ServiceSpec, UpstreamSpec, VmEntry, VmList, VmState,
 };
 
 use crate::{
     ingress::Ingress,
     kernel::{Context, Service},
     settings::Settings,
-    stall::{Stall, StallWatch},
+    stall::StallWatch,
     transport::{FrameReader, FrameWriter, StreamHandler, Transport},
     view::Phase,
     wire::{CallHead, Load, Outcome, Refusal, RefusalReason, ReplyHead},
@@ -106,9 +106,18 @@
 
 /// Refuses the request without reading it.
 pub(super) fn refuse(
+    call: FakeCall,
+    outcome: Outcome,
+    reason: RefusalReason,
+) -> LocalBoxFuture<'static, ()> {
+    refuse_at(call, outcome, reason, 7)
+}
+
+pub(super) fn refuse_at(
     mut call: FakeCall,
     outcome: Outcome,
     reason: RefusalReason,
+    sequence: u64,
 ) -> LocalBoxFuture<'static, ()> {
     async move {
         let refusal = Refusal {
@@ -119,7 +128,7 @@
         let head = ReplyHead::Refused {
             refusal,
             load: LOAD,
-            sequence: 7,
+            sequence,
         };
         call.writer.frame(&head).await.unwrap();
         let _ = call.writer.end();
@@ -194,8 +203,24 @@
         self.heads.borrow().clone()
     }
 
-    pub(super) fn stall(&self) -> Stall {
-        self.context.registry().find("stall").unwrap()
+    pub(super) fn drain(&self, vm: &str) {
+        let mut drains = (*self.context.view().load().drains).clone();
+        drains.merge(&DrainOrder {
+            number: 1,
+            scope: DrainScope::Vm(vm.into()),
+            action: DrainAction::Drain,
+        });
+        self.context.view().set_drains(Arc::new(drains));
+    }
+
+    pub(super) fn address(&self, vm: &str) -> SocketAddr {
+        self.context
+            .view()
+            .load()
+            .vms
+            .get(&vm.into())
+            .unwrap()
+            .address
     }
 
     pub(super) async fn get(&self, target: &str) -> Raw {
@@ -257,6 +282,10 @@
         self
     }
 
+    pub(super) fn has(&self, line: &str) -> bool {
+        self.head.contains(line)
+    }
+
     #[track_caller]
     pub(super) fn header(&self, name: &str, value: &str) -> &Self {
         let line = format!("\r\n{name}: {value}\r\n");
@@ -279,7 +308,7 @@
 fn settings(peers: SocketAddr) -> Arc<Settings> {
     let text = format!(
         "{{vm: v, domain: a, region: r, address: 127.0.0.1, callers: '127.0.0.1:0', \
-         peers: '{peers}', admin: '127.0.0.1:0', limits: {{stop_ms: 3000}}}}"
+         peers: '{peers}', admin: '127.0.0.1:0', limits: {{stop_ms: 3000, body_bytes: 1572864}}}}"
     );
     Arc::new(serde_yaml_ng::from_str(&text).unwrap())
 }
