Simulate many replicas over failing links and mend what it showed

The simulation loses, delays and cuts messages, pauses and kills nodes and makes the platform stale or silent, all from one seed. It showed that a neighbour that accepts but does not greet (a paused process) held its children up for two seconds before the next candidate was tried, and that a restarted leaf without seeds found nobody while the platform was out.

--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -117,6 +117,7 @@
     dirty_fleet: BTreeSet<(DomainName, VmName)>,
     own_report: summary::OwnReport,
     fleet_due: Instant,
+    children_due: Instant,
     ticked: Instant,
     outputs: Vec<Output>,
 }
@@ -149,6 +150,7 @@
             pulling_until: None,
             dirty_fleet: BTreeSet::new(),
             fleet_due: now,
+            children_due: now + Duration::from_secs(2),
             ticked: now,
             outputs: Vec::new(),
         }
--- a/crates/coordination/src/replica/dial.rs
+++ b/crates/coordination/src/replica/dial.rs
@@ -17,7 +17,7 @@
     limit: Duration::from_secs(8),
 };
 /// Time after which the next candidate is dialled beside a slow one.
-const HEDGE: Duration = Duration::from_millis(300);
+pub(super) const HEDGE: Duration = Duration::from_millis(300);
 /// Delay before this node's own address is dialled again.
 const OWN_DELAY: Duration = Duration::from_secs(3600);
 
--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -9,11 +9,15 @@
 
 use rand::Rng;
 
-use super::{LinkId, Output, Replica, ReplicaEvent, dial::DialState, link::Link};
+use super::{
+    LinkId, Output, Replica, ReplicaEvent,
+    dial::{DialState, HEDGE},
+    link::Link,
+};
 use crate::{
     join::JoinFacts,
     name::{DomainName, VmName},
-    overlay::{RELAYS, parents},
+    overlay::{FAN_OUT, RELAYS, parents},
     vm::VmEntry,
 };
 
@@ -23,6 +27,10 @@
 const GREETING: Duration = Duration::from_secs(2);
 /// Age after which a link that is no longer wanted is closed.
 const SURPLUS_AGE: Duration = Duration::from_secs(2);
+/// Time between two looks for children that are not linked.
+const CHILDREN_EVERY: Duration = Duration::from_secs(3);
+/// Positions that link to other failure domains at most.
+const MAX_ACROSS: usize = 4;
 /// Attempts that a joining node has under way at once.
 const ASKED_AT_ONCE: usize = 4;
 /// Nodes of each other failure domain that a joining node asks.
@@ -115,7 +123,9 @@
             if !self.is_serving && self.uplinks.is_empty() {
                 self.plan_questions(&mut wanted, now);
             }
-            if self.is_relay() || self.effective_position() < RELAYS {
+            self.plan_children(&mut wanted, now, rng);
+            let position = self.effective_position();
+            if position < RELAYS || (self.is_relay() && position < MAX_ACROSS) {
                 self.plan_across(&mut wanted, now);
             }
         }
@@ -167,6 +177,26 @@
         wanted.extend(ids);
     }
 
+    /// Looks for listed children that are not linked, as they may not know whom to dial.
+    fn plan_children(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant, rng: &mut impl Rng) {
+        let is_due = self.children_due <= now;
+        if is_due {
+            self.children_due = now + CHILDREN_EVERY.mul_f64(rng.random_range(0.7..1.3));
+        }
+        let position = self.overlay.position(&self.me.domain, &self.me.vm);
+        let nodes = self.overlay.nodes(&self.me.domain);
+        let first = (position * FAN_OUT + 1).min(nodes.len());
+        let last = (first + FAN_OUT).min(nodes.len());
+        let children = nodes[first..last].to_vec();
+        for child in children {
+            match self.link_to(&child.vm) {
+                Some(id) => drop(wanted.insert(id)),
+                None if is_due => self.dial_if_ready(child.address, now),
+                None => {}
+            }
+        }
+    }
+
     fn plan_across(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant) {
         let domains: Vec<_> = self
             .overlay
@@ -210,7 +240,7 @@
                     walk.pending += 1;
                 }
                 DialState::Pending => walk.pending += 1,
-                DialState::Linked(id) if !self.is_greeted(id) => walk.pending += 1,
+                DialState::Linked(id) if self.is_greeting(id, now) => walk.pending += 1,
                 DialState::Linked(_) | DialState::Slow | DialState::Waiting => {}
             }
         }
@@ -297,6 +327,14 @@
         self.links.get(&id).is_some_and(|link| link.peer.is_some())
     }
 
+    /// Returns whether a neighbour may still be about to greet.
+    fn is_greeting(&self, id: LinkId, now: Instant) -> bool {
+        self.links.get(&id).is_some_and(|link| {
+            let age = now.saturating_duration_since(link.opened);
+            link.peer.is_none() && age < HEDGE
+        })
+    }
+
     fn has_near_serving(&self) -> bool {
         self.links.values().any(|link| {
             let peer = link.peer.as_ref();
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -11,7 +11,7 @@
 use crate::{message::Contact, name::VmName, overlay::RELAYS};
 
 /// Nodes of a failure domain that read the platform at most, while it is silent.
-pub(super) const MAX_READERS: usize = 16;
+pub(super) const MAX_READERS: usize = 8;
 /// Age up to which a contact with the platform is fresh.
 const FRESH: Duration = Duration::from_secs(6);
 /// Delay before the first further node reads a silent platform.
--- /dev/null
+++ b/crates/coordination/tests/replica/main.rs
@@ -0,0 +1,243 @@
+//! Many replicas in memory, over links and a platform that fail.
+
+#![allow(clippy::unwrap_used)]
+
+mod chaos;
+mod sim;
+
+use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope, JoinRule, Replica, parents};
+
+use crate::sim::Sim;
+
+const THREE: [(&str, usize); 3] = [("a", 12), ("b", 12), ("c", 12)];
+
+fn started(seed: u64, domains: &[(&str, usize)]) -> Sim {
+    let mut sim = Sim::new(seed, domains);
+    sim.publish_service();
+    sim.start_all();
+    sim.run_until(20_000, |sim| sim.all_serve() && sim.all_have(1));
+    sim.run_for(5_000);
+    sim
+}
+
+fn drain(number: u64, domain: &str) -> DrainOrder {
+    DrainOrder {
+        number,
+        scope: DrainScope::Domain(domain.into()),
+        action: DrainAction::Drain,
+    }
+}
+
+#[test]
+fn parents_are_ancestors_then_siblings_then_the_rest() {
+    assert!(parents(0).is_empty());
+    assert_eq!(parents(1), [0]);
+    assert_eq!(parents(9)[..2], [1, 0]);
+    let order = parents(80);
+    assert_eq!(order[..3], [9, 1, 0]);
+    let siblings: std::collections::BTreeSet<_> = order[3..10].iter().copied().collect();
+    assert_eq!(siblings, (10..17).collect());
+    assert_eq!(order.len(), 80);
+}
+
+#[test]
+fn each_note_reaches_each_node_about_once() {
+    let mut sim = started(1, &THREE);
+    sim.notes_sent = 0;
+    for sequence in 2..12 {
+        sim.publish_service();
+        sim.run_until(2_000, |sim| sim.all_have(sequence));
+        sim.run_for(500);
+    }
+    assert!(sim.notes_sent <= 10 * 36 * 11 / 10, "{}", sim.notes_sent);
+}
+
+#[test]
+fn note_reaches_all_when_the_relays_die_as_it_comes() {
+    for seed in 0..10 {
+        let mut sim = started(seed, &THREE);
+        sim.publish_service();
+        for relay in sim.by_position("a").into_iter().take(2) {
+            sim.kill(relay);
+        }
+        sim.run_until(4_000, |sim| sim.all_have(2));
+    }
+}
+
+#[test]
+fn note_reaches_all_when_half_of_a_failure_domain_dies() {
+    for seed in 0..10 {
+        let mut sim = started(seed, &THREE);
+        let herd = sim.by_position("a");
+        for node in &herd[..6] {
+            sim.kill(*node);
+        }
+        sim.publish_service();
+        sim.run_until(4_000, |sim| sim.all_have(2));
+        for node in &herd[..6] {
+            sim.start(*node);
+        }
+        sim.run_until(15_000, |sim| sim.all_serve() && sim.all_have(2));
+    }
+}
+
+#[test]
+fn failure_domain_without_the_platform_gets_notes_through_others() {
+    let mut sim = started(2, &THREE);
+    sim.platform.cut.insert("a".into());
+    sim.run_for(20_000);
+    sim.publish_service();
+    sim.run_until(2_000, |sim| sim.all_have(2));
+}
+
+#[test]
+fn healed_partition_catches_up_in_three_seconds() {
+    for seed in 0..5 {
+        let mut sim = started(seed, &THREE);
+        sim.platform.cut.insert("a".into());
+        for other in ["b", "c"] {
+            sim.cut("a", other);
+            sim.cut(other, "a");
+        }
+        sim.run_for(30_000);
+        sim.publish_service();
+        sim.run_for(10_000);
+        assert!(!sim.all_have(2));
+        sim.cuts.clear();
+        sim.run_until(3_000 + 8_000, |sim| sim.all_have(2));
+    }
+}
+
+#[test]
+fn one_way_partition_still_lets_notes_through() {
+    let mut sim = started(4, &THREE);
+    sim.platform.cut.insert("a".into());
+    sim.cut("b", "a");
+    sim.run_for(10_000);
+    sim.publish_service();
+    sim.run_until(8_000, |sim| sim.all_have(2));
+}
+
+#[test]
+fn orders_reach_all_without_the_platform_and_outlive_a_restart() {
+    let mut sim = started(5, &THREE);
+    sim.platform.is_out = true;
+    sim.run_for(20_000);
+    sim.order(3, &drain(1, "b"));
+    let has_order = |replica: &Replica| replica.drains().highest() == 1;
+    sim.run_until(3_000, |sim| sim.running().all(has_order));
+    sim.kill(3);
+    sim.start(3);
+    sim.run_until(15_000, |sim| sim.running().all(has_order));
+}
+
+#[test]
+fn crossed_and_repeated_orders_end_the_same() {
+    let mut sim = started(6, &THREE);
+    let restore = DrainOrder {
+        action: DrainAction::Restore,
+        ..drain(2, "a")
+    };
+    sim.order(0, &restore);
+    sim.order(30, &drain(1, "a"));
+    sim.order(15, &restore);
+    sim.run_for(3_000);
+    let lists: Vec<_> = sim.running().map(|r| r.drains().clone()).collect();
+    assert!(lists.iter().all(|list| *list == lists[0]));
+    assert!(!lists[0].is_drained(&"x".into(), &"a".into()));
+}
+
+#[test]
+fn replaced_process_never_goes_back_to_a_stale_platform() {
+    for seed in 0..10 {
+        let mut sim = started(seed, &THREE);
+        sim.publish_service();
+        sim.run_until(4_000, |sim| sim.all_have(2));
+        sim.platform.stale = Some(1);
+        for number in sim.by_position("a").into_iter().take(3) {
+            sim.kill(number);
+            sim.start(number);
+        }
+        sim.run_until(15_000, Sim::all_serve);
+        assert!(sim.all_have(2));
+    }
+}
+
+#[test]
+fn cold_start_of_all_joins_by_rule() {
+    let mut sim = started(7, &THREE);
+    for number in 0..36 {
+        sim.kill(number);
+    }
+    sim.start_all();
+    sim.run_until(15_000, |sim| sim.all_serve() && sim.all_have(1));
+    let rules: Vec<_> = sim.nodes.iter().filter_map(|node| node.rule).collect();
+    assert!(rules.contains(&JoinRule::AllJoining));
+    assert!(rules.contains(&JoinRule::ServingPeer));
+}
+
+#[test]
+fn node_that_hears_nobody_does_not_serve() {
+    let mut sim = Sim::new(8, &THREE);
+    sim.publish_service();
+    sim.start(0);
+    sim.run_for(60_000);
+    assert!(!sim.all_serve());
+    sim.kill(0);
+    sim.platform.is_out = true;
+    sim.start(1);
+    sim.run_for(60_000);
+    assert!(!sim.nodes[1].replica.as_ref().unwrap().is_serving());
+}
+
+#[test]
+fn only_node_of_the_list_serves() {
+    let mut sim = Sim::new(9, &[("a", 1)]);
+    sim.publish_service();
+    sim.start(0);
+    sim.run_until(5_000, |sim| sim.all_serve() && sim.all_have(1));
+    assert_eq!(sim.nodes[0].rule, Some(JoinRule::OnlyNode));
+}
+
+#[test]
+fn paused_relay_holds_no_note_back() {
+    let mut sim = started(10, &THREE);
+    let relay = sim.by_position("a")[0];
+    sim.nodes[relay].paused_until = sim.now_ms() + 20_000;
+    sim.publish_service();
+    let others = move |sim: &Sim| {
+        let mut nodes = sim.nodes.iter().enumerate();
+        nodes.all(|(n, node)| n == relay || node.replica.as_ref().unwrap().config().sequence.0 == 2)
+    };
+    sim.run_until(4_000, others);
+    sim.run_until(25_000, |sim| sim.all_have(2));
+}
+
+#[test]
+fn fleet_summary_counts_all_nodes() {
+    let mut sim = started(11, &THREE);
+    sim.publish_service();
+    sim.run_for(15_000);
+    for replica in sim.running() {
+        let fleet = replica.fleet();
+        for domain in ["a", "b", "c"] {
+            let summary = &fleet.domains[domain];
+            assert_eq!(summary.nodes, 12, "{fleet:?}");
+            assert_eq!(summary.in_force(wagtaillever_coordination::Sequence(2)), 12);
+        }
+    }
+}
+
+#[test]
+fn start_storm_reads_from_few_nodes() {
+    let mut sim = Sim::new(12, &[("a", 100), ("b", 100), ("c", 100)]);
+    sim.publish_service();
+    sim.start_all();
+    sim.run_until(30_000, |sim| sim.all_serve() && sim.all_have(1));
+    sim.run_for(10_000);
+    sim.platform.reads.clear();
+    sim.run_for(10_000);
+    let peak = sim.platform.reads.values().max().copied().unwrap_or(0);
+    // Six relays that read ten times a second.
+    assert!(peak <= 60, "{peak}");
+}
