Keep the latency of calls beyond two microseconds

Cause: the histogram started with a range of 2 and clamped what was above it, so every quantile was 0.002 ms. Change: a range of two minutes; a test states the quantile of two known calls.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -12,3 +12,6 @@
     tally::{Bucket, Tally},
     workload::{CallKind, Workload},
 };
+
+#[cfg(test)]
+mod tests;
--- a/crates/bench/src/caller/tally.rs
+++ b/crates/bench/src/caller/tally.rs
@@ -22,6 +22,9 @@
     pub(crate) latency: Histogram<u64>,
 }
 
+/// Longest latency that is told apart, in microseconds.
+const LONGEST_US: u64 = 120_000_000;
+
 /// One slice of time of a run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct Bucket {
@@ -44,14 +47,14 @@
     ///
     /// # Panics
     ///
-    /// Does not panic: the histogram's precision is valid.
+    /// Does not panic: the histogram's range is valid.
     pub(crate) fn of(records: &[CallRecord], from: Duration, to: Duration) -> Self {
         let mut tally = Self {
             offered: 0,
             answered: BTreeMap::new(),
             told: BTreeMap::new(),
             reasons: BTreeMap::new(),
-            latency: Histogram::new(3).expect("three digits are valid"),
+            latency: Histogram::new_with_max(LONGEST_US, 3).expect("the range is valid"),
         };
         let due = records
             .iter()
@@ -83,7 +86,7 @@
         }
         if record.answered == Answered::Good {
             let micros = u64::try_from(record.took.as_micros()).unwrap_or(u64::MAX);
-            self.latency.saturating_record(micros);
+            self.latency.saturating_record(micros.min(LONGEST_US));
         }
     }
 }
