Decide admission, crashes and poisonous requests without I/O

An upstream had a fixed number of slots and nothing else. Admission now takes the lowest of the slots, a limit that follows latency and failures, and a ramp that starts at one request after each sign of a restart. What exceeds it waits in a bounded queue, fair between callers, or is refused at once when it can't be served before its deadline.

A request that was in flight at a crash runs with nothing beside it next time (others wait 250 ms at most), so a second crash has one cause: one poisonous request takes down two upstreams at most and no other request is refused for it. Reports merge like sets, so nodes may exchange them in any order.

Simulated upstream of 12 slots, 10 ms a request: goodput at 3 times the load stays at or above 95% of the peak (asserted).

--- /dev/null
+++ b/crates/coordination/src/admission.rs
@@ -0,0 +1,408 @@
+//! Decides how many requests an upstream runs at once, and who waits.
+
+mod adaptive;
+mod alone;
+mod queue;
+mod ramp;
+#[cfg(test)]
+mod tests;
+
+use std::time::{Duration, Instant};
+
+use crate::admission::{
+    adaptive::AdaptiveLimit,
+    alone::{AloneQueue, MAX_ALONE},
+    queue::FairQueue,
+    ramp::Ramp,
+};
+
+/// Admission to one upstream.
+///
+/// The limit is the lowest of the upstream's slots, of what latency and
+/// failures show (adaptive limit) and of what a cold start bears (ramp). What
+/// exceeds it waits in a bounded queue that is fair between callers, or is
+/// refused at once when it can't be served before its deadline.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    adaptive: AdaptiveLimit,
+    ramp: Ramp,
+    queue: FairQueue,
+    alone: AloneQueue,
+    active: u32,
+    starts: u64,
+    held: Duration,
+    latency: Duration,
+    recent: u8,
+}
+
+/// Bounds and switches of an admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionSettings {
+    /// Requests that the upstream can run at once.
+    pub slots: u32,
+    /// Whether latency and failures lower the limit.
+    pub adaptive: bool,
+    /// Whether there is a limit at all.
+    pub limit: bool,
+    /// Whether an upstream that started gets a trickle first.
+    pub ramp: bool,
+}
+
+/// A request that asks to be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Hash of the caller's name, for fair sharing.
+    pub caller: u64,
+    /// Time by which the answer must be there.
+    pub deadline: Instant,
+    /// Whether nothing else should run beside it, because it may crash the upstream.
+    pub alone: bool,
+}
+
+/// Identity of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct QueueTicket(u64);
+
+/// Position of a request among those that were started, if nothing ran at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartMark(Option<u64>);
+
+/// What becomes of a request on its arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It runs now.
+    Start,
+    /// It waits for its turn.
+    Wait(QueueTicket),
+    /// It is refused.
+    Refuse(Rejection),
+}
+
+/// What becomes of a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It runs now.
+    Start(QueueTicket),
+    /// It is refused.
+    Refuse(QueueTicket, Rejection),
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rejection {
+    /// Cause.
+    pub cause: RejectionCause,
+    /// Time after which a resend makes sense.
+    pub after: Duration,
+}
+
+/// Cause of a rejection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectionCause {
+    /// The queue is full.
+    Full,
+    /// The deadline would pass while the request waits.
+    Late,
+    /// The upstream accepts no connections.
+    Down,
+}
+
+/// What a request that ran has shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sample {
+    /// When the request was started.
+    pub started: Instant,
+    /// Time from the start to the head of the answer.
+    pub latency: Duration,
+    /// How it ended.
+    pub result: SampleResult,
+}
+
+/// How a request ended, as far as it tells of the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SampleResult {
+    /// The upstream answered.
+    Answered,
+    /// The upstream refused for want of capacity.
+    Shed,
+    /// The connection broke, or no answer came in time.
+    Failed,
+    /// The upstream accepted no connection.
+    Refused,
+    /// The end tells nothing of the upstream.
+    Abandoned,
+}
+
+/// Time for which requests wait in a full queue, about.
+const QUEUE_TARGET: Duration = Duration::from_millis(100);
+/// Most requests that wait.
+const MAX_QUEUED: usize = 1024;
+/// Shortest time after which a refused request is worth a resend.
+const MIN_AFTER: Duration = Duration::from_millis(10);
+/// Share of the newest sample in the mean latency and the mean time that a slot is held.
+const MEAN_SHARE: f64 = 0.1;
+/// Sheds among the last eight results that stand for a restart.
+const SHED_BURST: u32 = 4;
+
+impl Admission {
+    /// Returns the admission to an upstream that was never contacted.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings, now: Instant) -> Self {
+        let mut admission = Self {
+            settings,
+            adaptive: AdaptiveLimit::new(settings.slots),
+            ramp: Ramp::default(),
+            queue: FairQueue::default(),
+            alone: AloneQueue::default(),
+            active: 0,
+            starts: 0,
+            held: Duration::ZERO,
+            latency: Duration::ZERO,
+            recent: 0,
+        };
+        admission.restarted(now);
+        admission
+    }
+
+    /// Decides on a request that arrives.
+    pub fn arrive(&mut self, ask: Ask, now: Instant) -> Arrival {
+        if !self.settings.limit {
+            self.count_start();
+            return Arrival::Start;
+        }
+        if let Some(after) = self.ramp.down_for(now) {
+            return Arrival::Refuse(reject(RejectionCause::Down, after));
+        }
+        if ask.alone {
+            return self.arrive_alone(ask, now);
+        }
+        if self.queue.is_empty() && self.has_room() && !self.alone.holds_others(now) {
+            self.start();
+            return Arrival::Start;
+        }
+        let wait = self.wait_behind(self.queue.len());
+        if now + wait + self.latency > ask.deadline {
+            return Arrival::Refuse(reject(RejectionCause::Late, wait));
+        }
+        if self.queue.len() >= self.queue_bound() && !self.queue.make_room(ask.caller) {
+            return Arrival::Refuse(reject(RejectionCause::Full, wait));
+        }
+        Arrival::Wait(self.queue.push(ask))
+    }
+
+    /// Returns the next waiting request that has its turn; to be called until it is `None`.
+    pub fn next(&mut self, now: Instant) -> Option<Turn> {
+        let wait = self.wait_behind(self.queue.len());
+        if let Some(ticket) = self.queue.take_evicted() {
+            return Some(Turn::Refuse(ticket, reject(RejectionCause::Full, wait)));
+        }
+        if let Some(after) = self.ramp.down_for(now) {
+            let (ticket, _) = self.alone.pop(now).or_else(|| self.queue.pop())?;
+            return Some(Turn::Refuse(ticket, reject(RejectionCause::Down, after)));
+        }
+        if let Some(turn) = self.next_alone(now) {
+            return Some(turn);
+        }
+        if !self.has_room() || self.alone.holds_others(now) {
+            return None;
+        }
+        let (ticket, ask) = self.queue.pop()?;
+        if now + self.latency > ask.deadline {
+            return Some(Turn::Refuse(ticket, reject(RejectionCause::Late, wait)));
+        }
+        self.start();
+        Some(Turn::Start(ticket))
+    }
+
+    /// Takes a waiting request out; returns whether it still waited.
+    pub fn cancel(&mut self, ticket: QueueTicket) -> bool {
+        self.alone.remove(ticket) || self.queue.remove(ticket)
+    }
+
+    /// Learns from a request that ran.
+    pub fn observe(&mut self, sample: Sample, now: Instant) {
+        self.recent = self.recent << 1 | u8::from(sample.result == SampleResult::Shed);
+        match sample.result {
+            SampleResult::Answered => {
+                self.latency = mean(self.latency, sample.latency);
+                self.adaptive.answered(sample.latency, self.active, now);
+                self.ramp
+                    .answered(sample.started, sample.latency, self.settings.slots, now);
+            }
+            SampleResult::Shed if self.recent.count_ones() >= SHED_BURST => {
+                self.recent = 0;
+                self.adaptive.failed(now);
+                self.ramp.failed(sample.started, now);
+                if !self.ramp.is_cold() {
+                    self.restarted(now);
+                }
+            }
+            SampleResult::Shed | SampleResult::Failed => {
+                self.adaptive.failed(now);
+                self.ramp.failed(sample.started, now);
+            }
+            SampleResult::Refused => {
+                self.restarted(now);
+                self.ramp.refused(sample.started, now);
+            }
+            SampleResult::Abandoned => {}
+        }
+    }
+
+    /// Gives a slot back that was held for a time.
+    ///
+    /// # Panics
+    ///
+    /// Panics when more slots are given back than were taken.
+    pub fn release(&mut self, held: Duration, alone: bool) {
+        if alone {
+            self.alone.finish();
+        }
+        self.active = self.active.checked_sub(1).expect("a slot was taken");
+        self.held = mean(self.held, held);
+    }
+
+    /// Takes note of a sign that the upstream has restarted and is cold.
+    pub fn restarted(&mut self, now: Instant) {
+        if self.settings.ramp && self.settings.slots > 1 {
+            self.ramp.start(now);
+        }
+    }
+
+    /// Takes in changed bounds; a lower limit holds for what starts from now on.
+    pub fn reconfigure(&mut self, settings: AdmissionSettings) {
+        self.settings = settings;
+        self.adaptive.set_slots(settings.slots);
+    }
+
+    /// Returns how many requests may run at once.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        if !self.settings.limit {
+            return u32::MAX;
+        }
+        let mut limit = self.settings.slots;
+        if self.settings.adaptive {
+            limit = limit.min(self.adaptive.limit());
+        }
+        if let Some(cold) = self.ramp.limit() {
+            limit = limit.min(cold);
+        }
+        limit.max(1)
+    }
+
+    /// Returns whether the upstream still gets less than it can bear when warm.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.ramp.is_cold()
+    }
+
+    /// Returns a mark of the request that was started last, for [`Self::ran_alone`].
+    #[must_use]
+    pub fn mark(&self) -> StartMark {
+        StartMark((self.active == 1).then_some(self.starts))
+    }
+
+    /// Returns whether nothing has run beside the request that was started at a mark.
+    #[must_use]
+    pub fn ran_alone(&self, mark: StartMark) -> bool {
+        mark.0 == Some(self.starts)
+    }
+
+    /// Returns how many requests run.
+    #[must_use]
+    pub fn active(&self) -> u32 {
+        self.active
+    }
+
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len() + self.alone.len()
+    }
+
+    fn arrive_alone(&mut self, ask: Ask, now: Instant) -> Arrival {
+        if self.active == 0 && self.alone.len() == 0 {
+            self.start();
+            self.alone.start(now);
+            return Arrival::Start;
+        }
+        if self.alone.is_full() {
+            let wait = self.held * MAX_ALONE;
+            return Arrival::Refuse(reject(RejectionCause::Full, wait));
+        }
+        let ticket = self.queue.issue();
+        self.alone.push(ticket, ask, now);
+        Arrival::Wait(ticket)
+    }
+
+    fn next_alone(&mut self, now: Instant) -> Option<Turn> {
+        let is_free = self.active == 0 || self.has_room() && self.alone.waited_enough(now);
+        if self.alone.is_running() || !is_free {
+            return None;
+        }
+        let (ticket, ask) = self.alone.pop(now)?;
+        if now + self.latency > ask.deadline {
+            let rejection = reject(RejectionCause::Late, self.held);
+            return Some(Turn::Refuse(ticket, rejection));
+        }
+        if self.active == 0 {
+            self.alone.start(now);
+        } else {
+            self.alone.start_beside();
+        }
+        self.start();
+        Some(Turn::Start(ticket))
+    }
+
+    fn has_room(&self) -> bool {
+        self.active < self.limit()
+    }
+
+    fn count_start(&mut self) {
+        self.active += 1;
+        self.starts += 1;
+    }
+
+    fn start(&mut self) {
+        self.count_start();
+        assert!(
+            self.active <= self.settings.slots,
+            "an upstream must not get more than its slots"
+        );
+    }
+
+    /// Returns the time that a request waits behind a number of others, about.
+    fn wait_behind(&self, ahead: usize) -> Duration {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let over = self.active.saturating_sub(self.limit());
+        let rounds = f64::from(ahead.saturating_add(over)) / f64::from(self.limit());
+        self.held.mul_f64(rounds)
+    }
+
+    fn queue_bound(&self) -> usize {
+        let limit = self.limit() as usize;
+        if self.held.is_zero() {
+            return limit;
+        }
+        let rounds = QUEUE_TARGET.as_secs_f64() / self.held.as_secs_f64();
+        let bound = (limit as f64 * rounds) as usize;
+        bound.clamp(limit.min(MAX_QUEUED), MAX_QUEUED)
+    }
+}
+
+/// Returns a moving mean with one more sample; zero stands for no sample yet.
+fn mean(mean: Duration, sample: Duration) -> Duration {
+    if mean.is_zero() {
+        return sample;
+    }
+    mean.mul_f64(1.0 - MEAN_SHARE) + sample.mul_f64(MEAN_SHARE)
+}
+
+fn reject(cause: RejectionCause, after: Duration) -> Rejection {
+    Rejection {
+        cause,
+        after: after.max(MIN_AFTER),
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/admission/tests.rs
@@ -0,0 +1,379 @@
+mod load;
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+
+use super::*;
+
+const SLOTS: u32 = 12;
+
+fn settings() -> AdmissionSettings {
+    AdmissionSettings {
+        slots: SLOTS,
+        adaptive: true,
+        limit: true,
+        ramp: true,
+    }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// An admission with a clock and the requests that it started.
+struct Bed {
+    admission: Admission,
+    now: Instant,
+    waiting: BTreeSet<QueueTicket>,
+    running: Vec<(Instant, bool)>,
+    alone: BTreeSet<QueueTicket>,
+}
+
+impl Bed {
+    fn new(settings: AdmissionSettings) -> Self {
+        let now = Instant::now();
+        Self {
+            admission: Admission::new(settings, now),
+            now,
+            waiting: BTreeSet::new(),
+            running: Vec::new(),
+            alone: BTreeSet::new(),
+        }
+    }
+
+    fn arrive(&mut self, caller: u64, left: Duration) -> Arrival {
+        self.arrive_as(caller, left, false)
+    }
+
+    fn arrive_as(&mut self, caller: u64, left: Duration, alone: bool) -> Arrival {
+        let deadline = self.now + left;
+        let ask = Ask {
+            caller,
+            deadline,
+            alone,
+        };
+        let arrival = self.admission.arrive(ask, self.now);
+        match arrival {
+            Arrival::Start => self.running.push((self.now, alone)),
+            Arrival::Wait(ticket) => {
+                assert!(self.waiting.insert(ticket));
+                if alone {
+                    self.alone.insert(ticket);
+                }
+            }
+            Arrival::Refuse(_) => {}
+        }
+        arrival
+    }
+
+    /// Gives all their turn and checks that each ticket gets one.
+    fn turns(&mut self) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        while let Some(turn) = self.admission.next(self.now) {
+            let ticket = match turn {
+                Turn::Start(ticket) => {
+                    assert!(self.admission.active() <= self.admission.limit());
+                    self.running.push((self.now, self.alone.contains(&ticket)));
+                    ticket
+                }
+                Turn::Refuse(ticket, _) => ticket,
+            };
+            assert!(self.waiting.remove(&ticket), "a ticket has one turn");
+            turns.push(turn);
+        }
+        turns
+    }
+
+    /// Ends the oldest running request.
+    fn finish(&mut self, result: SampleResult) {
+        if self.running.is_empty() {
+            return;
+        }
+        let (started, alone) = self.running.remove(0);
+        let latency = self.now - started;
+        let sample = Sample {
+            started,
+            latency,
+            result,
+        };
+        self.admission.release(latency, alone);
+        self.admission.observe(sample, self.now);
+    }
+
+    /// Runs one request after the other, each for a time, as many at once as the limit allows.
+    fn run_for(&mut self, time: Duration, each: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            while self.running.len() < self.admission.limit() as usize {
+                assert_eq!(self.arrive(1, ms(10_000)), Arrival::Start);
+            }
+            self.now += each;
+            while !self.running.is_empty() {
+                self.finish(SampleResult::Answered);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_first_contact_gets_a_trickle() {
+    let mut bed = Bed::new(settings());
+    assert_eq!(bed.arrive(1, ms(1000)), Arrival::Start);
+    assert!(matches!(bed.arrive(1, ms(1000)), Arrival::Wait(_)));
+    assert_eq!(bed.admission.active(), 1);
+}
+
+#[test]
+fn success_warms_an_upstream_up() {
+    let mut bed = Bed::new(settings());
+    bed.run_for(ms(1000), ms(5));
+    assert!(
+        (3..=8).contains(&bed.admission.limit()),
+        "{}",
+        bed.admission.limit()
+    );
+    bed.run_for(ms(4000), ms(5));
+    assert_eq!(
+        (bed.admission.limit(), bed.admission.is_cold()),
+        (SLOTS, false)
+    );
+}
+
+#[test]
+fn a_failure_in_the_ramp_falls_back_once_a_step() {
+    let mut bed = Bed::new(settings());
+    bed.run_for(ms(1500), ms(5));
+    let before = bed.admission.limit();
+    for _ in 0..before {
+        bed.arrive(1, ms(1000));
+    }
+    bed.now += ms(5);
+    for _ in 0..before {
+        bed.finish(SampleResult::Shed);
+    }
+    assert_eq!(bed.admission.limit(), before / 2);
+}
+
+#[test]
+fn slower_answers_hold_the_ramp() {
+    let mut bed = Bed::new(AdmissionSettings {
+        adaptive: false,
+        ..settings()
+    });
+    bed.run_for(ms(1000), ms(5));
+    let before = bed.admission.limit();
+    bed.run_for(ms(400), ms(60));
+    assert_eq!(bed.admission.limit(), before);
+}
+
+#[test]
+fn a_refused_connection_stops_all_for_a_while() {
+    let mut bed = Bed::new(settings());
+    bed.arrive(1, ms(1000));
+    bed.arrive(1, ms(1000));
+    bed.finish(SampleResult::Refused);
+    assert!(matches!(
+        bed.turns()[..],
+        [Turn::Refuse(
+            _,
+            Rejection {
+                cause: RejectionCause::Down,
+                ..
+            }
+        )]
+    ));
+    assert!(matches!(
+        bed.arrive(1, ms(1000)),
+        Arrival::Refuse(Rejection {
+            cause: RejectionCause::Down,
+            ..
+        })
+    ));
+    bed.now += ms(25);
+    assert_eq!(bed.arrive(1, ms(1000)), Arrival::Start);
+}
+
+#[test]
+fn a_burst_of_sheds_is_a_sign_of_a_restart() {
+    let mut bed = Bed::new(settings());
+    bed.run_for(ms(5000), ms(5));
+    for _ in 0..SHED_BURST {
+        bed.arrive(1, ms(1000));
+    }
+    for _ in 0..SHED_BURST {
+        bed.finish(SampleResult::Shed);
+    }
+    assert!(bed.admission.is_cold());
+    assert_eq!(bed.admission.limit(), 1);
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let mut bed = Bed::new(settings());
+    bed.arrive(1, ms(1000));
+    bed.now += ms(50);
+    bed.finish(SampleResult::Answered);
+    bed.arrive(1, ms(1000));
+    bed.arrive(1, ms(1000));
+    assert!(matches!(
+        bed.arrive(1, ms(60)),
+        Arrival::Refuse(Rejection {
+            cause: RejectionCause::Late,
+            ..
+        })
+    ));
+}
+
+#[test]
+fn a_waiting_request_that_is_late_is_not_started() {
+    let mut bed = Bed::new(settings());
+    bed.arrive(1, ms(1000));
+    bed.arrive(1, ms(40));
+    bed.now += ms(50);
+    bed.finish(SampleResult::Answered);
+    assert!(matches!(
+        bed.turns()[..],
+        [Turn::Refuse(
+            _,
+            Rejection {
+                cause: RejectionCause::Late,
+                ..
+            }
+        )]
+    ));
+}
+
+#[test]
+fn one_caller_cannot_starve_another() {
+    let mut bed = Bed::new(settings());
+    bed.arrive(1, ms(9000));
+    bed.now += ms(20);
+    bed.finish(SampleResult::Answered);
+    for _ in 0..100 {
+        bed.arrive(1, ms(9000));
+    }
+    let Arrival::Wait(ticket) = bed.arrive(2, ms(9000)) else {
+        panic!("the other caller must get a place");
+    };
+    let evicted = bed.turns();
+    assert!(matches!(
+        evicted[..],
+        [Turn::Refuse(
+            _,
+            Rejection {
+                cause: RejectionCause::Full,
+                ..
+            }
+        )]
+    ));
+    let mut started = Vec::new();
+    for _ in 0..2 {
+        bed.now += ms(20);
+        bed.finish(SampleResult::Answered);
+        started.extend(bed.turns());
+    }
+    assert!(started.contains(&Turn::Start(ticket)), "{started:?}");
+}
+
+#[test]
+fn a_suspect_runs_alone_but_holds_others_back_only_for_a_while() {
+    let mut bed = Bed::new(settings());
+    bed.run_for(ms(5000), ms(5));
+    bed.arrive(1, ms(9000));
+    assert!(matches!(bed.arrive_as(2, ms(9000), true), Arrival::Wait(_)));
+    assert!(matches!(bed.arrive(1, ms(9000)), Arrival::Wait(_)));
+    bed.now += ms(5);
+    bed.finish(SampleResult::Answered);
+    assert!(matches!(bed.turns()[..], [Turn::Start(_)]));
+    let mark = bed.admission.mark();
+    assert!(bed.admission.ran_alone(mark));
+    bed.now += HOLD_OVER;
+    assert!(matches!(bed.turns()[..], [Turn::Start(_)]));
+    assert!(!bed.admission.ran_alone(mark));
+}
+
+/// Longer than others are held back for a suspect.
+const HOLD_OVER: Duration = Duration::from_millis(300);
+
+#[test]
+fn without_a_limit_all_start() {
+    let mut bed = Bed::new(AdmissionSettings {
+        limit: false,
+        ..settings()
+    });
+    for _ in 0..100 {
+        assert_eq!(bed.arrive(1, ms(1)), Arrival::Start);
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive(u64, u64, bool),
+    Finish(SampleResult),
+    Cancel(usize),
+    Advance(u64),
+    Restart,
+    Slots(u32),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let result = prop_oneof![
+        8 => Just(SampleResult::Answered),
+        1 => Just(SampleResult::Shed),
+        1 => Just(SampleResult::Failed),
+        1 => Just(SampleResult::Refused),
+        1 => Just(SampleResult::Abandoned),
+    ];
+    let step = prop_oneof![
+        6 => (0..4_u64, 0..2000_u64, prop::bool::weighted(0.1))
+            .prop_map(|(caller, left, alone)| Step::Arrive(caller, left, alone)),
+        5 => result.prop_map(Step::Finish),
+        1 => (0..50_usize).prop_map(Step::Cancel),
+        3 => (0..200_u64).prop_map(Step::Advance),
+        1 => Just(Step::Restart),
+        1 => (1..20_u32).prop_map(Step::Slots),
+    ];
+    prop::collection::vec(step, 0..400)
+}
+
+proptest! {
+    /// Each request gets exactly one decision, none above the limit, none is
+    /// forgotten, and the queue is bounded and moves whenever there is room.
+    #[test]
+    fn every_request_is_decided_once(steps in steps()) {
+        let mut bed = Bed::new(settings());
+        for step in steps {
+            match step {
+                Step::Arrive(caller, left, alone) => {
+                    bed.arrive_as(caller, ms(left), alone);
+                }
+                Step::Finish(result) => bed.finish(result),
+                Step::Cancel(nth) => {
+                    if let Some(&ticket) = bed.waiting.iter().nth(nth) {
+                        bed.waiting.remove(&ticket);
+                        bed.admission.cancel(ticket);
+                    }
+                }
+                Step::Advance(millis) => bed.now += ms(millis),
+                Step::Restart => bed.admission.restarted(bed.now),
+                Step::Slots(slots) => {
+                    // Lower slots hold for what starts later.
+                    if slots >= bed.admission.active() {
+                        bed.admission.reconfigure(AdmissionSettings { slots, ..settings() });
+                    }
+                }
+            }
+            bed.turns();
+            let admission = &bed.admission;
+            prop_assert_eq!(admission.queued(), bed.waiting.len());
+            prop_assert_eq!(admission.active() as usize, bed.running.len());
+            prop_assert!(admission.queued() <= MAX_QUEUED);
+            prop_assert!(bed.running.iter().filter(|&&(_, alone)| alone).count() <= 1);
+            let is_busy = admission.active() >= admission.limit();
+            let is_held = admission.alone.holds_others(bed.now) && admission.active() > 0;
+            let waits_alone = admission.alone.len() > 0 && admission.active() > 0;
+            prop_assert!(admission.queued() == 0 || is_busy || is_held || waits_alone);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/admission/tests/load.rs
@@ -0,0 +1,99 @@
+//! Simulates an upstream under load, event by event and without a clock of its own.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use super::*;
+
+/// Upstream that serves `capacity` requests at once in `service` time; more
+/// at once share it.
+struct Load {
+    capacity: u32,
+    service: Duration,
+    gap: Duration,
+    left: Duration,
+    total: Duration,
+}
+
+impl Load {
+    /// Returns how many answers in a second came in time.
+    fn goodput(&self, settings: AdmissionSettings) -> f64 {
+        let mut bed = Bed::new(settings);
+        let begin = bed.now;
+        let mut arrival = begin;
+        let mut ends = BinaryHeap::new();
+        let mut deadlines = std::collections::BTreeMap::new();
+        let mut good = 0;
+        while bed.now < begin + self.total {
+            let end = ends.peek().map(|&Reverse((at, _, _))| at);
+            if end.is_some_and(|end| end <= arrival) {
+                let Some(Reverse((at, started, deadline))) = ends.pop() else {
+                    break;
+                };
+                bed.now = at;
+                good += u32::from(at <= deadline && at > begin + self.total / 2);
+                bed.admission.release(at - started, false);
+                let sample = Sample {
+                    started,
+                    latency: at - started,
+                    result: SampleResult::Answered,
+                };
+                bed.admission.observe(sample, at);
+            } else {
+                bed.now = arrival;
+                arrival += self.gap;
+                let deadline = bed.now + self.left;
+                match bed.arrive(1, self.left) {
+                    Arrival::Start => ends.push(self.start(&bed, deadline)),
+                    Arrival::Wait(ticket) => {
+                        deadlines.insert(ticket, deadline);
+                    }
+                    Arrival::Refuse(_) => {}
+                }
+            }
+            for turn in bed.turns() {
+                if let Turn::Start(ticket) = turn {
+                    ends.push(self.start(&bed, deadlines[&ticket]));
+                }
+            }
+        }
+        f64::from(good) / (self.total / 2).as_secs_f64()
+    }
+
+    fn start(&self, bed: &Bed, deadline: Instant) -> Reverse<(Instant, Instant, Instant)> {
+        let active = bed.admission.active();
+        let share = f64::from(active.max(self.capacity)) / f64::from(self.capacity);
+        Reverse((bed.now + self.service.mul_f64(share), bed.now, deadline))
+    }
+}
+
+#[test]
+fn goodput_stays_near_the_peak_at_three_times_the_load() {
+    let load = |times: f64| Load {
+        capacity: SLOTS,
+        service: ms(10),
+        gap: ms(10).div_f64(f64::from(SLOTS) * times),
+        left: ms(500),
+        total: ms(20_000),
+    };
+    let peak = load(1.0).goodput(settings());
+    let overload = load(3.0).goodput(settings());
+    assert!(peak > 1100.0, "{peak}");
+    assert!(overload >= 0.95 * peak, "{overload} of {peak}");
+}
+
+#[test]
+fn the_limit_finds_a_capacity_below_the_slots() {
+    let load = Load {
+        capacity: 3,
+        service: ms(10),
+        gap: ms(1),
+        left: ms(60),
+        total: ms(20_000),
+    };
+    let adaptive = load.goodput(settings());
+    let fixed = load.goodput(AdmissionSettings {
+        adaptive: false,
+        ..settings()
+    });
+    assert!(adaptive > 270.0, "{adaptive}, {fixed} without");
+}
--- /dev/null
+++ b/crates/coordination/src/crash/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+fn run(fingerprint: u64) -> InFlight {
+    InFlight {
+        fingerprint,
+        alone: false,
+    }
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn one_broken_connection_is_no_crash() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    detector.broke(run(1), now);
+    assert_eq!(detector.settle(now + ms(500)), None);
+    detector.sign(now + ms(1500));
+    assert_eq!(detector.settle(now + ms(2000)), None);
+}
+
+#[test]
+fn a_sign_explains_what_broke_around_it() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    detector.broke(run(1), now);
+    detector.sign(now + ms(300));
+    detector.broke(run(2), now + ms(350));
+    assert_eq!(detector.settle(now + ms(360)), None);
+    assert_eq!(detector.settle(now + ms(400)), Some(vec![run(1), run(2)]));
+    assert_eq!(detector.settle(now + ms(900)), None);
+}
+
+#[test]
+fn connections_that_break_together_are_a_crash() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    detector.broke(run(1), now);
+    detector.broke(run(2), now + ms(5));
+    assert_eq!(detector.settle(now + ms(200)), Some(vec![run(1), run(2)]));
+}
+
+#[test]
+fn a_sign_without_broken_connections_blames_nobody() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::default();
+    detector.sign(now);
+    assert_eq!(detector.settle(now + ms(200)), None);
+    detector.broke(run(1), now + ms(300));
+    assert_eq!(detector.settle(now + ms(500)), None);
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate performs no I/O: time and randomness are passed in by the caller,
 //! so every decision can be replayed from a seed.
 
+mod admission;
 mod backoff;
 mod balancer;
 mod base;
@@ -10,6 +11,7 @@
 mod budget;
 mod candidates;
 mod config;
+mod crash;
 mod drain;
 mod error;
 mod fleet;
@@ -24,6 +26,7 @@
 mod named;
 mod note;
 mod overlay;
+mod poison;
 mod replica;
 mod report;
 mod retry;
@@ -36,12 +39,17 @@
 mod vm;
 
 pub use crate::{
+    admission::{
+        Admission, AdmissionSettings, Arrival, Ask, QueueTicket, Rejection, RejectionCause, Sample,
+        SampleResult, StartMark, Turn,
+    },
     backoff::Backoff,
     balancer::{Balancer, BalancerPolicy, NoChoice, ReportedLoad, Ticket, Wish},
     base::{Base, BaseIndex, Publication},
     budget::{PLATFORM_READS_S, ReadBudget},
     candidates::{Candidate, Candidates},
     config::{Config, Route, Service, Upstream},
+    crash::CrashDetector,
     drain::{DrainAction, DrainList, DrainOrder, DrainScope},
     error::NoteError,
     fleet::{FleetSummary, Summary, TreeReport},
@@ -54,6 +62,7 @@
     name::{DomainName, RegionName, RouteName, ServiceName, UpstreamName, VmName},
     note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
     overlay::{Overlay, parents},
+    poison::{InFlight, Poison, PoisonReport, Suspicion},
     replica::{
         Identity, LinkId, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy,
     },
