Admit calls by limit, ramp and fair queue; stop requests that crash upstreams

The sidecar held a semaphore of the slots. Calls now pass the admission of their upstream: a trickle after every sign of a restart, a limit that follows latency, a bounded fair queue. A connection that broke is probed: a refused connection, a changed x-start or several breaks together make it a crash, and the requests in flight become suspects, which run alone.

A failed call gives its request's body back when nothing of it was read, so that it can run elsewhere. A note that changes an upstream in place keeps its admission; a changed address is another, cold upstream.

Tests: a real upstream that crashes on one request is taken down twice in four sendings, the third and fourth are refused as poison, and an innocent request runs after it.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -136,6 +136,8 @@
 
 /// Time for which requests wait in a full queue, about.
 const QUEUE_TARGET: Duration = Duration::from_millis(100);
+/// Requests that may wait in any case.
+const MIN_QUEUED: usize = 4;
 /// Most requests that wait.
 const MAX_QUEUED: usize = 1024;
 /// Shortest time after which a refused request is worth a resend.
@@ -383,12 +385,13 @@
 
     fn queue_bound(&self) -> usize {
         let limit = self.limit() as usize;
+        let least = limit.clamp(MIN_QUEUED, MAX_QUEUED);
         if self.held.is_zero() {
-            return limit;
+            return least;
         }
         let rounds = QUEUE_TARGET.as_secs_f64() / self.held.as_secs_f64();
         let bound = (limit as f64 * rounds) as usize;
-        bound.clamp(limit.min(MAX_QUEUED), MAX_QUEUED)
+        bound.clamp(least, MAX_QUEUED)
     }
 }
 
--- a/crates/coordination/src/crash.rs
+++ b/crates/coordination/src/crash.rs
@@ -42,6 +42,12 @@
         self.sign.get_or_insert(now);
     }
 
+    /// Returns whether there is a sign of a restart that was not yet settled.
+    #[must_use]
+    pub fn is_signed(&self) -> bool {
+        self.sign.is_some()
+    }
+
     /// Returns whether a broken connection waits for an explanation.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -3,21 +3,25 @@
 #[cfg(test)]
 mod tests;
 
+mod admit;
 mod answer;
 mod call;
 mod connector;
+mod execute;
 mod forward;
 mod handler;
 mod headers;
+mod probe;
 mod refuse;
 mod shared;
+mod suspects;
 mod upstream;
 mod upstreams;
 
 use std::{rc::Rc, time::Duration};
 
 use futures_util::future::LocalBoxFuture;
-use tokio::time::interval;
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::{
     kernel::{Context, Service, StartError},
@@ -32,6 +36,8 @@
 
 /// Time between two sweeps of what was withdrawn.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Time between two looks at what is due.
+const TICK_EVERY: Duration = Duration::from_millis(50);
 
 impl Service for Sidecar {
     fn name(&self) -> &'static str {
@@ -65,10 +71,13 @@
     let token = shared.context().token();
     let mut views = shared.context().view().watch();
     let mut sweep = interval(SWEEP_EVERY);
+    let mut tick = interval(TICK_EVERY);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         tokio::select! {
             () = token.cancelled() => return,
             _ = views.changed() => shared.refresh(),
+            _ = tick.tick() => shared.tick(),
             _ = sweep.tick() => shared.sweep(),
         }
     }
--- /dev/null
+++ b/crates/node/src/sidecar/admit.rs
@@ -0,0 +1,143 @@
+//! Waits for a slot of an upstream and gives it back.
+
+use std::{cell::Cell, rc::Rc, time::Instant};
+
+use tokio::{sync::oneshot, time::timeout_at};
+use wagtaillever_coordination::{
+    Arrival, Ask, InFlight, QueueTicket, Rejection, RejectionCause, Sample, SampleResult,
+    StartMark, Turn,
+};
+
+use crate::{
+    sidecar::{refuse, upstream::LocalUpstream},
+    wire::{Outcome, Refusal, RefusalReason},
+};
+
+/// What a waiting request is told.
+pub(super) type Verdict = Result<Permit, Rejection>;
+
+/// A slot of an upstream; given back when it is dropped.
+pub(super) struct Permit {
+    upstream: Rc<LocalUpstream>,
+    fingerprint: u64,
+    alone: bool,
+    mark: StartMark,
+    started: Instant,
+    answered: Cell<Option<Instant>>,
+    result: Cell<SampleResult>,
+}
+
+impl Permit {
+    /// Returns the permit of a request that the admission has just started.
+    pub(super) fn new(upstream: &Rc<LocalUpstream>, alone: bool, mark: StartMark) -> Self {
+        Self {
+            upstream: Rc::clone(upstream),
+            fingerprint: 0,
+            alone,
+            mark,
+            started: Instant::now(),
+            answered: Cell::new(None),
+            result: Cell::new(SampleResult::Abandoned),
+        }
+    }
+
+    /// Notes that the head of the answer is there.
+    pub(super) fn answered(&self) {
+        self.answered.set(Some(Instant::now()));
+        self.result.set(SampleResult::Answered);
+    }
+
+    /// Notes how the request failed.
+    pub(super) fn failed(&self, result: SampleResult) {
+        self.result.set(result);
+    }
+
+    /// Returns the request as one that is in flight.
+    pub(super) fn in_flight(&self) -> InFlight {
+        InFlight {
+            fingerprint: self.fingerprint,
+            alone: self.upstream.admission().borrow().ran_alone(self.mark),
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let answered = self.answered.get().unwrap_or(now);
+        let sample = Sample {
+            started: self.started,
+            latency: answered.saturating_duration_since(self.started),
+            result: self.result.get(),
+        };
+        let held = now.saturating_duration_since(self.started);
+        self.upstream.give_back(sample, held, self.alone, now);
+    }
+}
+
+/// Takes a waiting request out when it is dropped.
+struct Waiting {
+    upstream: Rc<LocalUpstream>,
+    ticket: QueueTicket,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.upstream.cancel(self.ticket);
+    }
+}
+
+/// Waits for a slot until the deadline.
+///
+/// # Errors
+///
+/// Returns the refusal of a request that can't be served in time; it did not run.
+pub(super) async fn admit(
+    upstream: &Rc<LocalUpstream>,
+    ask: Ask,
+    fingerprint: u64,
+) -> Result<Permit, Refusal> {
+    let now = Instant::now();
+    let arrival = upstream.admission().borrow_mut().arrive(ask, now);
+    let verdict = match arrival {
+        Arrival::Start => Ok(upstream.permit(ask.alone)),
+        Arrival::Refuse(rejection) => Err(rejection),
+        Arrival::Wait(ticket) => wait(upstream, ticket, ask).await?,
+    };
+    let mut permit = verdict.map_err(refusal)?;
+    permit.fingerprint = fingerprint;
+    Ok(permit)
+}
+
+async fn wait(
+    upstream: &Rc<LocalUpstream>,
+    ticket: QueueTicket,
+    ask: Ask,
+) -> Result<Verdict, Refusal> {
+    let (sender, receiver) = oneshot::channel();
+    upstream.enqueue(ticket, sender, ask.alone);
+    let _waiting = Waiting {
+        upstream: Rc::clone(upstream),
+        ticket,
+    };
+    upstream.pump();
+    let late = || refuse::did_not_run(RefusalReason::Deadline);
+    let verdict = timeout_at(ask.deadline.into(), receiver).await;
+    verdict.map_err(|_| late())?.map_err(|_| late())
+}
+
+fn refusal(rejection: Rejection) -> Refusal {
+    let reason = match rejection.cause {
+        RejectionCause::Full | RejectionCause::Late => RefusalReason::Overloaded,
+        RejectionCause::Down => RefusalReason::Unreachable,
+    };
+    refuse::after(Outcome::DidNotRun, reason, rejection.after)
+}
+
+/// Returns the ticket of a turn and whether it starts.
+pub(super) fn turn_parts(turn: Turn) -> (QueueTicket, Option<Rejection>) {
+    match turn {
+        Turn::Start(ticket) => (ticket, None),
+        Turn::Refuse(ticket, rejection) => (ticket, Some(rejection)),
+    }
+}
--- a/crates/node/src/sidecar/answer.rs
+++ b/crates/node/src/sidecar/answer.rs
@@ -1,13 +1,13 @@
 //! Passes the body of an answer on, with back pressure and never cut unseen.
 
+use std::{rc::Rc, time::Duration};
+
+use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
-use crate::{
-    sidecar::{call::Call, forward::Answer},
-    transport::FrameWriter,
-};
+use crate::{sidecar::forward::Answer, transport::FrameWriter};
 
 /// How the body of an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,37 +18,30 @@
     Cut,
     /// The caller went away.
     CallerGone,
-    /// The deadline passed.
-    Deadline,
+    /// Neither side took or gave a byte for long.
+    Idle,
 }
 
-/// Streams the body of an answer to the ingress; the first bytes are also kept for `keep`.
+/// Streams the body of an answer to the ingress; `keep` sees each part before it is passed on.
+///
+/// `idle` bounds the time without any progress, not that of the whole body.
 pub(super) async fn stream_body(
     answer: &mut Answer,
-    call: &Call,
-    writer: &mut FrameWriter,
-    keep: &mut impl FnMut(&Bytes),
-) -> BodyEnd {
-    let passed = pass_chunks(answer, writer, keep);
-    match timeout_at(call.deadline.into(), passed).await {
-        Ok(end) => end,
-        Err(_) => BodyEnd::Deadline,
-    }
-}
-
-async fn pass_chunks(
-    answer: &mut Answer,
+    idle: Duration,
     writer: &mut FrameWriter,
     keep: &mut impl FnMut(&Bytes),
 ) -> BodyEnd {
     let mut passed = 0;
     loop {
-        let next = std::rc::Rc::clone(&answer.trace).scope(answer.response.next());
+        let next = timeout(idle, next_chunk(answer));
         let next = tokio::select! {
             biased;
             next = next => next,
             () = writer.closed() => return BodyEnd::CallerGone,
         };
+        let Ok(next) = next else {
+            return BodyEnd::Idle;
+        };
         let chunk = match next {
             Some(Ok(chunk)) => chunk,
             Some(Err(_)) => return BodyEnd::Cut,
@@ -56,16 +49,23 @@
         };
         passed += chunk.len() as u64;
         keep(&chunk);
-        if writer.bytes(chunk).await.is_err() {
-            return BodyEnd::CallerGone;
+        match timeout(idle, writer.bytes(chunk)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return BodyEnd::CallerGone,
+            Err(_) => return BodyEnd::Idle,
         }
     }
 }
 
+async fn next_chunk(answer: &mut Answer) -> Option<Result<Bytes, PayloadError>> {
+    let trace = Rc::clone(&answer.trace);
+    trace.scope(answer.response.next()).await
+}
+
 /// Tells the regular end of a body from an early one, which `awc` shows alike.
 fn body_end(answer: &Answer, passed: u64) -> BodyEnd {
-    let is_short = answer.length.is_some_and(|length| length != passed);
-    if is_short || answer.length.is_none() && answer.trace.is_ended() {
+    let is_short = answer.expected.is_some_and(|length| length != passed);
+    if is_short || answer.expected.is_none() && answer.trace.is_ended() {
         return BodyEnd::Cut;
     }
     BodyEnd::Whole
--- a/crates/node/src/sidecar/call.rs
+++ b/crates/node/src/sidecar/call.rs
@@ -55,6 +55,13 @@
         self.key.as_ref().filter(|_| decides)
     }
 
+    /// Returns the name of the caller, for fair sharing.
+    pub(super) fn caller(&self) -> &[u8] {
+        let mut headers = self.head.headers.iter();
+        let caller = headers.find(|(name, _)| name.eq_ignore_ascii_case("x-caller"));
+        caller.map_or(&[], |(_, value)| value)
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -12,9 +12,13 @@
 use futures_util::{Stream, stream};
 use tokio::time::timeout_at;
 use uuid::Uuid;
+use wagtaillever_coordination::SampleResult;
 
 use crate::{
-    sidecar::{call::Call, connector::Trace, headers, refuse, upstream::LocalUpstream},
+    sidecar::{
+        call::Call, connector::Trace, execute::RequestBody, headers, refuse,
+        upstream::LocalUpstream,
+    },
     transport::{FrameReader, TransportError},
     wire::{Outcome, Refusal, RefusalReason},
 };
@@ -25,8 +29,10 @@
     pub(super) response: ClientResponse,
     /// What the connection shows.
     pub(super) trace: Rc<Trace>,
-    /// Length of the body in bytes, if it is known.
+    /// Length that the answer states, in bytes.
     pub(super) length: Option<u64>,
+    /// Length of the body that follows in bytes, if it is known.
+    pub(super) expected: Option<u64>,
     /// Identity of the upstream's process, if it tells.
     pub(super) start: Option<Vec<u8>>,
 }
@@ -82,6 +88,16 @@
         }
     }
 
+    /// Returns what the failure tells of the upstream.
+    pub(super) fn sample(&self) -> SampleResult {
+        match self {
+            Self::Refused => SampleResult::Refused,
+            Self::Shed { .. } => SampleResult::Shed,
+            Self::Broken | Self::BadAnswer | Self::Deadline { .. } => SampleResult::Failed,
+            Self::Unwritten | Self::Body { .. } | Self::BadRequest => SampleResult::Abandoned,
+        }
+    }
+
     fn may_have_run(&self) -> bool {
         match self {
             Self::Refused | Self::Shed { .. } | Self::Unwritten | Self::BadRequest => false,
@@ -105,7 +121,7 @@
 pub(super) async fn forward(
     upstream: &LocalUpstream,
     call: &Call,
-    body: FrameReader,
+    body: &RequestBody,
 ) -> Result<Answer, Failure> {
     let trace = Rc::new(Trace::default());
     let request = request(upstream, call)?;
@@ -137,7 +153,7 @@
 async fn send(
     request: ClientRequest,
     call: &Call,
-    body: FrameReader,
+    body: &RequestBody,
 ) -> Result<ClientResponse, SendRequestError> {
     let has_body = !matches!(
         call.head.method.as_str(),
@@ -151,10 +167,16 @@
     sending.await
 }
 
-fn chunks(reader: FrameReader) -> impl Stream<Item = Result<Bytes, TransportError>> {
-    stream::try_unfold(reader, |mut reader| async move {
-        let chunk = reader.bytes().await?;
-        Ok(chunk.map(|chunk| (chunk, reader)))
+/// Returns the parts of a body, which is taken when the first one is asked for.
+fn chunks(body: &RequestBody) -> impl Stream<Item = Result<Bytes, TransportError>> + use<> {
+    let body = Rc::clone(body);
+    stream::try_unfold(None::<FrameReader>, move |reader| {
+        let reader = reader.or_else(|| body.borrow_mut().take());
+        async move {
+            let mut reader = reader.ok_or(TransportError::Ended)?;
+            let chunk = reader.bytes().await?;
+            Ok(chunk.map(|chunk| (chunk, Some(reader))))
+        }
     })
 }
 
@@ -173,8 +195,9 @@
 
 fn accept(response: ClientResponse, call: &Call, trace: Rc<Trace>) -> Result<Answer, Failure> {
     let status = response.status();
-    let length = body_length(&response, &call.head.method);
-    if status.is_informational() || length.is_none() && !is_chunked(&response) {
+    let length = content_length(&response);
+    let expected = body_length(&response, &call.head.method);
+    if status.is_informational() || expected.is_none() && !is_chunked(&response) {
         trace.spoil();
         return Err(Failure::BadAnswer);
     }
@@ -192,6 +215,7 @@
         response,
         trace,
         length,
+        expected,
         start,
     })
 }
@@ -204,6 +228,10 @@
     if is_chunked(response) {
         return None;
     }
+    content_length(response)
+}
+
+fn content_length(response: &ClientResponse) -> Option<u64> {
     let length = response.headers().get(header::CONTENT_LENGTH)?;
     length.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -3,18 +3,25 @@
 use std::{
     cell::Cell,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use tokio::{sync::Notify, time::timeout};
 use wagtaillever_coordination::Sequence;
 
-use crate::{kernel::Context, sidecar::upstreams::Upstreams};
+use crate::{
+    kernel::Context,
+    sidecar::{suspects::Suspects, upstreams::Upstreams},
+    stall::Stall,
+};
 
 /// State that all calls of the sidecar share.
 pub(super) struct Shared {
     context: Context,
     upstreams: Upstreams,
+    suspects: Suspects,
+    stall: Option<Stall>,
     applied: Cell<Sequence>,
     active: Cell<usize>,
     stopping: Cell<bool>,
@@ -24,10 +31,15 @@
 impl Shared {
     /// Returns the state of a sidecar without calls.
     pub(super) fn new(context: Context) -> Self {
-        let upstreams = Upstreams::new(context.settings().vm.clone());
+        let settings = Arc::clone(context.settings());
+        let upstreams = Upstreams::new(&settings, context.timeline().clone());
+        let suspects = Suspects::new(context.timeline().clone(), settings.policies.poison);
+        let stall = context.registry().find::<Stall>("stall").ok();
         Self {
             context,
             upstreams,
+            suspects,
+            stall,
             applied: Cell::default(),
             active: Cell::default(),
             stopping: Cell::default(),
@@ -45,6 +57,38 @@
         &self.upstreams
     }
 
+    /// Returns the requests that may crash upstreams.
+    pub(super) fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Returns whether the VM or its failure domain must get no new work.
+    pub(super) fn is_drained(&self) -> bool {
+        let settings = self.context.settings();
+        let view = self.context.view().load();
+        view.drains.is_drained(&settings.vm, &settings.domain)
+    }
+
+    /// Lets waiting requests start that have waited long enough, and settles crashes.
+    pub(super) fn tick(&self) {
+        for upstream in self.upstreams.all() {
+            upstream.pump();
+            if let Some(runs) = upstream.settle_crash() {
+                self.suspects.crashed(&upstream.spec().name, &runs);
+            }
+        }
+    }
+
+    /// Returns the number of pauses of this process.
+    pub(super) fn pauses(&self) -> u64 {
+        self.stall.as_ref().map_or(0, Stall::generation)
+    }
+
+    /// Returns whether the node was paused and has not heard from others since.
+    pub(super) fn is_stalled(&self) -> bool {
+        self.stall.as_ref().is_some_and(Stall::is_quarantined)
+    }
+
     /// Returns the sequence in force.
     pub(super) fn sequence(&self) -> u64 {
         self.context.view().load().config.sequence.0
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -1,4 +1,5 @@
 //! Runs a real sidecar on loopback against small upstreams.
 
+mod admission;
 mod bed;
 mod forwarding;
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -1,12 +1,30 @@
 //! One upstream of this VM.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use awc::{Client, Connector};
-use tokio::sync::Semaphore;
-use wagtaillever_coordination::Upstream;
+use log::info;
+use tokio::sync::oneshot;
+use wagtaillever_coordination::{
+    Admission, AdmissionSettings, CrashDetector, InFlight, QueueTicket, Sample, SampleResult,
+    Upstream,
+};
 
-use crate::{sidecar::connector::TracedConnector, wire::Load};
+use crate::{
+    settings::Policies,
+    sidecar::{
+        admit::{Permit, Verdict, turn_parts},
+        connector::TracedConnector,
+    },
+    timeline::{EventKind, Timeline},
+    wire::Load,
+};
 
 /// Longest time to open a connection to an upstream on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -15,55 +33,250 @@
 
 /// An upstream of this VM with its connections and admission.
 pub(super) struct LocalUpstream {
-    spec: Arc<Upstream>,
-    client: Client,
-    slots: Arc<Semaphore>,
+    spec: RefCell<Arc<Upstream>>,
+    client: RefCell<Client>,
+    policies: Policies,
+    timeline: Timeline,
+    admission: RefCell<Admission>,
+    waiting: RefCell<BTreeMap<QueueTicket, Waiter>>,
+    crashes: RefCell<CrashDetector>,
+    process: RefCell<Option<Vec<u8>>>,
+    told: Cell<(u32, bool)>,
+    probes: Cell<u32>,
+}
+
+struct Waiter {
+    sender: oneshot::Sender<Verdict>,
+    alone: bool,
 }
 
 impl LocalUpstream {
     /// Returns the state of an upstream that was never contacted.
-    pub(super) fn new(spec: Arc<Upstream>) -> Self {
-        let connector = Connector::new()
-            .connector(TracedConnector::new(spec.address))
-            .timeout(CONNECT_TIMEOUT)
-            .conn_keep_alive(KEEP_ALIVE)
-            .limit(spec.connections as usize);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        let slots = Arc::new(Semaphore::new(spec.slots as usize));
+    pub(super) fn new(spec: Arc<Upstream>, policies: &Policies, timeline: Timeline) -> Self {
+        let admission = Admission::new(admission_settings(&spec, policies), Instant::now());
+        let told = Cell::new((admission.limit(), admission.is_cold()));
         Self {
-            spec,
-            client,
-            slots,
+            client: RefCell::new(client(&spec)),
+            spec: RefCell::new(spec),
+            policies: policies.clone(),
+            timeline,
+            admission: RefCell::new(admission),
+            waiting: RefCell::default(),
+            crashes: RefCell::default(),
+            process: RefCell::default(),
+            told,
+            probes: Cell::default(),
         }
     }
 
     /// Returns what the configuration says of the upstream.
-    pub(super) fn spec(&self) -> &Arc<Upstream> {
-        &self.spec
+    pub(super) fn spec(&self) -> Arc<Upstream> {
+        Arc::clone(&self.spec.borrow())
+    }
+
+    /// Takes in what a note changed, at the same address.
+    pub(super) fn reconfigure(self: &Rc<Self>, spec: &Arc<Upstream>) {
+        let old = self.spec.replace(Arc::clone(spec));
+        if old.connections != spec.connections {
+            self.client.replace(client(spec));
+        }
+        let settings = admission_settings(spec, &self.policies);
+        self.admission.borrow_mut().reconfigure(settings);
+        self.pump();
     }
 
     /// Returns the client that holds the connections to the upstream.
-    pub(super) fn client(&self) -> &Client {
-        &self.client
+    pub(super) fn client(&self) -> Client {
+        self.client.borrow().clone()
     }
 
-    /// Returns the slots of the upstream.
-    pub(super) fn slots(&self) -> &Arc<Semaphore> {
-        &self.slots
+    /// Returns the admission.
+    pub(super) fn admission(&self) -> &RefCell<Admission> {
+        &self.admission
     }
 
     /// Returns the load that is told to ingresses.
     pub(super) fn load(&self) -> Load {
-        let free = u32::try_from(self.slots.available_permits()).unwrap_or(0);
+        let admission = self.admission.borrow();
         Load {
-            active: self.spec.slots.saturating_sub(free),
-            limit: self.spec.slots,
-            queued: 0,
+            active: admission.active(),
+            limit: admission.limit(),
+            queued: u32::try_from(admission.queued()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns the permit of the request that was started last.
+    pub(super) fn permit(self: &Rc<Self>, alone: bool) -> Permit {
+        let admission = self.admission.borrow();
+        let is_over = admission.active() > self.spec.borrow().slots;
+        if is_over {
+            metrics::counter!("invariant_broken_total", "name" => "over_limit").increment(1);
+        }
+        Permit::new(self, alone, admission.mark())
+    }
+
+    /// Registers a waiting request.
+    pub(super) fn enqueue(
+        &self,
+        ticket: QueueTicket,
+        sender: oneshot::Sender<Verdict>,
+        alone: bool,
+    ) {
+        let waiter = Waiter { sender, alone };
+        self.waiting.borrow_mut().insert(ticket, waiter);
+    }
+
+    /// Takes a waiting request out, if it still waits.
+    pub(super) fn cancel(self: &Rc<Self>, ticket: QueueTicket) {
+        let was_waiting = self.waiting.borrow_mut().remove(&ticket).is_some();
+        if was_waiting {
+            self.admission.borrow_mut().cancel(ticket);
+            self.pump();
+        }
+    }
+
+    /// Gives a slot back, learns from its request and lets the next ones start.
+    pub(super) fn give_back(
+        self: &Rc<Self>,
+        sample: Sample,
+        held: Duration,
+        alone: bool,
+        now: Instant,
+    ) {
+        let mut admission = self.admission.borrow_mut();
+        admission.release(held, alone);
+        admission.observe(sample, now);
+        drop(admission);
+        if sample.result == SampleResult::Refused {
+            self.crashes.borrow_mut().sign(now);
+        }
+        self.tell();
+        self.pump();
+    }
+
+    /// Gives all waiting requests their turn that can have it.
+    pub(super) fn pump(self: &Rc<Self>) {
+        loop {
+            let turn = self.admission.borrow_mut().next(Instant::now());
+            let Some(turn) = turn else {
+                return;
+            };
+            let (ticket, rejection) = turn_parts(turn);
+            let waiter = self.waiting.borrow_mut().remove(&ticket);
+            let alone = waiter.as_ref().is_some_and(|waiter| waiter.alone);
+            let verdict = match rejection {
+                Some(rejection) => Err(rejection),
+                None => Ok(self.permit(alone)),
+            };
+            if let Some(waiter) = waiter {
+                drop(waiter.sender.send(verdict));
+            }
+        }
+    }
+
+    /// Takes note of the process that answered; a changed one has restarted.
+    pub(super) fn answered_by(&self, process: Option<&[u8]>) {
+        let Some(process) = process else {
+            return;
+        };
+        let mut known = self.process.borrow_mut();
+        if known.as_deref() == Some(process) {
+            return;
+        }
+        let old = known.replace(process.to_vec());
+        if old.is_some() {
+            self.restarted();
+        }
+    }
+
+    /// Takes note of a connection that broke with a request in flight.
+    pub(super) fn broke(&self, run: InFlight) {
+        let now = Instant::now();
+        let mut crashes = self.crashes.borrow_mut();
+        crashes.broke(run, now);
+        if crashes.is_signed() {
+            self.admission.borrow_mut().restarted(now);
+        }
+    }
+
+    /// Takes note of a sign of a restart.
+    pub(super) fn restarted(&self) {
+        let now = Instant::now();
+        self.crashes.borrow_mut().sign(now);
+        self.admission.borrow_mut().restarted(now);
+        self.tell();
+    }
+
+    /// Returns whether the upstream is being probed.
+    pub(super) fn is_probed(&self) -> bool {
+        self.probes.get() > 0
+    }
+
+    /// Counts a probe until the guard is dropped.
+    pub(super) fn begin_probe(self: &Rc<Self>) -> ProbeGuard {
+        self.probes.set(self.probes.get() + 1);
+        ProbeGuard(Rc::clone(self))
+    }
+
+    /// Returns whether a broken connection waits for an explanation.
+    pub(super) fn is_crash_suspected(&self) -> bool {
+        self.crashes.borrow().is_waiting()
+    }
+
+    /// Returns the requests that were in flight at a crash, once.
+    pub(super) fn settle_crash(&self) -> Option<Vec<InFlight>> {
+        self.crashes.borrow_mut().settle(Instant::now())
+    }
+
+    /// Records a changed state of the admission.
+    fn tell(&self) {
+        let admission = self.admission.borrow();
+        let state = (admission.limit(), admission.is_cold());
+        let (_, was_cold) = self.told.replace(state);
+        let upstream = self.spec.borrow().name.clone();
+        metrics::gauge!("upstream_limit", "upstream" => upstream.to_string()).set(state.0);
+        match (was_cold, state.1) {
+            (false, true) => {
+                info!(upstream:% = upstream; "upstream is cold");
+                self.timeline.record(EventKind::UpstreamCold { upstream });
+            }
+            (true, false) => {
+                info!(upstream:% = upstream; "upstream is warm");
+                self.timeline.record(EventKind::UpstreamWarm { upstream });
+            }
+            _ => {}
         }
     }
 }
+
+/// Counts one probe while it lives.
+pub(super) struct ProbeGuard(Rc<LocalUpstream>);
+
+impl Drop for ProbeGuard {
+    fn drop(&mut self) {
+        self.0.probes.set(self.0.probes.get() - 1);
+    }
+}
+
+fn admission_settings(spec: &Upstream, policies: &Policies) -> AdmissionSettings {
+    AdmissionSettings {
+        slots: spec.slots.min(spec.connections),
+        adaptive: policies.adaptive,
+        limit: policies.limit,
+        ramp: policies.ramp,
+    }
+}
+
+fn client(spec: &Upstream) -> Client {
+    let connector = Connector::new()
+        .connector(TracedConnector::new(spec.address))
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(KEEP_ALIVE)
+        .limit(spec.connections as usize);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -10,7 +10,11 @@
 
 use wagtaillever_coordination::{Config, Upstream, UpstreamName, VmName};
 
-use crate::sidecar::upstream::LocalUpstream;
+use crate::{
+    settings::{Policies, Settings},
+    sidecar::upstream::LocalUpstream,
+    timeline::Timeline,
+};
 
 /// Time for which a withdrawn upstream still serves ingresses that are behind.
 const LINGER: Duration = Duration::from_secs(5);
@@ -18,6 +22,8 @@
 /// The upstreams of this VM by name.
 pub(super) struct Upstreams {
     vm: VmName,
+    policies: Policies,
+    timeline: Timeline,
     entries: RefCell<BTreeMap<UpstreamName, Entry>>,
 }
 
@@ -28,9 +34,11 @@
 
 impl Upstreams {
     /// Returns an empty set of upstreams of a VM.
-    pub(super) fn new(vm: VmName) -> Self {
+    pub(super) fn new(settings: &Settings, timeline: Timeline) -> Self {
         Self {
-            vm,
+            vm: settings.vm.clone(),
+            policies: settings.policies.clone(),
+            timeline,
             entries: RefCell::default(),
         }
     }
@@ -54,17 +62,36 @@
             if !self.is_here(Some(spec)) {
                 continue;
             }
-            let known = entries.get(&spec.name);
-            if known.is_some_and(|known| known.gone_at.is_none() && known.upstream.spec() == spec) {
-                continue;
+            self.take_in(&mut entries, spec);
+        }
+    }
+
+    /// Takes in one upstream; a changed address is another upstream, which is cold.
+    fn take_in(&self, entries: &mut BTreeMap<UpstreamName, Entry>, spec: &Arc<Upstream>) {
+        if let Some(known) = entries.get_mut(&spec.name) {
+            let old = known.upstream.spec();
+            if old.address == spec.address {
+                known.gone_at = None;
+                if old != *spec {
+                    known.upstream.reconfigure(spec);
+                }
+                return;
             }
-            let upstream = Rc::new(LocalUpstream::new(Arc::clone(spec)));
-            let entry = Entry {
-                upstream,
-                gone_at: None,
-            };
-            entries.insert(spec.name.clone(), entry);
         }
+        let timeline = self.timeline.clone();
+        let upstream = LocalUpstream::new(Arc::clone(spec), &self.policies, timeline);
+        let entry = Entry {
+            upstream: Rc::new(upstream),
+            gone_at: None,
+        };
+        entries.insert(spec.name.clone(), entry);
+    }
+
+    /// Returns all upstreams that serve.
+    pub(super) fn all(&self) -> Vec<Rc<LocalUpstream>> {
+        let entries = self.entries.borrow();
+        let upstreams = entries.values().map(|entry| Rc::clone(&entry.upstream));
+        upstreams.collect()
     }
 
     fn is_here(&self, spec: Option<&Arc<Upstream>>) -> bool {
--- a/crates/node/src/timeline/event.rs
+++ b/crates/node/src/timeline/event.rs
@@ -58,6 +58,23 @@
         /// The order.
         order: DrainOrder,
     },
+    /// An upstream gets a trickle, since it started.
+    UpstreamCold {
+        /// Name of the upstream.
+        upstream: UpstreamName,
+    },
+    /// An upstream bears its slots again.
+    UpstreamWarm {
+        /// Name of the upstream.
+        upstream: UpstreamName,
+    },
+    /// An upstream crashed with requests in flight.
+    UpstreamCrashed {
+        /// Name of the upstream.
+        upstream: UpstreamName,
+        /// Number of requests that may be the cause.
+        suspects: usize,
+    },
     /// The process was paused.
     Stalled {
         /// Length of the pause in milliseconds.
