Refuse deep notes before the YAML library reads them; bound waiting notes by bytes

The YAML library needs time that grows with the square of the nesting: 100 KB of opening brackets kept a node busy for 1 to 3.3 s, a megabyte would for minutes. Notes that wait for a gap were bounded in number only, so a thousand large ones could fill the memory; they are held to 8 MiB. Properties: any bytes are parsed or refused without a panic, the verdict does not depend on the order of arrival, and a base stands for the notes before it.

--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -1,5 +1,8 @@
 //! The platform's `base` value: a whole configuration, or an index of its parts.
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Serialize, de::IgnoredAny};
--- a/crates/coordination/src/border.rs
+++ b/crates/coordination/src/border.rs
@@ -14,6 +14,7 @@
 )]
 #[rustfmt::skip]
 mod generated;
+mod nesting;
 mod note;
 mod parse;
 mod shape;
--- a/crates/coordination/src/border/parse.rs
+++ b/crates/coordination/src/border/parse.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     border::{
-        MAX_VALUE_BYTES,
+        MAX_VALUE_BYTES, nesting,
         shape::{self, EXPANDED},
     },
     error::NoteError,
@@ -25,6 +25,7 @@
         return Err(NoteError::new(Rule::Syntax, "the value is empty"));
     }
     check_single(text)?;
+    nesting::check(text)?;
     shape::check(text)?;
     serde_yaml_ng::from_str(text).map_err(|err| yaml_error(&err))
 }
--- a/crates/coordination/src/config/tests.rs
+++ b/crates/coordination/src/config/tests.rs
@@ -368,18 +368,34 @@
 
 #[test]
 fn deep_nesting_is_refused() {
-    for open in ["[", "{a: "] {
-        let deep = format!("note: 2\nsummary: {}", open.repeat(5_000));
+    let too_deep = "values nest more than 32 levels deep";
+    for open in [
+        "[", "{a: ", "- ", "? ", "[\n", "{'a': ", "[ # ]\n", "[ ']',",
+    ] {
+        let deep = format!("note: 2\nsummary:\n  {}", open.repeat(5_000));
         let err = first()
             .apply_text(Sequence(2), deep.as_bytes())
             .unwrap_err();
-        assert_eq!(err.rule(), Rule::Syntax, "{err}");
+        assert_eq!(err.reason(), too_deep, "{open}");
     }
-    let lists = format!("note: 2\nsummary:\n  {}x\n", "- ".repeat(5_000));
-    let err = first()
-        .apply_text(Sequence(2), lists.as_bytes())
-        .unwrap_err();
-    assert_eq!(err.rule(), Rule::Syntax, "{err}");
+    for hide in [
+        "summary: x\n  \"\nroutes: DEEP\n# \"",
+        "summary: |\n  x\nroutes: DEEP\n",
+    ] {
+        let deep = format!("note: 2\n{hide}").replace("DEEP", &"[".repeat(5_000));
+        let err = first()
+            .apply_text(Sequence(2), deep.as_bytes())
+            .unwrap_err();
+        assert!(err.reason() == too_deep || err.reason().contains("brackets"));
+    }
+}
+
+#[test]
+fn brackets_in_text_do_not_nest() {
+    let text = "note: 2\nsummary: |\n  IN [[[[\n\n  more '[[\nservices: # [[[[\n  add: [{name: 'a'}, {name: b}]\n";
+    let text = text.replace("IN", &"[".repeat(100));
+    let config = first().apply_text(Sequence(2), text.as_bytes()).unwrap();
+    assert_eq!(config.services.len(), 4);
 }
 
 #[test]
--- a/crates/coordination/src/fold.rs
+++ b/crates/coordination/src/fold.rs
@@ -1,5 +1,8 @@
 //! Folds release notes into the configuration, in order and whatever their order of arrival.
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
@@ -30,6 +33,8 @@
 
 /// Notes that wait for a gap to close.
 const MAX_PENDING: usize = 1024;
+/// Bytes of the notes that wait for a gap to close.
+const MAX_PENDING_BYTES: usize = 8 << 20;
 
 impl Fold {
     /// Returns the configuration in force.
@@ -57,14 +62,26 @@
     }
 
     /// Takes one note in and folds all notes that are next in order.
+    ///
+    /// Of the notes that wait, the latest are dropped when they grow too many;
+    /// they have to be offered again.
     pub fn offer(&mut self, sequence: Sequence, text: Arc<[u8]>) -> Vec<FoldEvent> {
         if sequence > self.sequence() {
             self.pending.entry(sequence).or_insert(text);
-            if self.pending.len() > MAX_PENDING {
-                self.pending.pop_last();
-            }
         }
-        self.fold_pending()
+        let events = self.fold_pending();
+        self.bound_pending();
+        events
+    }
+
+    fn bound_pending(&mut self) {
+        while self.pending.len() > MAX_PENDING || self.pending_bytes() > MAX_PENDING_BYTES {
+            self.pending.pop_last();
+        }
+    }
+
+    fn pending_bytes(&self) -> usize {
+        self.pending.values().map(|text| text.len()).sum()
     }
 
     /// Replaces the configuration by a newer snapshot; an older or equal one is ignored.
