Decide on idempotency keys in one place and hand them over

A keyed request was run by whatever sidecar got it. Now only the owner by `key_owner` decides: its ledger lets a request start once, answers resends from what it kept, and says unknown for whatever it can't know: keys minted before its process started, before a hand-over or before the retention. When a note moves keys, the new owner refuses them until the earlier owners have confirmed over /fence that they apply the note, or have left the list of VMs. A new process, and one that skipped notes, asks all VMs of the service, since it doesn't know who decided before. An owner that is drained, down or cold lets another sidecar run the request and still decides itself.

Suspects of crashes are told to all nodes as soft reports.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -16,10 +16,12 @@
 mod error;
 mod fleet;
 mod fold;
+mod handover;
 mod health;
 mod history;
 mod join;
 mod key;
+mod ledger;
 mod locator;
 mod message;
 mod name;
@@ -54,10 +56,12 @@
     error::NoteError,
     fleet::{FleetSummary, Summary, TreeReport},
     fold::{Fold, FoldEvent},
+    handover::{HandOver, Ownership},
     health::{Evidence, Health, HealthChange, Standing},
     history::{History, Verdict},
     join::{Join, JoinFacts, JoinRule, JoinWait},
     key::{IdempotencyKey, KeyError, key_owner},
+    ledger::{Claim, Ending, Ledger, LedgerSettings, RecordedAnswer, RequestId},
     message::{Contact, Digest, Have, Hello, Message, SnapshotPart},
     name::{DomainName, RegionName, RouteName, ServiceName, UpstreamName, VmName},
     note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -7,10 +7,15 @@
 mod answer;
 mod call;
 mod connector;
+mod decide;
+mod delegate;
 mod execute;
+mod fence;
 mod forward;
 mod handler;
 mod headers;
+mod keys;
+mod links;
 mod probe;
 mod refuse;
 mod shared;
@@ -21,11 +26,16 @@
 use std::{rc::Rc, time::Duration};
 
 use futures_util::future::LocalBoxFuture;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::{
+    sync::broadcast::{self, error::RecvError},
+    time::{MissedTickBehavior, interval},
+};
+use wagtaillever_coordination::SoftReport;
 
 use crate::{
     kernel::{Context, Service, StartError},
-    sidecar::{handler::CallHandler, shared::Shared},
+    peers::PeersHandle,
+    sidecar::{fence::FenceHandler, handler::CallHandler, shared::Shared},
 };
 
 /// Service that admits calls to the upstreams of this VM.
@@ -36,6 +46,8 @@
 
 /// Time between two sweeps of what was withdrawn.
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// Time between two rounds of questions to earlier owners of keys.
+const HAND_OVER_EVERY: Duration = Duration::from_millis(200);
 /// Time between two looks at what is due.
 const TICK_EVERY: Duration = Duration::from_millis(50);
 
@@ -48,8 +60,13 @@
         Box::pin(async move {
             let shared = Rc::new(Shared::new(context.clone()));
             let handler = Rc::new(CallHandler::new(Rc::clone(&shared)));
+            let fences = Rc::new(FenceHandler::new(Rc::clone(&shared)));
             context.registry().publish_handler("call", handler);
+            context.registry().publish_handler("fence", fences);
             actix_rt::spawn(follow(Rc::clone(&shared)));
+            if let Ok(peers) = context.registry().find::<PeersHandle>("peers") {
+                actix_rt::spawn(learn(Rc::clone(&shared), peers.reports()));
+            }
             self.shared = Some(shared);
             Ok(())
         })
@@ -71,6 +88,8 @@
     let token = shared.context().token();
     let mut views = shared.context().view().watch();
     let mut sweep = interval(SWEEP_EVERY);
+    let mut hand_over = interval(HAND_OVER_EVERY);
+    hand_over.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut tick = interval(TICK_EVERY);
     tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
@@ -78,7 +97,24 @@
             () = token.cancelled() => return,
             _ = views.changed() => shared.refresh(),
             _ = tick.tick() => shared.tick(),
+            _ = hand_over.tick() => shared.hand_over(),
             _ = sweep.tick() => shared.sweep(),
         }
     }
 }
+
+/// Learns from the reports of other nodes until the node ends.
+async fn learn(shared: Rc<Shared>, mut reports: broadcast::Receiver<SoftReport>) {
+    let token = shared.context().token();
+    loop {
+        let report = tokio::select! {
+            () = token.cancelled() => return,
+            report = reports.recv() => report,
+        };
+        match report {
+            Ok(report) => shared.suspects().learn(&report),
+            Err(RecvError::Lagged(_)) => {}
+            Err(RecvError::Closed) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/decide.rs
@@ -0,0 +1,187 @@
+//! Decides on a request with an idempotency key, as the owner of the key.
+
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use wagtaillever_coordination::{Claim, Ending, IdempotencyKey, RecordedAnswer, RequestId};
+
+use crate::{
+    sidecar::{
+        call::Call,
+        delegate::delegate,
+        execute::{Execution, Recorder, RequestBody, execute},
+        refuse::{did_not_run, unknown, with_outcome},
+        shared::Shared,
+        upstream::LocalUpstream,
+    },
+    transport::FrameWriter,
+    wire::{Outcome, Refusal, RefusalReason, ReplyHead},
+};
+
+/// Bytes of an answer's body that are kept.
+const MAX_KEPT_BYTES: usize = 16 << 10;
+/// Shortest time left in which it makes sense to run a request elsewhere.
+const MIN_LEFT: Duration = Duration::from_millis(5);
+
+/// Runs a request with a key at most once, here or on another VM of the service.
+///
+/// # Errors
+///
+/// Returns a refusal when there is no answer of an upstream.
+pub(super) async fn decide(
+    shared: &Rc<Shared>,
+    call: &Call,
+    key: &IdempotencyKey,
+    body: &RequestBody,
+    writer: &mut FrameWriter,
+) -> Result<Execution, Refusal> {
+    let id = RequestId {
+        service: call.service.clone(),
+        key: key.clone(),
+    };
+    match shared.keys().claim(&id)? {
+        Claim::Run => {}
+        Claim::Replay(answer) => return Ok(replay(shared, &answer, writer).await),
+        Claim::InProgress => return Err(unknown(RefusalReason::InProgress)),
+        Claim::Ran => return Err(with_outcome(Outcome::Ran, RefusalReason::BadAnswer)),
+        Claim::Unknown => return Err(unknown(RefusalReason::NotReady)),
+        Claim::TooNew => return Err(did_not_run(RefusalReason::BadKey)),
+        Claim::TooOld => return Err(unknown(RefusalReason::BadKey)),
+        Claim::Full => return Err(did_not_run(RefusalReason::Overloaded)),
+    }
+    let entry = Entry::new(shared, id);
+    let mut kept = KeptAnswer::default();
+    let result = run(shared, call, body, writer, &mut kept).await;
+    entry.finish(ending(&result, kept));
+    result
+}
+
+/// Runs the request here, or elsewhere when it is proved that it did not run here.
+async fn run(
+    shared: &Rc<Shared>,
+    call: &Call,
+    body: &RequestBody,
+    writer: &mut FrameWriter,
+    kept: &mut KeptAnswer,
+) -> Result<Execution, Refusal> {
+    let upstream = shared.upstreams().get(&call.head.upstream);
+    let Some(upstream) = upstream.filter(|upstream| upstream.spec().service == call.service) else {
+        return Err(did_not_run(RefusalReason::NoUpstream));
+    };
+    let refusal = match execute(shared, &upstream, call, body, writer, kept).await {
+        Ok(execution) => return Ok(execution),
+        Err(refusal) => refusal,
+    };
+    if !may_run_elsewhere(&refusal, &upstream) || call.left() < MIN_LEFT {
+        return Err(refusal);
+    }
+    delegate(shared, call, body, writer, kept, refusal).await
+}
+
+fn may_run_elsewhere(refusal: &Refusal, upstream: &LocalUpstream) -> bool {
+    if refusal.outcome != Outcome::DidNotRun {
+        return false;
+    }
+    match refusal.reason {
+        RefusalReason::Draining | RefusalReason::Unreachable => true,
+        RefusalReason::Overloaded => upstream.admission().borrow().is_cold(),
+        _ => false,
+    }
+}
+
+fn ending(result: &Result<Execution, Refusal>, kept: KeptAnswer) -> Ending {
+    match result {
+        Ok(Execution::Whole) => Ending::Ran(kept.answer()),
+        Ok(Execution::Cut) => Ending::Ran(None),
+        Ok(Execution::Abandoned { written: false }) => Ending::DidNotRun,
+        Ok(Execution::Abandoned { written: true }) => Ending::Unknown,
+        Err(refusal) => match refusal.outcome {
+            Outcome::DidNotRun => Ending::DidNotRun,
+            Outcome::Ran => Ending::Ran(None),
+            Outcome::Unknown => Ending::Unknown,
+        },
+    }
+}
+
+/// Gives the answer of the execution that there was.
+async fn replay(
+    shared: &Shared,
+    answer: &Arc<RecordedAnswer>,
+    writer: &mut FrameWriter,
+) -> Execution {
+    metrics::counter!("answers_replayed_total").increment(1);
+    let head = ReplyHead::Answer {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        length: Some(answer.body.len() as u64),
+        load: Default::default(),
+        sequence: shared.sequence(),
+    };
+    let body = Bytes::copy_from_slice(&answer.body);
+    let is_written = writer.frame(&head).await.is_ok() && writer.bytes(body).await.is_ok();
+    if is_written {
+        Execution::Whole
+    } else {
+        Execution::Cut
+    }
+}
+
+/// A claimed request; its end is unknown unless it is told.
+struct Entry {
+    shared: Rc<Shared>,
+    id: RequestId,
+    is_open: Cell<bool>,
+}
+
+impl Entry {
+    fn new(shared: &Rc<Shared>, id: RequestId) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+            id,
+            is_open: Cell::new(true),
+        }
+    }
+
+    fn finish(&self, ending: Ending) {
+        if self.is_open.replace(false) {
+            self.shared.keys().finish(&self.id, ending);
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.finish(Ending::Unknown);
+    }
+}
+
+/// Answer as far as it is small enough to be kept.
+#[derive(Default)]
+pub(super) struct KeptAnswer {
+    answer: RecordedAnswer,
+    is_too_large: bool,
+}
+
+impl KeptAnswer {
+    fn answer(self) -> Option<RecordedAnswer> {
+        (!self.is_too_large).then_some(self.answer)
+    }
+}
+
+impl Recorder for KeptAnswer {
+    fn head(&mut self, status: u16, headers: &[(String, Vec<u8>)], length: Option<u64>) {
+        self.answer.status = status;
+        self.answer.headers = headers.to_vec();
+        self.is_too_large = length.is_some_and(|length| length > MAX_KEPT_BYTES as u64);
+    }
+
+    fn part(&mut self, part: &Bytes) {
+        if self.answer.body.len() + part.len() > MAX_KEPT_BYTES {
+            self.is_too_large = true;
+            self.answer.body = Vec::new();
+        }
+        if !self.is_too_large {
+            self.answer.body.extend_from_slice(part);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/delegate.rs
@@ -0,0 +1,210 @@
+//! Lets another VM of the service run a request for the owner of its key.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use futures_util::future::{Either, select};
+use rand::seq::SliceRandom;
+use tokio::time::{timeout, timeout_at};
+use wagtaillever_coordination::Upstream;
+
+use crate::{
+    sidecar::{
+        call::Call,
+        execute::{Execution, Recorder, RequestBody},
+        refuse::unknown,
+        shared::Shared,
+    },
+    transport::{Connection, FrameReader, FrameWriter, TransportError},
+    wire::{CallHead, CallStage, Load, Outcome, Refusal, RefusalReason, ReplyHead},
+};
+
+/// VMs that are tried for one request.
+const MAX_TRIES: usize = 2;
+/// Shortest time without progress after which a body is given up.
+const MIN_IDLE: Duration = Duration::from_secs(1);
+
+/// Lets another VM run a request that did not run here, for the reason of `refusal`.
+///
+/// # Errors
+///
+/// Returns a refusal when there is no answer of an upstream.
+pub(super) async fn delegate(
+    shared: &Rc<Shared>,
+    call: &Call,
+    body: &RequestBody,
+    writer: &mut FrameWriter,
+    recorder: &mut impl Recorder,
+    refusal: Refusal,
+) -> Result<Execution, Refusal> {
+    let mut last = refusal;
+    for (upstream, address) in candidates(shared, call).into_iter().take(MAX_TRIES) {
+        if !has_body(call, body) {
+            break;
+        }
+        let Ok(connection) = shared.links().get(address).await else {
+            continue;
+        };
+        metrics::counter!("calls_delegated_total").increment(1);
+        let asked = ask(&connection, shared, call, &upstream, body);
+        let replied = tokio::select! {
+            biased;
+            replied = timeout_at(call.deadline.into(), asked) => replied,
+            () = writer.closed() => return Ok(Execution::Abandoned { written: true }),
+        };
+        let replied = replied.map_err(|_| unknown(RefusalReason::Deadline))?;
+        match replied {
+            Ok((head @ ReplyHead::Answer { .. }, reader)) => {
+                return Ok(pass_on(shared, call, head, reader, writer, recorder).await);
+            }
+            Ok((ReplyHead::Refused { refusal, .. }, _)) => {
+                if refusal.outcome != Outcome::DidNotRun {
+                    return Err(refusal);
+                }
+                last = refusal;
+            }
+            Err(NotAnswered::NotSent) => {}
+            Err(NotAnswered::Broken) => return Err(unknown(RefusalReason::Broken)),
+        }
+    }
+    Err(last)
+}
+
+/// Why another VM gave no reply.
+enum NotAnswered {
+    /// The head of the call was not sent whole.
+    NotSent,
+    /// The stream broke afterwards.
+    Broken,
+}
+
+impl From<TransportError> for NotAnswered {
+    fn from(_: TransportError) -> Self {
+        Self::Broken
+    }
+}
+
+/// Returns the other upstreams of the service that may get work, own failure domain first.
+fn candidates(shared: &Shared, call: &Call) -> Vec<(Arc<Upstream>, SocketAddr)> {
+    let view = shared.context().view().load();
+    let settings = shared.context().settings();
+    let mut found: Vec<_> = view
+        .config
+        .upstreams_of(&call.service)
+        .filter(|upstream| upstream.vm != settings.vm)
+        .filter(|upstream| !view.drains.is_drained(&upstream.vm, &upstream.domain))
+        .filter_map(|upstream| {
+            let address = view.vms.get(&upstream.vm)?.address;
+            Some((Arc::clone(upstream), address))
+        })
+        .collect();
+    found.shuffle(&mut rand::rng());
+    found.sort_by_key(|(upstream, _)| upstream.domain != settings.domain);
+    found
+}
+
+fn has_body(call: &Call, body: &RequestBody) -> bool {
+    call.head.length == Some(0) || body.borrow().is_some()
+}
+
+async fn ask(
+    connection: &Connection,
+    shared: &Shared,
+    call: &Call,
+    upstream: &Upstream,
+    body: &RequestBody,
+) -> Result<(ReplyHead, FrameReader), NotAnswered> {
+    let opened = connection.open("call").await;
+    let (mut writer, pending) = opened.map_err(|_| NotAnswered::NotSent)?;
+    let head = CallHead {
+        stage: CallStage::Execute,
+        upstream: upstream.name.to_string(),
+        sequence: shared.sequence(),
+        left_ms: u64::try_from(call.left().as_millis()).unwrap_or(u64::MAX),
+        ..call.head.clone()
+    };
+    let sent = writer.frame(&head).await;
+    sent.map_err(|_| NotAnswered::NotSent)?;
+    let reply = async {
+        let mut reader = pending.ready().await?;
+        let head = reader.frame::<ReplyHead>().await?;
+        Ok((head.ok_or(TransportError::Ended)?, reader))
+    };
+    let upload = send_body(call, body, writer);
+    futures_util::pin_mut!(reply, upload);
+    match select(reply, upload).await {
+        Either::Left((reply, _)) => reply,
+        Either::Right(((), reply)) => reply.await,
+    }
+}
+
+/// Sends the body; a body that breaks off resets the stream.
+async fn send_body(call: &Call, body: &RequestBody, mut writer: FrameWriter) {
+    if call.head.length == Some(0) {
+        let _ = writer.end();
+        return;
+    }
+    let Some(mut reader) = body.borrow_mut().take() else {
+        return writer.reset();
+    };
+    loop {
+        match reader.bytes().await {
+            Ok(Some(part)) => {
+                if writer.bytes(part).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => {
+                let _ = writer.end();
+                return;
+            }
+            Err(_) => return writer.reset(),
+        }
+    }
+}
+
+async fn pass_on(
+    shared: &Shared,
+    call: &Call,
+    head: ReplyHead,
+    mut reader: FrameReader,
+    writer: &mut FrameWriter,
+    recorder: &mut impl Recorder,
+) -> Execution {
+    let ReplyHead::Answer {
+        status,
+        headers,
+        length,
+        ..
+    } = head
+    else {
+        return Execution::Cut;
+    };
+    recorder.head(status, &headers, length);
+    let head = ReplyHead::Answer {
+        status,
+        headers,
+        length,
+        load: Load::default(),
+        sequence: shared.sequence(),
+    };
+    if writer.frame(&head).await.is_err() {
+        return Execution::Cut;
+    }
+    let idle = Duration::from_millis(call.head.left_ms).max(MIN_IDLE);
+    loop {
+        let part = tokio::select! {
+            biased;
+            part = timeout(idle, reader.bytes()) => part,
+            () = writer.closed() => return Execution::Cut,
+        };
+        let part = match part {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) => return Execution::Whole,
+            _ => return Execution::Cut,
+        };
+        recorder.part(&part);
+        if !matches!(timeout(idle, writer.bytes(part)).await, Ok(Ok(()))) {
+            return Execution::Cut;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/fence.rs
@@ -0,0 +1,128 @@
+//! Hand-over of idempotency keys between nodes.
+
+use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use futures_util::future::LocalBoxFuture;
+use log::info;
+use tokio::time::timeout;
+use wagtaillever_coordination::{Sequence, VmName};
+
+use crate::{
+    sidecar::shared::Shared,
+    timeline::EventKind,
+    transport::{FrameReader, FrameWriter, StreamHandler, TransportError},
+    wire::{FenceAsk, FenceReply},
+};
+
+/// Longest time that an asked node waits until it applies a sequence.
+const CATCH_UP: Duration = Duration::from_secs(2);
+/// Longest time until a node has answered.
+const ASK_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Handler of the `/fence` streams.
+pub(super) struct FenceHandler {
+    shared: Rc<Shared>,
+}
+
+impl FenceHandler {
+    /// Returns a handler over the state of the sidecar.
+    pub(super) fn new(shared: Rc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn answer(
+        &self,
+        mut reader: FrameReader,
+        mut writer: FrameWriter,
+    ) -> Result<(), TransportError> {
+        let Some(ask) = reader.frame::<FenceAsk>().await? else {
+            return Ok(());
+        };
+        let mut views = self.shared.context().view().watch();
+        let applies = views.wait_for(|view| view.config.sequence.0 >= ask.sequence);
+        let _ = timeout(CATCH_UP, applies).await;
+        let sequence = self.shared.sequence();
+        writer.frame(&FenceReply { sequence }).await?;
+        writer.end()
+    }
+}
+
+impl StreamHandler for FenceHandler {
+    fn handle(
+        self: Rc<Self>,
+        _peer: SocketAddr,
+        reader: FrameReader,
+        writer: FrameWriter,
+    ) -> LocalBoxFuture<'static, ()> {
+        Box::pin(async move {
+            let _ = timeout(ASK_TIMEOUT, self.answer(reader, writer)).await;
+        })
+    }
+}
+
+/// Asks the earlier owners of keys for their confirmation, each one question at a time.
+#[derive(Default)]
+pub(super) struct Fences {
+    asked: RefCell<BTreeSet<VmName>>,
+}
+
+impl Fences {
+    /// Asks all whose confirmation is awaited and who are not being asked.
+    pub(super) fn ask_all(self: &Rc<Self>, shared: &Rc<Shared>) {
+        let awaited = shared.keys().awaited();
+        if awaited.is_empty() {
+            return;
+        }
+        let vms = Rc::new(shared.context().view().load().vms.by_name());
+        for (vm, sequence) in awaited {
+            let Some(address) = vms.get(&vm).map(|entry| entry.address) else {
+                continue;
+            };
+            if !self.asked.borrow_mut().insert(vm.clone()) {
+                continue;
+            }
+            let fences = Rc::clone(self);
+            let shared = Rc::clone(shared);
+            actix_rt::spawn(async move {
+                let asked = ask(&shared, address, sequence);
+                if let Ok(Ok(applied)) = timeout(ASK_TIMEOUT, asked).await {
+                    confirm(&shared, &vm, applied, sequence);
+                }
+                fences.asked.borrow_mut().remove(&vm);
+            });
+        }
+    }
+}
+
+fn confirm(shared: &Shared, vm: &VmName, applied: Sequence, wanted: Sequence) {
+    shared.keys().confirm(vm, applied);
+    if applied >= wanted {
+        info!(vm:% = vm, note:% = wanted; "keys were handed over");
+        shared
+            .context()
+            .timeline()
+            .record(EventKind::KeysHandedOver {
+                from: vm.clone(),
+                note: wanted,
+            });
+    }
+}
+
+async fn ask(
+    shared: &Shared,
+    address: SocketAddr,
+    sequence: Sequence,
+) -> Result<Sequence, TransportError> {
+    let link = shared.links().get(address).await?;
+    let (mut writer, pending) = link.open("fence").await?;
+    let ask = FenceAsk {
+        sequence: sequence.0,
+    };
+    writer.frame(&ask).await?;
+    writer.end()?;
+    let mut reader = pending.ready().await?;
+    let reply = reader.frame::<FenceReply>().await?;
+    reply
+        .map(|reply| Sequence(reply.sequence))
+        .ok_or(TransportError::Ended)
+}
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -9,6 +9,7 @@
 use crate::{
     sidecar::{
         call::Call,
+        decide::decide,
         execute::{Execution, NoRecorder, RequestBody, execute},
         refuse::did_not_run,
         shared::Shared,
@@ -89,6 +90,9 @@
         let call = Call::new(head)?;
         self.check_node(&call)?;
         self.catch_up(&call).await?;
+        if let Some(key) = call.key_to_decide() {
+            return decide(&self.shared, &call, key, body, writer).await;
+        }
         let upstream = self.find(&call)?;
         execute(
             &self.shared,
--- /dev/null
+++ b/crates/node/src/sidecar/keys.rs
@@ -0,0 +1,100 @@
+//! Idempotency keys that this VM decides on.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use wagtaillever_coordination::{
+    Claim, Config, Ending, HandOver, Ledger, LedgerSettings, Ownership, RequestId, Sequence,
+    VmList, VmName,
+};
+
+use crate::{
+    settings::Settings,
+    sidecar::refuse::{did_not_run, unknown},
+    wire::{Refusal, RefusalReason},
+};
+
+/// Idempotency keys that this VM decides on.
+pub(super) struct Keys {
+    ledger: RefCell<Ledger>,
+    handover: RefCell<HandOver>,
+}
+
+impl Keys {
+    /// Returns the keys of a process that starts now.
+    pub(super) fn new(settings: &Settings) -> Self {
+        let bounds = LedgerSettings {
+            skew: Duration::from_millis(settings.limits.skew_ms),
+            ..LedgerSettings::default()
+        };
+        let ledger = Ledger::new(bounds, Instant::now(), wall_ms());
+        Self {
+            ledger: RefCell::new(ledger),
+            handover: RefCell::new(HandOver::new(settings.vm.clone())),
+        }
+    }
+
+    /// Takes in a newer configuration.
+    pub(super) fn update(&self, config: &Arc<Config>) {
+        self.handover.borrow_mut().update(config, Instant::now());
+    }
+
+    /// Takes in the list of VMs.
+    pub(super) fn observe_vms(&self, vms: &VmList) {
+        let floor = self.floor();
+        let mut handover = self.handover.borrow_mut();
+        handover.observe_vms(vms, floor);
+        handover.give_up_unlisted(floor, Instant::now());
+    }
+
+    /// Returns the VMs whose confirmation is awaited, with the sequence that each must apply.
+    pub(super) fn awaited(&self) -> BTreeMap<VmName, Sequence> {
+        self.handover.borrow().awaited()
+    }
+
+    /// Takes in that a VM applies a sequence.
+    pub(super) fn confirm(&self, vm: &VmName, sequence: Sequence) {
+        let floor = self.floor();
+        self.handover.borrow_mut().confirm(vm, sequence, floor);
+    }
+
+    /// Decides on a sending of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when another VM decides on the key, or none yet.
+    pub(super) fn claim(&self, id: &RequestId) -> Result<Claim, Refusal> {
+        let floor = match self.handover.borrow().ownership(id) {
+            Ownership::Owned { floor } => floor,
+            Ownership::Pending => return Err(unknown(RefusalReason::NotReady)),
+            Ownership::Other => return Err(did_not_run(RefusalReason::NotOwner)),
+        };
+        let mut ledger = self.ledger.borrow_mut();
+        Ok(ledger.claim(id, floor, Instant::now(), wall_ms()))
+    }
+
+    /// Takes in how a claimed request ended.
+    pub(super) fn finish(&self, id: &RequestId, ending: Ending) {
+        let mut ledger = self.ledger.borrow_mut();
+        ledger.finish(id, ending);
+        metrics::gauge!("ledger_entries").set(u32::try_from(ledger.len()).unwrap_or(u32::MAX));
+    }
+
+    /// Returns the time before which keys may have been minted that others accepted until now.
+    fn floor(&self) -> u64 {
+        let mut ledger = self.ledger.borrow_mut();
+        let skew = u64::try_from(ledger.skew().as_millis()).unwrap_or(u64::MAX);
+        ledger
+            .wall_ms(Instant::now(), wall_ms())
+            .saturating_add(skew)
+    }
+}
+
+fn wall_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -12,7 +12,8 @@
 
 use crate::{
     kernel::Context,
-    sidecar::{suspects::Suspects, upstreams::Upstreams},
+    peers::PeersHandle,
+    sidecar::{fence::Fences, keys::Keys, links::Links, suspects::Suspects, upstreams::Upstreams},
     stall::Stall,
 };
 
@@ -21,6 +22,9 @@
     context: Context,
     upstreams: Upstreams,
     suspects: Suspects,
+    keys: Keys,
+    links: Links,
+    fences: Rc<Fences>,
     stall: Option<Stall>,
     applied: Cell<Sequence>,
     active: Cell<usize>,
@@ -33,12 +37,17 @@
     pub(super) fn new(context: Context) -> Self {
         let settings = Arc::clone(context.settings());
         let upstreams = Upstreams::new(&settings, context.timeline().clone());
-        let suspects = Suspects::new(context.timeline().clone(), settings.policies.poison);
+        let peers = context.registry().find::<PeersHandle>("peers").ok();
+        let timeline = context.timeline().clone();
+        let suspects = Suspects::new(timeline, settings.policies.poison, peers);
         let stall = context.registry().find::<Stall>("stall").ok();
         Self {
             context,
             upstreams,
             suspects,
+            keys: Keys::new(&settings),
+            links: Links::new(settings.address),
+            fences: Rc::default(),
             stall,
             applied: Cell::default(),
             active: Cell::default(),
@@ -79,6 +88,22 @@
         }
     }
 
+    /// Returns the idempotency keys that this VM decides on.
+    pub(super) fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    /// Returns the connections to other sidecars.
+    pub(super) fn links(&self) -> &Links {
+        &self.links
+    }
+
+    /// Drives the hand-over of idempotency keys.
+    pub(super) fn hand_over(self: &Rc<Self>) {
+        self.keys.observe_vms(&self.context.view().load().vms);
+        self.fences.ask_all(self);
+    }
+
     /// Returns the number of pauses of this process.
     pub(super) fn pauses(&self) -> u64 {
         self.stall.as_ref().map_or(0, Stall::generation)
@@ -104,6 +129,7 @@
         let config = &self.context.view().load().config;
         if config.sequence > self.applied.replace(config.sequence) {
             self.upstreams.update(config, Instant::now());
+            self.keys.update(config);
         }
     }
 
--- a/crates/node/src/sidecar/suspects.rs
+++ b/crates/node/src/sidecar/suspects.rs
@@ -4,32 +4,29 @@
 
 use log::warn;
 use rand::random;
-use wagtaillever_coordination::{InFlight, Poison, PoisonReport, Suspicion, UpstreamName};
+use wagtaillever_coordination::{
+    InFlight, Poison, PoisonReport, SoftReport, Suspicion, UpstreamName,
+};
 
+use crate::peers::PeersHandle;
 use crate::timeline::{EventKind, Timeline};
 
-/// Passes reports on suspects to other nodes.
-pub(crate) trait ReportSink {
-    /// Shares a report with other nodes, as far as they can be reached.
-    fn share(&self, report: &PoisonReport);
-}
-
 /// Requests that may crash upstreams, as far as this node knows.
 pub(super) struct Suspects {
     poison: RefCell<Poison>,
     timeline: Timeline,
     enabled: bool,
-    sink: RefCell<Option<Box<dyn ReportSink>>>,
+    peers: Option<PeersHandle>,
 }
 
 impl Suspects {
     /// Returns a set without suspects.
-    pub(super) fn new(timeline: Timeline, enabled: bool) -> Self {
+    pub(super) fn new(timeline: Timeline, enabled: bool, peers: Option<PeersHandle>) -> Self {
         Self {
             poison: RefCell::default(),
             timeline,
             enabled,
-            sink: RefCell::default(),
+            peers,
         }
     }
 
@@ -73,19 +70,33 @@
         }
     }
 
-    /// Merges the report of another node; returns whether anything was new.
-    pub(super) fn learn(&self, report: &PoisonReport) -> bool {
-        self.poison.borrow_mut().learn(report, Instant::now())
-    }
-
-    /// Sets where reports go.
-    pub(super) fn set_sink(&self, sink: Box<dyn ReportSink>) {
-        self.sink.replace(Some(sink));
+    /// Merges a report of another node.
+    pub(super) fn learn(&self, report: &SoftReport) {
+        if !self.enabled || *report.kind != *REPORT_KIND {
+            return;
+        }
+        if let Ok(report) = serde_json::from_str::<PoisonReport>(&report.value) {
+            self.poison.borrow_mut().learn(&report, Instant::now());
+        }
     }
 
     fn share(&self, report: &PoisonReport) {
-        if let Some(sink) = &*self.sink.borrow() {
-            sink.share(report);
-        }
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        let Ok(value) = serde_json::to_string(report) else {
+            return;
+        };
+        peers.share(SoftReport {
+            kind: REPORT_KIND.into(),
+            key: report.fingerprint,
+            value: value.into(),
+            ttl_ms: REPORT_TTL_MS,
+        });
     }
 }
+
+/// Kind of the reports on suspects.
+const REPORT_KIND: &str = "poison";
+/// Life of a report in milliseconds.
+const REPORT_TTL_MS: u32 = 600_000;
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -3,3 +3,4 @@
 mod admission;
 mod bed;
 mod forwarding;
+mod keys;
--- a/crates/node/src/sidecar/tests/bed.rs
+++ b/crates/node/src/sidecar/tests/bed.rs
@@ -5,10 +5,12 @@
 use bytes::Bytes;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::timeout,
 };
-use wagtaillever_coordination::{Config, Sequence, ServiceSpec, UpstreamSpec};
+use wagtaillever_coordination::{
+    Config, Sequence, ServiceSpec, UpstreamSpec, VmEntry, VmList, VmState,
+};
 
 use crate::{
     kernel::{Context, Service},
@@ -38,12 +40,15 @@
 
     /// Starts a sidecar with further settings and a number of slots.
     pub(super) async fn with(address: SocketAddr, more: &str, slots: u32) -> Self {
-        let context = Context::new(Arc::new(settings(free_address(), more)));
-        let mut transport = Transport::default();
-        transport.start(&context).await.unwrap();
+        Self::node("vm-1", more, config(1, address, slots)).await
+    }
+
+    /// Starts the sidecar of a VM with a configuration.
+    pub(super) async fn node(vm: &str, more: &str, config: Arc<Config>) -> Self {
+        let (context, transport) = listening(vm, more).await;
         let mut sidecar = Sidecar::default();
         sidecar.start(&context).await.unwrap();
-        context.view().set_config(config(1, address, slots));
+        context.view().set_config(config);
         context.view().set_phase(Phase::Serving);
         let peers = context.settings().peers;
         let connection = connect(peers.ip(), peers).await.unwrap();
@@ -72,6 +77,18 @@
     }
 }
 
+/// Starts the transport on a free port; another test may take the one that was free.
+async fn listening(vm: &str, more: &str) -> (Context, Transport) {
+    for _ in 0..20 {
+        let context = Context::new(Arc::new(settings(vm, free_address(), more)));
+        let mut transport = Transport::default();
+        if transport.start(&context).await.is_ok() {
+            return (context, transport);
+        }
+    }
+    panic!("no port is free");
+}
+
 /// Reads the whole reply.
 pub(super) async fn reply(reader: &mut FrameReader) -> Reply {
     let head = timeout(STEP, reader.frame::<ReplyHead>()).await.unwrap();
@@ -164,40 +181,77 @@
     let _ = stream.shutdown().await;
 }
 
-/// Returns an address on which nothing listens.
-pub(super) fn free_address() -> SocketAddr {
+/// Returns an address on which nothing listens as long as the test runs.
+pub(super) fn closed_address() -> SocketAddr {
+    let socket = Box::leak(Box::new(TcpSocket::new_v4().unwrap()));
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket.local_addr().unwrap()
+}
+
+fn free_address() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
 
-/// Returns a configuration with service `s` and upstream `u`.
+/// Returns a configuration with service `s` and upstream `u` on `vm-1`.
 pub(super) fn config(sequence: u64, address: SocketAddr, slots: u32) -> Arc<Config> {
+    config_of(sequence, slots, &[("u", "vm-1", address)])
+}
+
+/// Returns a configuration with service `s` and upstreams `(name, VM, address)`.
+pub(super) fn config_of(
+    sequence: u64,
+    slots: u32,
+    upstreams: &[(&str, &str, SocketAddr)],
+) -> Arc<Config> {
     let service = ServiceSpec { name: "s".into() };
-    let upstream = UpstreamSpec {
-        name: "u".into(),
-        service: "s".into(),
-        vm: "vm-1".into(),
-        domain: "modica".into(),
-        address,
-        slots,
-        connections: 20,
-    };
     let mut config = Config {
         sequence: Sequence(sequence),
         ..Config::default()
     };
+    for &(name, vm, address) in upstreams {
+        let upstream = UpstreamSpec {
+            name: name.into(),
+            service: "s".into(),
+            vm: vm.into(),
+            domain: "modica".into(),
+            address,
+            slots,
+            connections: 20,
+        };
+        let name = upstream.name.clone();
+        config.upstreams.insert(name, Arc::new(upstream));
+    }
     config
         .services
         .insert(service.name.clone(), Arc::new(service));
-    config
-        .upstreams
-        .insert(upstream.name.clone(), Arc::new(upstream));
     Arc::new(config)
 }
 
-fn settings(peers: SocketAddr, more: &str) -> Settings {
+/// Tells nodes of each other.
+pub(super) fn introduce(beds: &[&Bed]) {
+    let entry = |bed: &&Bed| {
+        let settings = bed.context.settings();
+        Arc::new(VmEntry {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+            region: settings.region.clone(),
+            address: settings.peers,
+            state: VmState::Live,
+        })
+    };
+    let vms = Arc::new(VmList {
+        number: 1,
+        vms: beds.iter().map(entry).collect(),
+    });
+    for bed in beds {
+        bed.context.view().set_vms(Arc::clone(&vms));
+    }
+}
+
+fn settings(vm: &str, peers: SocketAddr, more: &str) -> Settings {
     let text = format!(
-        "vm: vm-1\ndomain: modica\nregion: sicily\naddress: 127.0.0.1\n\
+        "vm: {vm}\ndomain: modica\nregion: sicily\naddress: 127.0.0.1\n\
          callers: 127.0.0.1:0\nadmin: 127.0.0.1:0\npeers: {peers}\n{more}"
     );
     serde_yaml_ng::from_str(&text).unwrap()
--- a/crates/node/src/sidecar/tests/forwarding.rs
+++ b/crates/node/src/sidecar/tests/forwarding.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use wagtaillever_coordination::{Config, DrainAction, DrainList, DrainOrder, DrainScope, Sequence};
 
-use super::bed::{Bed, Reply, config, free_address, get, post, raw_upstream, reply};
+use super::bed::{Bed, Reply, closed_address, config, get, post, raw_upstream, reply};
 use crate::{
     kernel::Service,
     wire::{CallHead, Outcome, Refusal, RefusalReason},
@@ -127,7 +127,7 @@
 
 #[actix_rt::test]
 async fn an_upstream_that_is_down_did_not_run_the_request() {
-    let bed = Bed::start(free_address()).await;
+    let bed = Bed::start(closed_address()).await;
     let reply = bed.call(post(Some(3)), b"abc").await;
     assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Unreachable);
 }
--- a/crates/node/src/timeline/event.rs
+++ b/crates/node/src/timeline/event.rs
@@ -75,6 +75,13 @@
         /// Number of requests that may be the cause.
         suspects: usize,
     },
+    /// An earlier owner of idempotency keys decides on them no more.
+    KeysHandedOver {
+        /// VM of the earlier owner.
+        from: VmName,
+        /// Note that moved the keys.
+        note: Sequence,
+    },
     /// The process was paused.
     Stalled {
         /// Length of the pause in milliseconds.
