Check the settings as a whole and log with VM, failure domain and note

Settings that could not work were found at run time, if at all: a port named twice, an open admin interface without a token, a limit of 0, a filter that env_logger drops in silence. The file is read by the strict reader of the notes, so repeated keys and bombs are refused. Log lines carry VM, failure domain and note, and all key-values of the record.

--- a/crates/coordination/src/border.rs
+++ b/crates/coordination/src/border.rs
@@ -23,25 +23,25 @@
 
 pub(crate) use self::{
     generated::{Base, BaseIndex, Method, ReleaseNote, Route, Service, Upstream},
-    parse::{from_json, from_yaml},
+    parse::from_json,
 };
 
+pub use self::parse::parse_yaml;
+
 use crate::{
     error::{Kind, NoteError},
+    name::{MAX_NAME_BYTES, is_name},
     rule::Rule,
 };
 
 /// Highest size of a value in bytes, as the platform holds values up to a megabyte.
 pub(crate) const MAX_VALUE_BYTES: usize = 1_000_000;
-/// Longest name in bytes.
-const MAX_NAME_BYTES: usize = 63;
 /// Longest path in bytes.
 const MAX_PATH_BYTES: usize = 2048;
 
 /// Checks a name of `kind` and converts it to its internal type.
 fn name<N: for<'a> From<&'a str>>(kind: &str, name: &generated::Name) -> Result<N, NoteError> {
-    let is_plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
-    if name.chars().all(is_plain) {
+    if is_name(name) {
         return Ok(N::from(name.as_str()));
     }
     let reason = format!(
--- a/crates/coordination/src/border/parse.rs
+++ b/crates/coordination/src/border/parse.rs
@@ -14,12 +14,12 @@
 /// Message of the YAML library when aliases expand too far.
 const REPETITION: &str = "repetition limit exceeded";
 
-/// Parses YAML.
+/// Parses YAML, with bounds on its size, nesting and expansion and without repeated keys.
 ///
 /// # Errors
 ///
 /// Returns an error that names the line and the rule that the text breaks.
-pub(crate) fn from_yaml<T: DeserializeOwned>(text: &[u8]) -> Result<T, NoteError> {
+pub fn parse_yaml<T: DeserializeOwned>(text: &[u8]) -> Result<T, NoteError> {
     let text = check_text(text)?;
     if text.trim().is_empty() {
         return Err(NoteError::new(Rule::Syntax, "the value is empty"));
--- a/crates/coordination/src/border/shape.rs
+++ b/crates/coordination/src/border/shape.rs
@@ -4,7 +4,7 @@
 
 use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 
-use crate::{border::parse::yaml_error, error::NoteError};
+use crate::{border::parse::yaml_error, error::NoteError, locator};
 
 /// Factor by which aliases may enlarge a text.
 const MAX_GROWTH: usize = 2;
@@ -13,6 +13,9 @@
 /// Message by which an exceeded bound is told from other errors.
 pub(super) const EXPANDED: &str = "aliases enlarge the text beyond twice its size";
 
+/// End of the message about a repeated key.
+const REPEATED: &str = "is repeated";
+
 /// Walks over a text without keeping it.
 ///
 /// # Errors
@@ -23,7 +26,20 @@
     let walk = Walk { left: &left };
     let deserializer = serde_yaml_ng::Deserializer::from_str(text);
     walk.deserialize(deserializer)
-        .map_err(|err| yaml_error(&err))
+        .map_err(|err| repeated(text, yaml_error(&err)))
+}
+
+/// Moves the error for a repeated key from the start of the map to the key.
+fn repeated(text: &str, err: NoteError) -> NoteError {
+    let key = err.reason().split('`').nth(1);
+    let is_repeated = err.reason().ends_with(REPEATED);
+    let line = key
+        .filter(|_| is_repeated)
+        .and_then(|key| locator::find_repeated(text, err.line().unwrap_or(1), key));
+    match line {
+        Some(line) => err.at_line(line),
+        None => err,
+    }
 }
 
 /// Visitor that counts bytes and values.
@@ -107,7 +123,7 @@
         while let Some(key) = entries.next_key::<String>()? {
             self.spend(key.len())?;
             if keys.contains(&key) {
-                return Err(A::Error::custom(format!("the key `{key}` is repeated")));
+                return Err(A::Error::custom(format!("the key `{key}` {REPEATED}")));
             }
             keys.insert(key);
             entries.next_value_seed(self)?;
--- a/crates/coordination/src/config/tests.rs
+++ b/crates/coordination/src/config/tests.rs
@@ -117,13 +117,13 @@
     );
     refuse(
         "note: 2\nnote: 2\n",
-        1,
+        2,
         Rule::Syntax,
         "the key `note` is repeated",
     );
     refuse(
         "note: 2\nservices:\n  add: []\n  add: []\n",
-        3,
+        4,
         Rule::Syntax,
         "the key `add` is repeated",
     );
--- a/crates/coordination/src/locator.rs
+++ b/crates/coordination/src/locator.rs
@@ -13,6 +13,23 @@
     })
 }
 
+/// Returns the line of the second of two equal keys, in a map that starts on line `start`.
+pub(crate) fn find_repeated(text: &str, start: usize, key: &str) -> Option<usize> {
+    let lines = text.lines().enumerate().skip(start.saturating_sub(1));
+    let mut columns = lines.filter_map(|(index, line)| Some((index, key_column(line, key)?)));
+    let (_, column) = columns.next()?;
+    let (index, _) = columns.find(|(_, other)| *other == column)?;
+    Some(index + 1)
+}
+
+/// Returns the column of a key that a line starts with, after the marks of list items.
+fn key_column(line: &str, key: &str) -> Option<usize> {
+    let head = line.trim_start_matches([' ', '-']);
+    let rest = head.trim_start_matches(['"', '\'']).strip_prefix(key)?;
+    let rest = rest.trim_start_matches(['"', '\'']).trim_start();
+    rest.starts_with(':').then_some(line.len() - head.len())
+}
+
 fn find_name(text: &str, subject: &Subject) -> Option<usize> {
     let mut section = "";
     let mut found = None;
--- a/crates/coordination/src/name.rs
+++ b/crates/coordination/src/name.rs
@@ -4,6 +4,17 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Longest name in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// Tells whether a text may be a name: 1 to 63 lower-case letters, digits,
+/// dashes, dots or underscores.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    let is_plain = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(is_plain)
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
--- a/crates/coordination/src/note.rs
+++ b/crates/coordination/src/note.rs
@@ -35,7 +35,7 @@
     ///
     /// Returns an error that names the line and the rule that the text breaks.
     pub fn parse(text: &[u8]) -> Result<Self, NoteError> {
-        let note: border::ReleaseNote = border::from_yaml(text)?;
+        let note: border::ReleaseNote = border::parse_yaml(text)?;
         Self::try_from(note).map_err(|err| err.located(&String::from_utf8_lossy(text)))
     }
 }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -11,6 +11,7 @@
     ingress::Ingress,
     kernel::{Context, Kernel},
     lifecycle::{Lifecycle, Starting},
+    logging,
     peers::{Peers, PeersHandle},
     settings::Settings,
     sidecar::Sidecar,
@@ -20,6 +21,12 @@
 };
 
 /// Runs one node of wagtaillever.
+///
+/// SIGTERM or SIGINT asks for a graceful stop; a second one ends the process at once.
+///
+/// Exit codes: 0 after a graceful stop or a check that found no fault; 1 the
+/// node could not start or failed; 2 the arguments or settings are refused;
+/// 3 a second signal ended the process.
 #[derive(Debug, Parser)]
 #[command(name = "wagtailleverd", version)]
 pub struct Arguments {
@@ -51,9 +58,6 @@
         println!("{}: settings are valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::new()
-        .parse_filters(&settings.log)
-        .init();
     match actix::System::new().block_on(run_node(Arc::new(settings))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
@@ -65,6 +69,7 @@
 
 async fn run_node(settings: Arc<Settings>) -> Result<(), NodeError> {
     let context = Context::new(settings);
+    logging::start(context.settings(), context.view().clone());
     let mut kernel = Kernel::new(context.clone());
     kernel
         .add(Admin::default())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod ingress;
 mod kernel;
 mod lifecycle;
+mod logging;
 mod peers;
 mod settings;
 mod sidecar;
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,69 @@
+//! Log lines with the VM, the failure domain and the note in force as key-values.
+
+#[cfg(test)]
+mod tests;
+
+use std::io::{self, Write};
+
+use log::{
+    Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+
+use crate::{settings::Settings, view::ViewCell};
+
+/// Starts the log of the process; a second start changes nothing.
+pub(crate) fn start(settings: &Settings, view: ViewCell) {
+    let identity = format!("vm={} domain={}", settings.vm, settings.domain);
+    let logger = env_logger::Builder::new()
+        .parse_filters(&settings.log)
+        .format(move |out, record| {
+            let time = out.timestamp_millis();
+            let note = view.sequence().0;
+            write!(out, "{time} ")?;
+            write_record(out, record, &identity, note)
+        })
+        .try_init();
+    if let Err(err) = logger {
+        eprintln!("the log was started before: {err}");
+    }
+}
+
+/// Writes one line; a key-value `note` of the record stands in place of the note in force.
+fn write_record(
+    out: &mut impl Write,
+    record: &Record<'_>,
+    identity: &str,
+    note: u64,
+) -> io::Result<()> {
+    let (level, target) = (record.level(), record.target());
+    write!(out, "{level:5} {identity}")?;
+    let mut pairs = Pairs::default();
+    let _ = record.key_values().visit(&mut pairs);
+    if !pairs.has_note {
+        write!(out, " note={note}")?;
+    }
+    writeln!(out, "{} {target}: {}", pairs.text, record.args())
+}
+
+/// Text of the key-values of a record.
+#[derive(Default)]
+struct Pairs {
+    text: String,
+    has_note: bool,
+}
+
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.has_note |= key.as_str() == "note";
+        let value = value.to_string();
+        let is_plain = !value.is_empty() && value.chars().all(|c| c.is_ascii_graphic() && c != '"');
+        let pair = if is_plain {
+            format!(" {key}={value}")
+        } else {
+            format!(" {key}={value:?}")
+        };
+        self.text.push_str(&pair);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/logging/tests.rs
@@ -0,0 +1,37 @@
+use log::{Level, Record, kv::Value};
+
+use super::write_record;
+
+#[track_caller]
+fn check(pairs: &[(&str, Value<'_>)], expected: &str) {
+    let mut line = Vec::new();
+    let args = format_args!("it happened");
+    let record = Record::builder()
+        .level(Level::Info)
+        .target("node")
+        .args(args)
+        .key_values(&pairs)
+        .build();
+    write_record(&mut line, &record, "vm=vm-1 domain=modica", 7).unwrap();
+    assert_eq!(String::from_utf8(line).unwrap(), expected);
+}
+
+#[test]
+fn lines_carry_the_identity_and_the_note_in_force() {
+    check(
+        &[],
+        "INFO  vm=vm-1 domain=modica note=7 node: it happened\n",
+    );
+}
+
+#[test]
+fn lines_carry_the_key_values_of_the_record() {
+    check(
+        &[("note", Value::from(9)), ("call", Value::from("c-1"))],
+        "INFO  vm=vm-1 domain=modica note=9 call=c-1 node: it happened\n",
+    );
+    check(
+        &[("reason", Value::from("two\nwords"))],
+        "INFO  vm=vm-1 domain=modica note=7 reason=\"two\\nwords\" node: it happened\n",
+    );
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,8 +1,11 @@
 //! Settings of a node, read from a YAML file.
 
+mod check;
 mod error;
 mod limits;
 mod policies;
+#[cfg(test)]
+mod tests;
 
 pub use self::{error::SettingsError, limits::Limits, policies::Policies};
 
@@ -14,9 +17,9 @@
 
 use serde::Deserialize;
 use snafu::ResultExt;
-use wagtaillever_coordination::{DomainName, RegionName, VmName};
+use wagtaillever_coordination::{DomainName, NoteError, RegionName, VmName, parse_yaml};
 
-use crate::settings::error::{ReadSnafu, SyntaxSnafu};
+use crate::settings::error::ReadSnafu;
 
 /// Settings of a node.
 #[derive(Clone, Debug, Deserialize)]
@@ -64,10 +67,36 @@
     /// Returns an error that names the file, the line and what was expected.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        serde_yaml_ng::from_str(&text).context(SyntaxSnafu { path })
+        Self::parse(path, &text)
+    }
+
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, the line and what was expected.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = parse_yaml(text.as_bytes()).map_err(|err| syntax(path, &err))?;
+        let Err(fault) = settings.check() else {
+            return Ok(settings);
+        };
+        Err(SettingsError::Invalid {
+            path: path.into(),
+            line: fault.line(text),
+            field: fault.field,
+            reason: fault.reason,
+        })
+    }
+}
+
+fn syntax(path: &Path, err: &NoteError) -> SettingsError {
+    SettingsError::Syntax {
+        path: path.into(),
+        line: err.line().unwrap_or(1),
+        reason: err.reason().into(),
     }
 }
 
 fn default_log() -> String {
-    "info".into()
+    "info,actix_server=warn".into()
 }
--- a/crates/node/src/settings/error.rs
+++ b/crates/node/src/settings/error.rs
@@ -17,11 +17,25 @@
         source: io::Error,
     },
     /// The file is not YAML of the expected shape.
-    #[snafu(display("{}: {source}", path.display()))]
+    #[snafu(display("{}:{line}: {reason}", path.display()))]
     Syntax {
         /// The file.
         path: PathBuf,
-        /// Cause, with line and column.
-        source: serde_yaml_ng::Error,
+        /// Line of the fault, counted from 1; 1 when it is not known.
+        line: usize,
+        /// What was expected.
+        reason: String,
+    },
+    /// A field has a value that the node can't work with.
+    #[snafu(display("{}:{line}: {field}: {reason}", path.display()))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// Line of the field, counted from 1; 1 when the field is not in the file.
+        line: usize,
+        /// Field, with the fields that hold it.
+        field: &'static str,
+        /// What was expected.
+        reason: String,
     },
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,9 +1,12 @@
 //! What the node believes: configuration, VMs, drain orders and its own phase.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
 
 use tokio::sync::watch;
-use wagtaillever_coordination::{Config, DrainList, VmList};
+use wagtaillever_coordination::{Config, DrainList, Sequence, VmList};
 
 /// One consistent, immutable view; replaced whole.
 #[derive(Clone, Debug, Default)]
@@ -49,6 +52,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ViewCell {
     sender: Arc<watch::Sender<Arc<View>>>,
+    sequence: Arc<AtomicU64>,
 }
 
 impl Default for ViewCell {
@@ -56,6 +60,7 @@
         let (sender, _) = watch::channel(Arc::default());
         Self {
             sender: Arc::new(sender),
+            sequence: Arc::default(),
         }
     }
 }
@@ -66,6 +71,11 @@
         Arc::clone(&self.sender.borrow())
     }
 
+    /// Returns the sequence in force without a lock, so that it suits the log.
+    pub(crate) fn sequence(&self) -> Sequence {
+        Sequence(self.sequence.load(Ordering::Relaxed))
+    }
+
     /// Returns a receiver that is told of each new view.
     pub(crate) fn watch(&self) -> watch::Receiver<Arc<View>> {
         self.sender.subscribe()
@@ -77,6 +87,7 @@
     ///
     /// Panics when the configuration is older than the one in force.
     pub(crate) fn set_config(&self, config: Arc<Config>) {
+        let sequence = config.sequence.0;
         self.update(|view| {
             assert!(
                 config.sequence >= view.config.sequence,
@@ -84,6 +95,7 @@
             );
             view.config = config;
         });
+        self.sequence.store(sequence, Ordering::Relaxed);
     }
 
     /// Replaces the list of VMs.
