--- a/crates/coordination/src/stall.rs
+++ b/crates/coordination/src/stall.rs
@@ -7,6 +7,8 @@
 
 /// Gap between two ticks from which on the process counts as paused.
 pub const STALL_GAP: Duration = Duration::from_millis(500);
+/// Time after a pause in which what is read may have arrived during it.
+const BACKLOG_TIME: Duration = Duration::from_millis(100);
 /// Longest time after a pause in which the node waits for fresh word of others.
 const MAX_QUARANTINE: Duration = Duration::from_secs(2);
 
@@ -53,10 +55,13 @@
         self.generation
     }
 
-    /// Notes that fresh word of another node or of the platform arrived, which was sent after
-    /// the pause of `generation` ended.
-    pub fn heard(&mut self, generation: u64) {
-        if generation == self.generation {
+    /// Notes word of another node or of the platform that was read at `now`.
+    ///
+    /// Word that is read right after a pause may have waited since before it, so only word
+    /// that is read a moment later ends the quarantine.
+    pub fn heard(&mut self, now: Instant) {
+        let is_fresh = |woke: &Instant| now.saturating_duration_since(*woke) >= BACKLOG_TIME;
+        if self.woke.as_ref().is_some_and(is_fresh) {
             self.woke = None;
         }
     }
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -28,6 +28,7 @@
 };
 use crate::{
     kernel::Context,
+    stall::Stall,
     timeline::{EventKind, Timeline},
     view::ViewCell,
 };
@@ -68,6 +69,7 @@
     roster: Roster,
     view: ViewCell,
     timeline: Timeline,
+    stall: Option<Stall>,
     joined: Option<JoinRule>,
     refused: VecDeque<(Sequence, Arc<str>)>,
 }
@@ -108,6 +110,7 @@
             roster,
             view: context.view().clone(),
             timeline: context.timeline().clone(),
+            stall: context.registry().find("stall").ok(),
             joined: None,
             refused: VecDeque::new(),
         }
@@ -144,6 +147,9 @@
     }
 
     fn take(&mut self, input: Input) {
+        if let Some(stall) = self.stall.as_ref().filter(|_| is_word(&input)) {
+            stall.heard();
+        }
         let now = Instant::now();
         let replica = &mut self.replica;
         match input {
@@ -291,6 +297,16 @@
     }
 }
 
+/// Returns whether an input shows how far others are, so that a pause of this process is made
+/// up for.
+fn is_word(input: &Input) -> bool {
+    match input {
+        Input::Message(_, message) => matches!(message, Message::Hello(_) | Message::Digest(_)),
+        Input::Word => true,
+        _ => false,
+    }
+}
+
 fn platform_state(replica: &Replica) -> PlatformState {
     PlatformState {
         have: replica.config().sequence,
--- a/crates/node/src/stall/ticker.rs
+++ b/crates/node/src/stall/ticker.rs
@@ -39,9 +39,9 @@
         self.tick().generation()
     }
 
-    /// Notes fresh word of another node or of the platform that was asked for in `generation`.
-    pub(crate) fn heard(&self, generation: u64) {
-        self.detector.lock().heard(generation);
+    /// Notes word of another node or of the platform that was read now.
+    pub(crate) fn heard(&self) {
+        self.tick().heard(Instant::now());
     }
 
     /// Returns whether the node must take no new work yet.
