Tell other nodes which streams were taken when a node stops

A node that stopped dropped the connections of other nodes, so a call that was on its way at that moment ended as unknown, and replies in flight were cut. The transport now shuts its connections down in the h2 way: streams in flight finish, and the ingress takes a later one for what it is, not run.

The test sends 300 calls without keys across the stop of a sidecar's transport and expects 300 whole answers; it fails without the change.

--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -141,7 +141,8 @@
     match err {
         TransportError::NoService => true,
         TransportError::Broken { source } => {
-            source.is_remote() && source.reason() == Some(h2::Reason::REFUSED_STREAM)
+            let is_refused = source.reason() == Some(h2::Reason::REFUSED_STREAM);
+            source.is_remote() && (is_refused || source.is_go_away())
         }
         _ => false,
     }
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -514,7 +514,7 @@
         }
         .boxed_local()
     };
-    let scene = Scene::start(&TWO[..1], move |_| Fake::new(silent)).await;
+    let scene = Scene::start_limited(24, &TWO[..1], move |_| Some(Fake::new(silent))).await;
     let greedy = (0..20).map(|_| {
         let headers = [("x-caller", "greedy"), ("x-deadline-ms", "1500")];
         let scene = &scene;
@@ -532,3 +532,41 @@
     assert_eq!(refused.count(), 8, "half of the 24 calls of the node");
     other.is(504);
 }
+
+#[actix_rt::test]
+async fn a_sidecar_that_stops_cuts_no_call() {
+    let slow = |mut call: FakeCall| {
+        async move {
+            while let Ok(Some(_)) = call.reader.bytes().await {}
+            call.writer.frame(&answer_head(Some(8))).await.unwrap();
+            call.writer
+                .bytes(Bytes::from_static(b"half"))
+                .await
+                .unwrap();
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            call.writer
+                .bytes(Bytes::from_static(b"rest"))
+                .await
+                .unwrap();
+            call.writer.end().unwrap();
+        }
+        .boxed_local()
+    };
+    let mut scene = Scene::start(TWO, move |_| Fake::new(slow)).await;
+    let mut first = scene.services.remove(0);
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        first.stop().await;
+    };
+    let calls = (0..300).map(|i| {
+        let scene = &scene;
+        async move {
+            tokio::time::sleep(Duration::from_millis(2 * i)).await;
+            scene.post("/x", &[]).await
+        }
+    });
+    let (replies, ()) = tokio::join!(futures_util::future::join_all(calls), stop);
+    for reply in replies {
+        reply.is(200).body(b"halfrest");
+    }
+}
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -147,7 +147,7 @@
     pub(super) callers: SocketAddr,
     pub(super) ingress: Ingress,
     pub(super) heads: Rc<RefCell<Vec<CallHead>>>,
-    _services: Vec<Box<dyn Service>>,
+    pub(super) services: Vec<Box<dyn Service>>,
 }
 
 impl Scene {
@@ -163,7 +163,15 @@
         upstreams: &[(&'static str, &'static str)],
         make: impl Fn(&str) -> Option<Fake>,
     ) -> Self {
-        let context = Context::new(settings(free_address()));
+        Self::start_limited(512, upstreams, make).await
+    }
+
+    pub(super) async fn start_limited(
+        calls: usize,
+        upstreams: &[(&'static str, &'static str)],
+        make: impl Fn(&str) -> Option<Fake>,
+    ) -> Self {
+        let context = Context::new(settings(free_address(), calls));
         let heads = Rc::default();
         let mut services: Vec<Box<dyn Service>> = Vec::new();
         let mut config = config();
@@ -172,7 +180,7 @@
             let address = free_address();
             if let Some(mut fake) = make(name) {
                 fake.heads = Rc::clone(&heads);
-                let context = Context::new(settings(address));
+                let context = Context::new(settings(address, calls));
                 let handler = Rc::new(fake);
                 context.registry().publish_handler("call", handler);
                 let mut transport = Transport::default();
@@ -195,7 +203,7 @@
             callers,
             ingress,
             heads,
-            _services: services,
+            services,
         }
     }
 
@@ -305,10 +313,11 @@
     listener.local_addr().unwrap()
 }
 
-fn settings(peers: SocketAddr) -> Arc<Settings> {
+fn settings(peers: SocketAddr, calls: usize) -> Arc<Settings> {
+    let bytes = calls << 16;
     let text = format!(
         "{{vm: v, domain: a, region: r, address: 127.0.0.1, callers: '127.0.0.1:0', \
-         peers: '{peers}', admin: '127.0.0.1:0', limits: {{stop_ms: 3000, body_bytes: 1572864}}}}"
+         peers: '{peers}', admin: '127.0.0.1:0', limits: {{stop_ms: 3000, body_bytes: {bytes}}}}}"
     );
     Arc::new(serde_yaml_ng::from_str(&text).unwrap())
 }
--- a/crates/node/src/transport/server.rs
+++ b/crates/node/src/transport/server.rs
@@ -1,15 +1,21 @@
 //! Accepts other nodes and passes each stream to the service that it names.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
-use h2::{RecvStream, server::SendResponse};
+use h2::{
+    RecvStream,
+    server::{Connection, SendResponse},
+};
 use http::{Request, Response, StatusCode};
 use log::debug;
 use snafu::ResultExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     kernel::{Context, Registry, Service, StartError},
@@ -35,6 +41,7 @@
 #[derive(Default)]
 pub(crate) struct Transport {
     token: Option<CancellationToken>,
+    connections: TaskTracker,
 }
 
 impl Service for Transport {
@@ -48,7 +55,12 @@
             let listener = TcpListener::bind(address).await;
             let listener = listener.context(crate::kernel::BindSnafu { address })?;
             let token = context.token();
-            actix_rt::spawn(accept(listener, context.registry().clone(), token.clone()));
+            let server = Server {
+                registry: context.registry().clone(),
+                token: token.clone(),
+                connections: self.connections.clone(),
+            };
+            actix_rt::spawn(server.accept(listener));
             self.token = Some(token);
             Ok(())
         })
@@ -59,51 +71,80 @@
             if let Some(token) = self.token.take() {
                 token.cancel();
             }
+            self.connections.close();
+            let _ = timeout(CLOSE_TIMEOUT, self.connections.wait()).await;
         })
     }
 }
 
-async fn accept(listener: TcpListener, registry: Registry, token: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            () = token.cancelled() => return,
-            accepted = listener.accept() => accepted,
-        };
-        let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let registry = registry.clone();
-        let token = token.clone();
-        actix_rt::spawn(async move {
-            tokio::select! {
-                () = token.cancelled() => {}
-                result = serve(stream, peer, registry) => {
-                    if let Err(err) = result {
-                        debug!("connection of {peer} ended: {err}");
-                    }
-                }
-            }
-        });
-    }
+/// Longest time for which a stop waits for other nodes to leave.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause after a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the connections of other nodes share.
+#[derive(Clone)]
+struct Server {
+    registry: Registry,
+    token: CancellationToken,
+    connections: TaskTracker,
 }
 
-/// Pause after a failed accept, such as for want of file descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+impl Server {
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.token.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, peer)) = accepted else {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let served = self.clone().serve(stream, peer);
+            actix_rt::spawn(self.connections.track_future(served));
+        }
+    }
+
+    async fn serve(self, stream: TcpStream, peer: SocketAddr) {
+        let _ = stream.set_nodelay(true);
+        let result = async {
+            let handshake = h2::server::Builder::new()
+                .initial_window_size(STREAM_WINDOW)
+                .initial_connection_window_size(CONNECTION_WINDOW)
+                .max_concurrent_streams(MAX_STREAMS)
+                .handshake(stream);
+            self.serve_streams(handshake.await?, peer).await
+        };
+        if let Err(err) = result.await {
+            debug!("connection of {peer} ended: {err}");
+        }
+    }
 
-async fn serve(stream: TcpStream, peer: SocketAddr, registry: Registry) -> Result<(), h2::Error> {
-    let _ = stream.set_nodelay(true);
-    let mut connection = h2::server::Builder::new()
-        .initial_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .max_concurrent_streams(MAX_STREAMS)
-        .handshake(stream)
-        .await?;
-    while let Some(request) = connection.accept().await {
-        let (request, respond) = request?;
-        dispatch(peer, request, respond, &registry);
+    /// Passes streams on until the other node leaves. When this node ends, the other one is told
+    /// which streams were taken, so that it knows that the later ones did not run.
+    async fn serve_streams(
+        &self,
+        mut connection: Connection<TcpStream, Bytes>,
+        peer: SocketAddr,
+    ) -> Result<(), h2::Error> {
+        let mut is_closing = false;
+        loop {
+            let accepted = tokio::select! {
+                () = self.token.cancelled(), if !is_closing => {
+                    is_closing = true;
+                    connection.graceful_shutdown();
+                    continue;
+                }
+                accepted = connection.accept() => accepted,
+            };
+            let Some(request) = accepted else {
+                return Ok(());
+            };
+            let (request, respond) = request?;
+            dispatch(peer, request, respond, &self.registry);
+        }
     }
-    Ok(())
 }
 
 fn dispatch(
