Count any peer of a failure domain as its answer to a joining node

With seeds in all failure domains a joining root stayed in 'other nodes are being asked': it was linked to seeds of another failure domain, so it dialled none of that domain's first nodes, yet waited for their answer. 24 nodes with seeds did not serve within 60 s; the simulation now starts with seeds and joins within 15 s of its time.

--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -342,6 +342,11 @@
         })
     }
 
+    fn has_peer_in(&self, domain: &DomainName) -> bool {
+        let mut peers = self.links.values().filter_map(|link| link.peer.as_ref());
+        peers.any(|peer| peer.domain == *domain)
+    }
+
     pub(super) fn join_facts(&self, now: Instant) -> JoinFacts {
         let peers: Vec<_> = self
             .links
@@ -385,10 +390,9 @@
         }
         let mut across = self.overlay.domains();
         across.all(|(domain, nodes)| {
-            let asked = || nodes.iter().take(ASKED_ACROSS);
             *domain == self.me.domain
-                || asked().any(|entry| self.link_to(&entry.vm).is_some())
-                || asked().all(|entry| is_asked(entry))
+                || self.has_peer_in(domain)
+                || nodes.iter().take(ASKED_ACROSS).all(|entry| is_asked(entry))
         })
     }
 
--- a/crates/coordination/tests/replica/chaos.rs
+++ b/crates/coordination/tests/replica/chaos.rs
@@ -23,6 +23,9 @@
     fn all_agree_after_a_heal_and_none_goes_back(seed in any::<u64>()) {
         let mut sim = Sim::new(seed, &[("a", 7), ("b", 6), ("c", 3)]);
         sim.loss = if seed % 3 == 0 { 0.05 } else { 0.0 };
+        if seed % 2 == 0 {
+            sim.seeds = vec![0, 1, 7, 13];
+        }
         sim.publish_service();
         sim.start_all();
         sim.run_for(15_000);
--- a/crates/coordination/tests/replica/main.rs
+++ b/crates/coordination/tests/replica/main.rs
@@ -176,6 +176,17 @@
     assert!(rules.contains(&JoinRule::ServingPeer));
 }
 
+#[test]
+fn cold_start_with_seeds_of_all_failure_domains_joins() {
+    for seed in 0..5 {
+        let mut sim = Sim::new(seed, &THREE);
+        sim.seeds = vec![0, 1, 12, 13, 24, 25];
+        sim.publish_service();
+        sim.start_all();
+        sim.run_until(15_000, |sim| sim.all_serve() && sim.all_have(1));
+    }
+}
+
 #[test]
 fn node_that_hears_nobody_does_not_serve() {
     let mut sim = Sim::new(8, &THREE);
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -26,6 +26,8 @@
     /// Part of the messages that is lost.
     pub(crate) loss: f64,
     pub(crate) policy: ReplicaPolicy,
+    /// Nodes that all others know from their settings.
+    pub(crate) seeds: Vec<usize>,
     /// Failure domains whose messages to others do not arrive.
     pub(crate) cuts: BTreeSet<(DomainName, DomainName)>,
     /// Note texts that were delivered over links.
@@ -134,6 +136,7 @@
             },
             loss: 0.0,
             policy: ReplicaPolicy::default(),
+            seeds: Vec::new(),
             cuts: BTreeSet::new(),
             notes_sent: 0,
             base: Instant::now(),
@@ -160,12 +163,14 @@
         self.starts += 1;
         let start = self.starts;
         let now = self.now();
+        let seeds = self.seeds.iter().filter(|seed| **seed != number);
+        let seeds = seeds.map(|seed| self.nodes[*seed].entry.address).collect();
         let node = &mut self.nodes[number];
         let me = Identity {
             vm: node.entry.vm.clone(),
             domain: node.entry.domain.clone(),
             incarnation: Incarnation(start * 1_000_000),
-            seeds: Vec::new(),
+            seeds,
         };
         node.replica = Some(Replica::new(me, self.policy, now, &mut self.rng));
         node.start = start;
