--- a/crates/cli/src/command/order.rs
+++ b/crates/cli/src/command/order.rs
@@ -4,7 +4,7 @@
 
 use clap::{Args, Subcommand};
 use serde::Serialize;
-use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope, StatusReport};
+use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope, StatusReport, is_name};
 
 use crate::{
     client::NodeClient,
@@ -92,7 +92,7 @@
     };
     if arguments.print {
         let list = with_order(known, &order);
-        println!("{}", serde_json::to_string_pretty(&list)?);
+        output::print(true, &list, |_| String::new())?;
         return Ok(Exit::Done);
     }
     let answers = send(arguments, &order, nodes).await?;
@@ -110,6 +110,12 @@
     arguments: &OrderArguments,
     nodes: &Nodes,
 ) -> Result<Vec<DrainOrder>, CliError> {
+    let (Scope::Domain { name } | Scope::Vm { name }) = &arguments.scope;
+    if !is_name(name) {
+        return Err(CliError::BadOrder {
+            reason: "a name has 1 to 63 lower-case letters, digits, dashes, dots or underscores",
+        });
+    }
     if arguments.number == Some(0) {
         return Err(CliError::BadOrder {
             reason: "the number of an order must be above 0",
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,10 +1,14 @@
 //! Exit codes and the choice between JSON and text.
 
-use std::process::ExitCode;
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
 
 use serde::Serialize;
+use snafu::ResultExt;
 
-use crate::error::CliError;
+use crate::error::{CliError, WriteSnafu};
 
 /// How the command ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,16 +45,29 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the value can't be encoded.
+/// Returns an error when the value can't be encoded or written.
 pub(crate) fn print<T: Serialize>(
     json: bool,
     value: &T,
     text: impl FnOnce(&T) -> String,
 ) -> Result<(), CliError> {
-    if json {
-        println!("{}", serde_json::to_string_pretty(value)?);
+    let mut out = if json {
+        serde_json::to_string_pretty(value)?
     } else {
-        print!("{}", text(value));
+        text(value)
+    };
+    if !out.ends_with('\n') {
+        out.push('\n');
+    }
+    write(out.as_bytes())
+}
+
+/// Writes to the standard output; a reader that left early is no fault.
+fn write(bytes: &[u8]) -> Result<(), CliError> {
+    match io::stdout().write_all(bytes) {
+        Err(err) if err.kind() != io::ErrorKind::BrokenPipe => {
+            Err(err).context(WriteSnafu { path: "stdout" })
+        }
+        _ => Ok(()),
     }
-    Ok(())
 }
