Give the light load the usual service time without its variance

Cause: a light load of 5 ms a call taught sidecars a latency that the load after it could not meet: 4,897 refusals at half the capacity. Change: the light load takes each service's mean time.

--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -48,8 +48,6 @@
 const LIGHT_SPAN: Duration = Duration::from_secs(6);
 /// Calls a second of the light load for each node.
 const LIGHT_RATE: f64 = 20.0;
-/// Service time of the light load, in milliseconds.
-const LIGHT_QUERY: &str = "ms=5";
 /// Width of a slice of the series.
 const SLICE: Duration = Duration::from_millis(250);
 /// Pause before a run in which a failure domain is drained from the start.
@@ -150,8 +148,9 @@
         let rate = LIGHT_RATE * self.targets.len() as f64;
         let light = |label| {
             let mut workload = self.site.workload(label, rate);
-            for kind in &mut workload.kinds {
-                kind.query = LIGHT_QUERY.into();
+            let services = &self.site.fleet.deployment().services;
+            for (kind, shape) in workload.kinds.iter_mut().zip(services) {
+                kind.query = format!("ms={}", shape.service_ms);
             }
             workload
         };
