--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -76,6 +76,7 @@
         site,
         options,
         records: Vec::new(),
+        past_system: Verdict::default(),
     };
     run.all().await
 }
@@ -85,6 +86,8 @@
     targets: Vec<Target>,
     options: ServiceOptions,
     records: Vec<CallRecord>,
+    /// Load that went past the system, for which it can't answer.
+    past_system: Verdict,
 }
 
 impl Run {
@@ -99,7 +102,9 @@
         let mut result = self.blank();
         if fault == ServiceFault::None && self.options.baseline.is_none() {
             info!("light load");
+            let before = self.site.counts();
             result.added_p99_ms = Some(self.added_p99().await);
+            self.past_system = Verdict::load_between(&before, &self.site.counts());
         }
         let peak = match fault {
             ServiceFault::Overload => Some(self.peak().await),
@@ -212,8 +217,8 @@
         result.ran_twice = verdict.ran_twice;
         result.false_did_not_run = verdict.false_did_not_run;
         result.misrouted = verdict.misrouted;
-        result.over_limit = verdict.over_limit;
-        result.swamped = verdict.swamped;
+        result.over_limit = verdict.over_limit - self.past_system.over_limit;
+        result.swamped = verdict.swamped - self.past_system.swamped;
         result.upstreams_crashed = verdict.crashed;
         result.attempts_per_call = verdict.attempts as f64 / self.records.len().max(1) as f64;
         result.innocent_refused = result.reasons.get("poison").copied().unwrap_or(0);
--- a/crates/bench/src/service/verdict.rs
+++ b/crates/bench/src/service/verdict.rs
@@ -47,6 +47,16 @@
         verdict
     }
 
+    /// Returns the excess load that upstreams counted between two moments.
+    pub(crate) fn load_between(before: &[Counts], after: &[Counts]) -> Self {
+        let (before, after) = (Self::of(&[], before), Self::of(&[], after));
+        Self {
+            over_limit: after.over_limit - before.over_limit,
+            swamped: after.swamped - before.swamped,
+            ..Self::default()
+        }
+    }
+
     fn add_counts(&mut self, counts: &Counts) {
         self.misrouted += counts.misrouted;
         self.over_limit += counts.over_limit;
