--- a/crates/cli/src/command/timeline.rs
+++ b/crates/cli/src/command/timeline.rs
@@ -1,6 +1,9 @@
 //! `wagtaillever timeline`
 
-use std::fmt::Write;
+use std::{
+    fmt::Write,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use clap::Args;
 use serde::{Deserialize, Serialize};
@@ -21,8 +24,11 @@
     #[arg(long)]
     vm: Option<String>,
     /// Shows only events after this time stamp, as <wall_ms>.<counter>.
-    #[arg(long, default_value = "0.0")]
+    #[arg(long, default_value = "0.0", conflicts_with = "last")]
     after: String,
+    /// Shows only events of the last seconds, by the clock of this machine.
+    #[arg(long, value_name = "SECONDS")]
+    last: Option<u64>,
 }
 
 /// Time stamp of a hybrid logical clock.
@@ -46,7 +52,7 @@
 
 impl Timeline {
     pub(crate) async fn run(&self, json: bool, nodes: &Nodes) -> Result<Exit, CliError> {
-        let path = format!("/timeline?after={}", self.after);
+        let path = format!("/timeline?after={}", self.start());
         let answers = nodes.get::<Vec<Event>>(&path).await?;
         let exit = answers.exit();
         let events = answers.found.into_iter().flat_map(|(_, events)| events);
@@ -55,6 +61,15 @@
         Ok(exit)
     }
 
+    fn start(&self) -> String {
+        let Some(seconds) = self.last else {
+            return self.after.clone();
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let start = now.unwrap_or_default().as_secs().saturating_sub(seconds);
+        format!("{}.0", start * 1000)
+    }
+
     fn shows(&self, event: &Event) -> bool {
         let is_note = |note: &u64| event.details.get("note").and_then(Value::as_u64) == Some(*note);
         let is_call = |call: &String| event.details.get("call").is_some_and(|held| held == call);
@@ -75,12 +90,8 @@
     let width = events.iter().map(|event| event.vm.len()).max().unwrap_or(0);
     let mut text = String::new();
     for event in events {
-        let Stamp { wall_ms, counter } = event.at;
-        let _ = write!(
-            text,
-            "{wall_ms}.{counter:<3} {:width$} {}",
-            event.vm, event.event
-        );
+        let time = time_of_day(event.at);
+        let _ = write!(text, "{time} {:width$} {}", event.vm, event.event);
         for (key, value) in &event.details {
             let _ = write!(text, " {key}={value}");
         }
@@ -88,3 +99,13 @@
     }
     text
 }
+
+/// Returns the time of day in UTC, with the counter of events within the millisecond.
+fn time_of_day(at: Stamp) -> String {
+    let (seconds, ms) = (at.wall_ms / 1000, at.wall_ms % 1000);
+    let (hour, minute, second) = (seconds / 3600 % 24, seconds / 60 % 60, seconds % 60);
+    format!(
+        "{hour:02}:{minute:02}:{second:02}.{ms:03}+{:<2}",
+        at.counter
+    )
+}
