--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -56,6 +56,8 @@
 pub struct Digest {
     /// What the sender has.
     pub have: Have,
+    /// Hash of the configuration in force.
+    pub config: u32,
     /// Whether the sender takes work.
     pub serving: bool,
     /// Whether the sender reads the platform on behalf of its failure domain.
--- a/crates/coordination/src/overlay.rs
+++ b/crates/coordination/src/overlay.rs
@@ -57,6 +57,14 @@
         position.unwrap_or(nodes.len())
     }
 
+    /// Returns the nodes that a node takes as parent, the best one first.
+    #[must_use]
+    pub fn parents(&self, domain: &DomainName, vm: &VmName) -> Arc<[Arc<VmEntry>]> {
+        let nodes = self.nodes(domain);
+        let order = parents(self.position(domain, vm));
+        order.iter().map(|at| Arc::clone(&nodes[*at])).collect()
+    }
+
     /// Iterates over the failure domains and their nodes.
     pub fn domains(&self) -> impl Iterator<Item = (&DomainName, &[Arc<VmEntry>])> {
         self.ranked
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -34,7 +34,7 @@
     overlay::Overlay,
     sequence::Sequence,
     soft_report::{ReportStore, SoftReport},
-    vm::{Incarnation, VmList},
+    vm::{Incarnation, VmEntry, VmList},
 };
 
 /// Gap between two ticks that shows a pause of the process.
@@ -101,9 +101,12 @@
     highest: Sequence,
     vms: Arc<VmList>,
     overlay: Overlay,
+    /// Nodes that this one takes as parent, the best one first.
+    parents: Arc<[Arc<VmEntry>]>,
     is_unlisted: bool,
     drains: DrainList,
     drains_hash: u64,
+    config_hash: u32,
     reports: ReportStore,
     fleet: FleetTable,
     links: BTreeMap<LinkId, Link>,
@@ -136,8 +139,10 @@
             highest: Sequence::ZERO,
             vms: Arc::default(),
             overlay: Overlay::default(),
+            parents: Arc::default(),
             is_unlisted: false,
             drains_hash: drains_hash(&drains),
+            config_hash: config_hash(&Config::default()),
             drains,
             reports: ReportStore::default(),
             fleet: FleetTable::default(),
@@ -326,6 +331,7 @@
         }
         self.raise_highest(self.fold.sequence(), now);
         self.spread_notes(from, now);
+        self.config_hash = config_hash(self.fold.config());
     }
 
     fn raise_highest(&mut self, sequence: Sequence, now: Instant) {
@@ -346,6 +352,7 @@
         }
         self.vms = Arc::clone(list);
         self.overlay = Overlay::new(list);
+        self.parents = self.overlay.parents(&self.me.domain, &self.me.vm);
         self.is_unlisted = false;
         let used: BTreeSet<_> = list.vms.iter().map(|entry| entry.address).collect();
         self.dials.retain(|address| used.contains(&address));
@@ -415,7 +422,16 @@
     }
 }
 
+/// Returns the part of a configuration's digest that is compared between neighbours.
+fn config_hash(config: &Config) -> u32 {
+    (config.digest() >> 32) as u32
+}
+
+/// Returns 0 for no orders, which takes a single byte on a link.
 fn drains_hash(drains: &DrainList) -> u64 {
     let orders: Vec<_> = drains.iter().collect();
+    if orders.is_empty() {
+        return 0;
+    }
     xxh3_64(format!("{orders:?}").as_bytes())
 }
--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -17,7 +17,7 @@
 use crate::{
     join::JoinFacts,
     name::{DomainName, VmName},
-    overlay::{FAN_OUT, RELAYS, parents},
+    overlay::{FAN_OUT, RELAYS},
     vm::VmEntry,
 };
 
@@ -149,10 +149,7 @@
     }
 
     fn plan_parents(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant) {
-        let nodes = self.overlay.nodes(&self.me.domain);
-        let position = self.overlay.position(&self.me.domain, &self.me.vm);
-        let order = parents(position);
-        let candidates: Vec<_> = order.iter().map(|at| Arc::clone(&nodes[*at])).collect();
+        let candidates = Arc::clone(&self.parents);
         let count = if self.is_platform_fresh() { 1 } else { 2 };
         let walk = self.walk(&candidates, count, now);
         wanted.extend(walk.links.iter().copied());
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -128,6 +128,7 @@
             self.readers.insert(contact, now);
         }
         let have = digest.have;
+        self.compare(id, &digest);
         self.raise_highest(have.highest.max(have.sequence), now);
         let highest = self.highest;
         let mine = self.have();
@@ -151,6 +152,16 @@
         self.repair_drains(id, have, mine, now);
     }
 
+    /// Checks that neighbours reach the same verdicts.
+    fn compare(&mut self, id: LinkId, digest: &Digest) {
+        let is_same_sequence = digest.have.sequence == self.fold.sequence();
+        if is_same_sequence && digest.config != self.config_hash {
+            let vm = self.peer_vm(id);
+            self.outputs
+                .extend(vm.map(|vm| Output::Event(ReplicaEvent::SplitVerdict(vm))));
+        }
+    }
+
     fn repair_notes(&mut self, id: LinkId, have: Have, now: Instant) {
         let mine = self.fold.sequence();
         if have.sequence > mine {
--- a/crates/coordination/src/replica/spread.rs
+++ b/crates/coordination/src/replica/spread.rs
@@ -63,6 +63,7 @@
         let is_up = self.uplinks.first() == Some(&id);
         Digest {
             have: self.have(),
+            config: self.config_hash,
             serving: self.is_serving,
             relay: self.is_relay(),
             push: self.links.get(&id).is_some_and(|link| link.push),
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -517,6 +517,7 @@
         let node = &mut self.nodes[number];
         match event {
             ReplicaEvent::Platform(mode) => node.mode = mode,
+            ReplicaEvent::SplitVerdict(vm) => panic!("{vm} has another configuration"),
             ReplicaEvent::Joined(rule) => node.rule = Some(rule),
             ReplicaEvent::Fold(FoldEvent::Refused(note, _)) => {
                 node.refused.push(note);
