Suspect no request that ran whole before; tell other work from overload

Callers repeat lookups, so requests share fingerprints, and one of them is in flight at most crashes. What ran whole is now not suspected, until it is in flight at a crash and doesn't run whole again.

The limit now falls only while it is reached, and the baseline follows at once when latency doesn't fall with the limit. Tests for both.

--- a/crates/coordination/src/admission/adaptive.rs
+++ b/crates/coordination/src/admission/adaptive.rs
@@ -6,7 +6,9 @@
 /// proportion when it rises, and on failures.
 ///
 /// The baseline is a mean that falls fast and rises slowly, so that a lasting
-/// change of the work is accepted in time while an overload is not.
+/// change of the work is accepted in time while an overload is not. Latency that
+/// doesn't fall with the limit isn't queueing in the upstream: then the work has
+/// changed, and the baseline follows at once.
 #[derive(Clone, Debug)]
 pub(super) struct AdaptiveLimit {
     slots: u32,
@@ -14,6 +16,14 @@
     baseline: Option<f64>,
     window: Window,
     decreased: Option<Instant>,
+    slow: Option<Slow>,
+}
+
+/// Latency that led to a decrease, and the limit before it.
+#[derive(Clone, Copy, Debug)]
+struct Slow {
+    mean: f64,
+    limit: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -36,6 +46,8 @@
 const FALL_SHARE: f64 = 0.2;
 /// Share of a higher window in the baseline.
 const RISE_SHARE: f64 = 0.02;
+/// Factor of the limit from which on a fall must show in the latency.
+const CLEAR_FALL: f64 = 0.7;
 /// Factor of the limit after a failure.
 const FAILURE_FACTOR: f64 = 0.8;
 /// Shortest time between two decreases.
@@ -50,6 +62,7 @@
             baseline: None,
             window: Window::default(),
             decreased: None,
+            slow: None,
         }
     }
 
@@ -88,19 +101,43 @@
     fn close_window(&mut self, now: Instant) {
         let window = std::mem::take(&mut self.window);
         let mean = window.sum / f64::from(window.count);
+        let baseline = self.follow(mean);
+        let normal = TOLERANCE * baseline + NOISE_SECS;
+        if mean <= normal {
+            self.slow = None;
+            if window.full {
+                self.limit = (self.limit + 1.0).min(f64::from(self.slots));
+            }
+            return;
+        }
+        if window.full {
+            let limit = self.limit;
+            self.slow.get_or_insert(Slow { mean, limit });
+            self.decrease(normal / mean, now);
+        }
+    }
+
+    /// Returns the baseline and lets it follow the mean of a window.
+    fn follow(&mut self, mean: f64) -> f64 {
         let baseline = *self.baseline.get_or_insert(mean);
         let share = if mean < baseline {
             FALL_SHARE
+        } else if self.is_other_work(mean) {
+            self.slow = None;
+            1.0
         } else {
             RISE_SHARE
         };
-        self.baseline = Some(baseline + share * (mean - baseline));
-        let normal = TOLERANCE * baseline + NOISE_SECS;
-        if mean > normal {
-            self.decrease(normal / mean, now);
-        } else if window.full {
-            self.limit = (self.limit + 1.0).min(f64::from(self.slots));
-        }
+        let next = baseline + share * (mean - baseline);
+        self.baseline = Some(next);
+        if share < 1.0 { baseline } else { next }
+    }
+
+    /// Returns whether latency stayed up although the limit fell clearly.
+    fn is_other_work(&self, mean: f64) -> bool {
+        self.slow.is_some_and(|slow| {
+            self.limit <= CLEAR_FALL * slow.limit && mean >= CLEAR_FALL.sqrt() * slow.mean
+        })
     }
 
     fn decrease(&mut self, factor: f64, now: Instant) {
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -167,6 +167,14 @@
     assert_eq!(bed.admission.limit(), before);
 }
 
+#[test]
+fn work_that_takes_longer_does_not_lower_the_limit_for_long() {
+    let mut bed = Bed::new(settings());
+    bed.run_for(ms(5000), ms(5));
+    bed.run_for(ms(10_000), ms(60));
+    assert_eq!(bed.admission.limit(), SLOTS);
+}
+
 #[test]
 fn a_refused_connection_stops_all_for_a_while() {
     let mut bed = Bed::new(settings());
--- a/crates/coordination/src/poison.rs
+++ b/crates/coordination/src/poison.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Poison {
     suspects: BTreeMap<u64, Suspect>,
+    good: HashSet<u64>,
+    good_order: VecDeque<u64>,
 }
 
 /// How a request is treated.
@@ -63,6 +65,8 @@
 const KEPT_CRASHES: usize = 16;
 /// Time for which a request is remembered.
 const KEPT: Duration = Duration::from_secs(600);
+/// Requests that ran whole and are remembered.
+const MAX_GOOD: usize = 8_192;
 /// Requests that are remembered.
 const MAX_SUSPECTS: usize = 10_000;
 
@@ -70,6 +74,9 @@
     /// Returns how a request is treated.
     #[must_use]
     pub fn suspicion(&self, fingerprint: u64, now: Instant) -> Suspicion {
+        if self.good.contains(&fingerprint) {
+            return Suspicion::Clear;
+        }
         let suspect = self.suspects.get(&fingerprint);
         let suspect = suspect.filter(|suspect| !suspect.is_old(now));
         match suspect.map_or(0, Suspect::open_crashes) {
@@ -82,8 +89,17 @@
     /// Takes in a crash and returns reports on the requests that are blamed.
     ///
     /// A request that ran alone is the cause. Otherwise suspects are blamed if
-    /// there are any, so that no request that merely ran beside them is.
+    /// there are any, so that no request that merely ran beside them is, and
+    /// last those that have not run whole here before. Requests that are sent
+    /// again and again share a fingerprint: what ran whole is not suspected,
+    /// until it is in flight at a crash and doesn't run whole again.
     pub fn crashed(&mut self, crash: u64, runs: &[InFlight], now: Instant) -> Vec<PoisonReport> {
+        let is_good = |run: &&InFlight| self.good.contains(&run.fingerprint);
+        let unproven: Vec<_> = runs.iter().filter(|run| !is_good(run)).copied().collect();
+        for run in runs {
+            self.good.remove(&run.fingerprint);
+        }
+        let runs = if unproven.is_empty() { runs } else { &unproven };
         let is_suspect = |run: &InFlight| self.suspicion(run.fingerprint, now) != Suspicion::Clear;
         let mut blamed: Vec<_> = runs.iter().filter(|run| run.alone).collect();
         if blamed.is_empty() {
@@ -103,6 +119,7 @@
 
     /// Clears a request that ran whole; returns a report if it was suspected.
     pub fn completed(&mut self, fingerprint: u64, now: Instant) -> Option<PoisonReport> {
+        self.remember_good(fingerprint);
         let suspect = self.suspects.get_mut(&fingerprint)?;
         if suspect.open_crashes() == 0 {
             return None;
@@ -133,6 +150,18 @@
         self.suspects.is_empty()
     }
 
+    fn remember_good(&mut self, fingerprint: u64) {
+        if !self.good.insert(fingerprint) {
+            return;
+        }
+        self.good_order.push_back(fingerprint);
+        if self.good_order.len() > MAX_GOOD
+            && let Some(oldest) = self.good_order.pop_front()
+        {
+            self.good.remove(&oldest);
+        }
+    }
+
     fn entry(&mut self, fingerprint: u64, now: Instant) -> &mut Suspect {
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room(now);
--- a/crates/coordination/src/poison/tests.rs
+++ b/crates/coordination/src/poison/tests.rs
@@ -56,6 +56,31 @@
     assert_eq!(poison.suspicion(1, now), Suspicion::Suspect);
 }
 
+#[test]
+fn what_ran_whole_before_is_not_suspected() {
+    let now = Instant::now();
+    let mut poison = Poison::default();
+    poison.completed(1, now);
+    for crash in 0..3 {
+        let reports = poison.crashed(crash, &[beside(1), beside(100 + crash)], now);
+        assert_eq!(reports.len(), 1);
+        assert_eq!(poison.suspicion(1, now), Suspicion::Clear);
+        poison.completed(1, now);
+    }
+}
+
+#[test]
+fn what_ran_whole_once_and_then_crashes_is_found() {
+    let now = Instant::now();
+    let mut poison = Poison::default();
+    poison.completed(1, now);
+    poison.crashed(0, &[beside(1), beside(2)], now);
+    poison.crashed(1, &[beside(1)], now);
+    assert_eq!(poison.suspicion(1, now), Suspicion::Suspect);
+    poison.crashed(2, &[alone(1)], now);
+    assert_eq!(poison.suspicion(1, now), Suspicion::Refused);
+}
+
 #[test]
 fn suspicion_ends_after_a_while() {
     let now = Instant::now();
