--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -54,6 +54,7 @@
         count_call(service, outcome_text(refusal.outcome), attempts);
         metrics::counter!("refusals_total", "reason" => reason).increment(1);
         if self.is_sampled() {
+            info!(call:% = call, service:% = service, reason; "call got no answer of an upstream");
             self.timeline.record(EventKind::CallRefused {
                 call: call.to_string().into(),
                 service: service.clone(),
