--- a/crates/coordination/src/candidates.rs
+++ b/crates/coordination/src/candidates.rs
@@ -1,5 +1,8 @@
 //! Upstreams of each service that may be given new work.
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use crate::{
