Spread connections ahead of need, and ping idle ones seldom

The 128 sidecars to connect to were the lowest addresses after those of the own failure domain, so all nodes of a large fleet would have chosen the same few of the other domains. They are now ranked by a hash of both ends; with 120 nodes of 3 domains and 60 connections each, no sidecar gets more than 80.

Each idle connection woke its watcher four times a second; it now wakes every 5 s until a call begins.

--- a/crates/coordination/src/candidates.rs
+++ b/crates/coordination/src/candidates.rs
@@ -3,12 +3,18 @@
 #[cfg(test)]
 mod tests;
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     config::{Config, Upstream},
     drain::DrainList,
-    name::{ServiceName, UpstreamName, VmName},
+    name::{DomainName, ServiceName, UpstreamName, VmName},
     vm::{VmEntry, VmList, VmState},
 };
 
@@ -82,6 +88,25 @@
         self.addresses.get(vm).copied()
     }
 
+    /// Returns the addresses of the sidecars to which the node on `vm` keeps connections, at most
+    /// `limit` of them: those of its own failure domain first, then others by a hash of both ends,
+    /// so that the nodes of a large fleet don't all choose the same ones.
+    #[must_use]
+    pub fn neighbours(&self, vm: &VmName, domain: &DomainName, limit: usize) -> Vec<SocketAddr> {
+        let seed = xxh3_64(vm.as_str().as_bytes());
+        let rank = |candidate: &Candidate| {
+            let name = candidate.upstream.vm.as_str();
+            let hash = xxh3_64_with_seed(name.as_bytes(), seed);
+            (candidate.upstream.domain != *domain, hash)
+        };
+        let ranked = self.iter().map(|c| (rank(c), c.address));
+        let ranked: BTreeSet<_> = ranked.collect();
+        let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|(_, at)| at).collect();
+        addresses.dedup();
+        addresses.truncate(limit);
+        addresses
+    }
+
     /// Iterates over all candidates of all services, in no order.
     pub fn iter(&self) -> impl Iterator<Item = &Candidate> {
         self.services.values().flatten()
--- a/crates/coordination/src/candidates/tests.rs
+++ b/crates/coordination/src/candidates/tests.rs
@@ -28,11 +28,12 @@
     }
 
     fn vm(mut self, vm: &str, domain: &str, state: VmState) -> Self {
+        let port = 1_000 + self.vms.vms.len();
         self.vms.vms.push(Arc::new(VmEntry {
             vm: vm.into(),
             domain: domain.into(),
             region: "r".into(),
-            address: "127.0.0.1:2".parse().unwrap(),
+            address: format!("127.0.0.1:{port}").parse().unwrap(),
             state,
         }));
         self
@@ -95,3 +96,35 @@
     let order = DrainScope::Domain("c".into());
     moved.order(1, order, DrainAction::Drain).gives(&[]);
 }
+
+#[test]
+fn connections_ahead_of_need_spread_over_other_failure_domains() {
+    let mut case = Case::default();
+    let vms: Vec<String> = (0..120).map(|i| format!("v{i}")).collect();
+    let domain = |i: usize| ["a", "b", "c"][i % 3];
+    for (i, vm) in vms.iter().enumerate() {
+        case = case
+            .upstream(vm, domain(i))
+            .vm(vm, domain(i), VmState::Live);
+    }
+    let candidates = Candidates::new(&case.config, &case.vms, &case.drains);
+    let mut incoming: HashMap<SocketAddr, usize> = HashMap::new();
+    for (i, vm) in vms.iter().enumerate() {
+        let own = DomainName::from(domain(i));
+        let chosen = candidates.neighbours(&vm.as_str().into(), &own, 60);
+        assert_eq!(chosen.len(), 60);
+        let is_own = |at: &SocketAddr| usize::from(at.port() - 1_000) % 3 == i % 3;
+        assert!(
+            chosen[..40].iter().all(is_own),
+            "the own failure domain comes first"
+        );
+        for address in chosen {
+            *incoming.entry(address).or_default() += 1;
+        }
+    }
+    let most = incoming.values().max().copied().unwrap();
+    assert!(
+        most <= 80,
+        "{most} connections to one sidecar, 60 on average"
+    );
+}
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -87,6 +87,7 @@
     let Ok(channel) = channel(pool, address, head.stage).await else {
         return AttemptEnd::Unreachable;
     };
+    channel.begin_call();
     let Ok((mut writer, pending)) = channel.connection().open("call").await else {
         return AttemptEnd::NotSent;
     };
--- a/crates/node/src/ingress/beliefs.rs
+++ b/crates/node/src/ingress/beliefs.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
-use wagtaillever_coordination::{Candidates, DomainName, RouteTable};
+use wagtaillever_coordination::{Candidates, RouteTable};
 
-use crate::view::View;
+use crate::{settings::Settings, view::View};
 
 /// Connections that are opened ahead of need.
 const MAX_WARM: usize = 128;
@@ -22,13 +22,14 @@
 }
 
 impl Beliefs {
-    /// Returns what follows from a view, seen from a failure domain.
-    pub(super) fn new(view: Arc<View>, domain: &DomainName, last: Option<&Self>) -> Self {
+    /// Returns what follows from a view, seen from the node of the settings.
+    pub(super) fn new(view: Arc<View>, settings: &Settings, last: Option<&Self>) -> Self {
         let candidates = Candidates::new(&view.config, &view.vms, &view.drains);
         let unchanged = last.filter(|last| Arc::ptr_eq(&last.view.config, &view.config));
         let routes = unchanged.map(|last| Rc::clone(&last.routes));
         let routes = routes.unwrap_or_else(|| Rc::new(RouteTable::new(&view.config)));
-        let warm = Rc::new(warm(&candidates, domain));
+        let warm = candidates.neighbours(&settings.vm, &settings.domain, MAX_WARM);
+        let warm = Rc::new(warm);
         Self {
             view,
             routes,
@@ -37,15 +38,3 @@
         }
     }
 }
-
-/// Returns the sidecars to connect to ahead of need, those of the own failure domain first.
-fn warm(candidates: &Candidates, domain: &DomainName) -> Vec<SocketAddr> {
-    let mut ranked: Vec<(bool, SocketAddr)> = candidates
-        .iter()
-        .map(|candidate| (candidate.upstream.domain != *domain, candidate.address))
-        .collect();
-    ranked.sort_unstable();
-    ranked.dedup_by_key(|(_, address)| *address);
-    ranked.truncate(MAX_WARM);
-    ranked.into_iter().map(|(_, address)| address).collect()
-}
--- a/crates/node/src/ingress/channel.rs
+++ b/crates/node/src/ingress/channel.rs
@@ -2,11 +2,12 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::Duration,
 };
 
 use h2::{Ping, PingPong};
-use tokio::time::timeout;
+use tokio::{sync::Notify, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::transport::{Connection, TransportError, connect_windowed};
@@ -20,6 +21,7 @@
 pub(super) struct Channel {
     connection: Connection,
     doubt: CancellationToken,
+    begun: Rc<Notify>,
 }
 
 impl Channel {
@@ -38,7 +40,12 @@
         let answered = timeout(FIRST_PONG_TIMEOUT, ping.ping(Ping::opaque())).await;
         answered.map_err(|_| TransportError::Ended)??;
         let doubt = CancellationToken::new();
-        Ok((Self { connection, doubt }, ping))
+        let channel = Self {
+            connection,
+            doubt,
+            begun: Rc::default(),
+        };
+        Ok((channel, ping))
     }
 
     /// Returns the connection.
@@ -46,6 +53,16 @@
         &self.connection
     }
 
+    /// Notes that a call begins to wait for the other side.
+    pub(super) fn begin_call(&self) {
+        self.begun.notify_one();
+    }
+
+    /// Returns what is told of each call that begins.
+    pub(super) fn begun(&self) -> Rc<Notify> {
+        Rc::clone(&self.begun)
+    }
+
     /// Returns whether new calls may be sent.
     pub(super) fn is_usable(&self) -> bool {
         !self.connection.is_closed() && !self.doubt.is_cancelled()
--- a/crates/node/src/ingress/keepalive.rs
+++ b/crates/node/src/ingress/keepalive.rs
@@ -9,7 +9,10 @@
 
 use h2::{Ping, PingPong};
 use log::info;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout},
+};
 
 use crate::ingress::channel::Channel;
 
@@ -26,12 +29,13 @@
 
 /// Watches a channel until it ends.
 pub(super) fn spawn(address: SocketAddr, channel: &Rc<Channel>, ping: PingPong) {
-    actix_rt::spawn(watch(address, Rc::downgrade(channel), ping));
+    let begun = channel.begun();
+    actix_rt::spawn(watch(address, Rc::downgrade(channel), begun, ping));
 }
 
-async fn watch(address: SocketAddr, channel: Weak<Channel>, mut ping: PingPong) {
+async fn watch(address: SocketAddr, channel: Weak<Channel>, begun: Rc<Notify>, mut ping: PingPong) {
     loop {
-        sleep_interval(&channel).await;
+        sleep_interval(&channel, &begun).await;
         if !is_open(&channel) {
             return;
         }
@@ -66,17 +70,15 @@
     let _ = poll_fn(|cx| ping.poll_pong(cx)).await;
 }
 
-/// Waits for the next ping; a call that starts to wait shortens the pause.
-async fn sleep_interval(channel: &Weak<Channel>) {
-    let idle_since = Instant::now();
-    loop {
-        sleep(BUSY_INTERVAL).await;
-        let is_busy = Weak::strong_count(channel) > 1;
-        let is_over = idle_since.elapsed() >= IDLE_INTERVAL;
-        if is_busy || is_over || !is_open(channel) {
+/// Waits for the next ping: soon while calls wait, seldom while none does.
+async fn sleep_interval(channel: &Weak<Channel>, begun: &Notify) {
+    if Weak::strong_count(channel) <= 1 {
+        let begun = timeout(IDLE_INTERVAL, begun.notified()).await;
+        if begun.is_err() {
             return;
         }
     }
+    sleep(BUSY_INTERVAL).await;
 }
 
 fn is_open(channel: &Weak<Channel>) -> bool {
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -76,7 +76,7 @@
             ejection: settings.policies.ejection,
         };
         let calls = settings.limits.body_bytes / CALL_WINDOW_BYTES as usize;
-        let beliefs = Beliefs::new(shared.view.load(), &settings.domain, None);
+        let beliefs = Beliefs::new(shared.view.load(), settings, None);
         let worker = Rc::new(Self {
             pool: Rc::new(Pool::new(settings.address, shared.token.clone())),
             balancer: RefCell::new(Balancer::new(settings.domain.clone(), policy)),
@@ -111,8 +111,8 @@
         let view = self.shared.view.load();
         let mut beliefs = self.beliefs.borrow_mut();
         if !Arc::ptr_eq(&beliefs.view, &view) {
-            let domain = &self.shared.settings.domain;
-            *beliefs = Rc::new(Beliefs::new(view, domain, Some(&beliefs)));
+            let settings = &self.shared.settings;
+            *beliefs = Rc::new(Beliefs::new(view, settings, Some(&beliefs)));
             self.balancer.borrow_mut().retain(&beliefs.candidates);
         }
         Rc::clone(&beliefs)
