--- a/crates/coordination/src/handover.rs
+++ b/crates/coordination/src/handover.rs
@@ -29,6 +29,7 @@
     config: Arc<Config>,
     fences: VecDeque<Fence>,
     listed: BTreeSet<VmName>,
+    list: Option<u64>,
     floor: u64,
 }
 
@@ -81,6 +82,7 @@
             config: Arc::default(),
             fences: VecDeque::new(),
             listed: BTreeSet::new(),
+            list: None,
             floor: 0,
         }
     }
@@ -157,6 +159,10 @@
 
     /// Takes in a list of VMs: one that was listed and is no more has ended.
     pub fn observe_vms(&mut self, vms: &VmList, floor_ms: u64) {
+        if self.list.is_some_and(|list| list >= vms.number) {
+            return;
+        }
+        self.list = Some(vms.number);
         let listed: BTreeSet<_> = vms.vms.iter().map(|entry| entry.vm.clone()).collect();
         let gone: Vec<_> = self.listed.difference(&listed).cloned().collect();
         for vm in gone {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -232,10 +232,13 @@
     fn tell(&self) {
         let admission = self.admission.borrow();
         let state = (admission.limit(), admission.is_cold());
-        let (_, was_cold) = self.told.replace(state);
+        let before = self.told.replace(state);
+        if before == state {
+            return;
+        }
         let upstream = self.spec.borrow().name.clone();
         metrics::gauge!("upstream_limit", "upstream" => upstream.to_string()).set(state.0);
-        match (was_cold, state.1) {
+        match (before.1, state.1) {
             (false, true) => {
                 info!(upstream:% = upstream; "upstream is cold");
                 self.timeline.record(EventKind::UpstreamCold { upstream });
