--- a/crates/bench/src/chaos/quiet.rs
+++ b/crates/bench/src/chaos/quiet.rs
@@ -29,16 +29,19 @@
         }
     }
 
-    /// Moves on in time; while reach is hindered, the time to settle starts afresh.
-    pub(crate) fn tick(&mut self, now: Instant, hindered: bool) {
+    /// Moves on in time and returns whether the time to settle is just over; while
+    /// reach is hindered, it starts afresh.
+    pub(crate) fn tick(&mut self, now: Instant, hindered: bool) -> bool {
         if self.settled.is_some() {
-            return;
+            return false;
         }
         if hindered {
             self.since = now;
-        } else if now >= self.since + SETTLE_TIME {
-            self.settled = Some(now);
+            return false;
         }
+        let is_over = now >= self.since + SETTLE_TIME;
+        self.settled = is_over.then_some(now);
+        is_over
     }
 
     /// Returns whether work that started at some time breaks the rule.
--- a/crates/bench/src/chaos/quiet/tests.rs
+++ b/crates/bench/src/chaos/quiet/tests.rs
@@ -10,7 +10,8 @@
     let mut quiet = Quiet::new("x", vec![0], start);
     quiet.tick(at(start, 2), false);
     assert!(!quiet.is_broken_by(at(start, 9)));
-    quiet.tick(at(start, 3), false);
+    assert!(quiet.tick(at(start, 3), false));
+    assert!(!quiet.tick(at(start, 4), false));
     assert!(!quiet.is_broken_by(at(start, 3)));
     assert!(quiet.is_broken_by(at(start, 4)));
 }
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -247,7 +247,7 @@
         let now = Instant::now();
         let hindered = self.active.iter().any(|a| a.action.hinders_reach());
         for (what, quiet) in &mut self.quiet {
-            quiet.tick(now, hindered);
+            self.report.quiet_scopes += usize::from(quiet.tick(now, hindered));
             for &vm in &quiet.vms {
                 let start = self.site.upstreams[vm].state().last_start();
                 if let Some(start) = start.filter(|&start| quiet.is_broken_by(start)) {
--- a/crates/bench/src/subcommand/chaos.rs
+++ b/crates/bench/src/subcommand/chaos.rs
@@ -44,7 +44,8 @@
             println!("{}", json(&report));
         } else {
             println!(
-                "seed {}: {} steps, {} notes, {} requests, {} answered, {} refused, {} unknown, {} checks held",
+                "seed {}: {} steps, {} notes, {} requests, {} answered, {} refused, {} unknown, \
+                 {} quiet scopes, {} clean stops, {} checks held",
                 report.seed,
                 report.steps,
                 report.notes,
@@ -52,6 +53,8 @@
                 report.good,
                 report.refused,
                 report.unknown,
+                report.quiet_scopes,
+                report.clean_stops,
                 report.held,
             );
         }
