Read a base that is split into parts with the operators' command

note fold writes a base over 1 MB in parts, but note check, diff and fold took its index for a broken base. They now read the parts beside it; the node reads parts through the same strict reader.

--- a/crates/cli/src/command/note/input.rs
+++ b/crates/cli/src/command/note/input.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 use snafu::ResultExt;
-use wagtaillever_coordination::{Config, ReleaseNote, Sequence};
+use wagtaillever_coordination::{Base, BaseIndex, Config, ReleaseNote, Sequence};
 
 use crate::error::{CliError, NoteSnafu, ReadSnafu};
 
@@ -18,7 +18,22 @@
         return Ok(Config::default());
     };
     let text = read(path)?;
-    Config::parse(&text).context(NoteSnafu { path })
+    match Base::parse(&text).context(NoteSnafu { path })? {
+        Base::Whole(config) => Ok(config),
+        Base::Split(index) => read_parts(path, &index),
+    }
+}
+
+/// Reads the parts of a base from files beside it, as `note fold` writes them.
+fn read_parts(path: &Path, index: &BaseIndex) -> Result<Config, CliError> {
+    let folder = path.parent().unwrap_or(path);
+    let parts = index.parts.iter().map(|key| {
+        let path = folder.join(key).with_extension("json");
+        let text = read(&path)?;
+        Config::parse_part(&text).context(NoteSnafu { path })
+    });
+    let parts: Vec<_> = parts.collect::<Result<_, _>>()?;
+    index.join(parts).context(NoteSnafu { path })
 }
 
 /// Reads a note and the sequence number under which it stands: the number that
--- a/crates/cli/tests/command/notes.rs
+++ b/crates/cli/tests/command/notes.rs
@@ -123,3 +123,47 @@
         .code(0)
         .shows("complete -F _wagtaillever");
 }
+
+/// Returns a note that adds a service with so many upstreams of long names.
+fn large_note(number: u64, upstreams: u64) -> String {
+    let mut text =
+        format!("note: {number}\nservices: {{add: [{{name: s{number}}}]}}\nupstreams:\n  add:\n");
+    for upstream in 0..upstreams {
+        let name = format!("u{number}-{upstream:05}-{}", "x".repeat(48));
+        text.push_str(&format!(
+            "    - {{name: {name}, service: s{number}, vm: {name}, domain: d, address: '10.0.0.1:1', slots: 1, connections: 1}}\n"
+        ));
+    }
+    text
+}
+
+#[actix_web::test]
+async fn a_large_base_is_written_and_read_in_parts() {
+    let folder = TempDir::new().unwrap();
+    let notes = [1, 2].map(|number| {
+        file(
+            &folder,
+            &format!("{number}.yaml"),
+            &large_note(number, 2_000),
+        )
+    });
+    let out = folder.path().join("out").display().to_string();
+    let folded = run([
+        "note", "fold", "--json", "--out", &out, &notes[0], &notes[1],
+    ])
+    .await;
+    let folded = folded.code(0).json();
+    assert_eq!(
+        folded["files"].as_array().unwrap().len(),
+        3,
+        "{}",
+        folded["files"]
+    );
+    let base = format!("{out}/base.json");
+    let next = file(&folder, "3.yaml", "note: 3\nservices: {withdraw: [s1]}\n");
+    let checked = run(["note", "check", "--base", &base, &next]).await.code(3);
+    checked.shows("service s1 is withdrawn but upstream u1-00000");
+    fs::remove_file(format!("{out}/base/1.json")).unwrap();
+    let broken = run(["note", "check", "--base", &base, &next]).await;
+    broken.code(1).warns("base/1.json: can't be read");
+}
--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -117,12 +117,21 @@
     ///
     /// Returns an error that names the line of the fault or the rule that is broken.
     pub fn parse(text: &[u8]) -> Result<Self, NoteError> {
-        let base: border::Base = border::from_json(text)?;
-        let config = Self::try_from(base)?;
+        let config = Self::parse_part(text)?;
         config.validate()?;
         Ok(config)
     }
 
+    /// Parses the JSON of one part of a configuration, which may refer to other parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the line of the fault.
+    pub fn parse_part(text: &[u8]) -> Result<Self, NoteError> {
+        let base: border::Base = border::from_json(text)?;
+        Self::try_from(base)
+    }
+
     /// Returns the values to publish for this configuration, the `base` key last.
     ///
     /// # Panics
--- a/crates/node/src/source/reader.rs
+++ b/crates/node/src/source/reader.rs
@@ -230,7 +230,7 @@
             let Some(value) = self.get(key).await?.0 else {
                 return Err(bad(key, &"a part of the base is missing"));
             };
-            let part = serde_json::from_slice::<Config>(&value.body);
+            let part = Config::parse_part(&value.body);
             parts.push(part.map_err(|err| bad(key, &err))?);
         }
         index.join(parts).map_err(|err| bad("base", &err))
