Let callers mint a new key after a true 'did not run'

Change: a caller that knows that none of its sendings ran takes a key of the failure domain it turns to, as PROTOCOLS.md allows. The run stays as strict: ran_twice counts executions by request, whatever its keys.

--- a/crates/bench/src/caller/driver.rs
+++ b/crates/bench/src/caller/driver.rs
@@ -210,10 +210,7 @@
         let caller = format!("caller-{caller}");
         let nodes = thread.targets_of(&self.kind);
         let mut at = self.rng.random_range(0..nodes.len());
-        let key = self.kind.keyed.then(|| {
-            let domain = &thread.targets[nodes[at]].domain;
-            format!("{domain}.{}", Uuid::now_v7())
-        });
+        let mut key = self.key(thread, nodes[at]);
         let mut sendings: Vec<SendingRecord> = Vec::new();
         loop {
             let id = format!("{}#{}", self.id, sendings.len());
@@ -243,6 +240,9 @@
             }
             sleep(pause).await;
             at = self.other_node(at, nodes.len());
+            if !sendings.iter().any(|sending| sending.told.may_have_run()) {
+                key = self.key(thread, nodes[at]);
+            }
         }
         CallRecord {
             answered: answered(&sendings),
@@ -255,6 +255,14 @@
         }
     }
 
+    /// Mints a key in the failure domain of a node. A caller that knows that none of its
+    /// sendings ran is free to take a new one.
+    fn key(&self, thread: &Thread, node: usize) -> Option<String> {
+        let domain = &thread.targets[node].domain;
+        let mint = || format!("{domain}.{}", Uuid::now_v7());
+        self.kind.keyed.then(mint)
+    }
+
     fn pause(&mut self, reply: &Reply) -> Duration {
         let base = reply.after.max(RESEND_PAUSE);
         base.mul_f64(0.75 + self.rng.random::<f64>() / 2.0)
