--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -2,6 +2,8 @@
 //! to link to, whether to read the platform and when to take work.
 
 mod dial;
+mod input;
+mod joining;
 mod link;
 mod output;
 mod plan;
@@ -10,11 +12,13 @@
 mod spread;
 mod summary;
 
-pub use self::output::{LinkId, Output, PlatformMode, ReplicaEvent};
+pub use self::{
+    input::{Identity, PlatformValue, ReplicaPolicy},
+    output::{LinkId, Output, PlatformMode, ReplicaEvent},
+};
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -28,67 +32,18 @@
     drain::{DrainList, DrainOrder},
     fleet::{FleetSummary, FleetTable},
     fold::{Fold, FoldEvent},
-    join::{Join, JoinRule, JoinWait},
+    join::{Join, JoinWait},
     message::{Have, Message},
     name::{DomainName, VmName},
     overlay::Overlay,
     sequence::Sequence,
     soft_report::{ReportStore, SoftReport},
-    vm::{Incarnation, VmEntry, VmList},
+    vm::{VmEntry, VmList},
 };
 
 /// Gap between two ticks that shows a pause of the process.
 const PAUSE_GAP: Duration = Duration::from_millis(1_500);
 
-/// Identity of a replica.
-#[derive(Clone, Debug)]
-pub struct Identity {
-    /// VM of the node.
-    pub vm: VmName,
-    /// Failure domain of the VM.
-    pub domain: DomainName,
-    /// Process on the VM.
-    pub incarnation: Incarnation,
-    /// Addresses of nodes to start from.
-    pub seeds: Vec<SocketAddr>,
-}
-
-/// Mechanisms that experiments switch off.
-#[derive(Clone, Copy, Debug)]
-pub struct ReplicaPolicy {
-    /// Only relays read the platform.
-    pub relay: bool,
-    /// Notes travel as deltas.
-    pub delta: bool,
-    /// Digests repair loss.
-    pub digest: bool,
-}
-
-impl Default for ReplicaPolicy {
-    fn default() -> Self {
-        Self {
-            relay: true,
-            delta: true,
-            digest: true,
-        }
-    }
-}
-
-/// A value that was read from the platform.
-#[derive(Clone, Debug)]
-pub enum PlatformValue {
-    /// Whole configuration at some sequence.
-    Base(Config),
-    /// Text of a release note.
-    Note(Sequence, Arc<[u8]>),
-    /// List of VMs.
-    Vms(VmList),
-    /// The platform has no list of VMs.
-    NoVms,
-    /// Drain orders.
-    Drains(Vec<DrainOrder>),
-}
-
 /// State of one node; performs no I/O itself.
 ///
 /// Each input returns nothing; what is to be done is taken with
@@ -287,29 +242,6 @@
         }
     }
 
-    fn try_join(&mut self, now: Instant) {
-        if self.is_serving {
-            return;
-        }
-        let facts = self.join_facts(now);
-        match self.join.decide(facts, now) {
-            Ok(rule) => self.joined(rule),
-            Err(wait) => self.wait = Some(wait),
-        }
-    }
-
-    fn joined(&mut self, rule: JoinRule) {
-        assert!(
-            self.fold.sequence() >= self.highest,
-            "a node must not serve behind what it has heard of"
-        );
-        self.is_serving = true;
-        self.event(ReplicaEvent::Joined(rule));
-        for link in self.links.values_mut() {
-            link.digest_due = self.ticked;
-        }
-    }
-
     fn install(&mut self, config: Config, from: Option<LinkId>, now: Instant) {
         match self.fold.install(config) {
             Ok(events) => self.folded(events, from, now),
--- a/crates/coordination/tests/replica/main.rs
+++ b/crates/coordination/tests/replica/main.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod chaos;
+mod event;
+mod parts;
 mod sim;
 
 use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope, JoinRule, Replica, parents};
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -1,5 +1,8 @@
 //! Replicas in memory, over links that lose, delay and cut messages, from one seed.
 
+mod operations;
+mod queries;
+
 use std::{
     collections::{BTreeMap, BTreeSet, BinaryHeap},
     net::SocketAddr,
@@ -9,8 +12,13 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use wagtaillever_coordination::{
-    DomainName, DrainOrder, FoldEvent, Identity, Incarnation, JoinRule, LinkId, Message, Output,
-    PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy, Sequence, VmEntry, VmList,
+    DomainName, FoldEvent, Identity, Incarnation, LinkId, Message, Output, PlatformMode,
+    PlatformValue, Replica, ReplicaEvent, ReplicaPolicy, Sequence, VmEntry, VmList,
+};
+
+use crate::{
+    event::{End, Event, Kind},
+    parts::{Node, Platform},
 };
 
 /// Time for which a dial into a partition hangs.
@@ -41,75 +49,6 @@
     starts: u64,
 }
 
-pub(crate) struct Node {
-    pub(crate) entry: Arc<VmEntry>,
-    pub(crate) replica: Option<Replica>,
-    pub(crate) rule: Option<JoinRule>,
-    pub(crate) paused_until: u64,
-    pub(crate) refused: Vec<Sequence>,
-    /// When each sequence came into force in the present process.
-    pub(crate) in_force: BTreeMap<Sequence, u64>,
-    start: u64,
-    mode: PlatformMode,
-    highest_served: Sequence,
-}
-
-#[derive(Default)]
-pub(crate) struct Platform {
-    pub(crate) notes: Vec<Arc<[u8]>>,
-    pub(crate) drains: Vec<DrainOrder>,
-    pub(crate) vms: VmList,
-    pub(crate) is_out: bool,
-    /// Failure domains that can't reach the platform.
-    pub(crate) cut: BTreeSet<DomainName>,
-    /// Notes that a stale platform still shows.
-    pub(crate) stale: Option<usize>,
-    /// Reads in each second.
-    pub(crate) reads: BTreeMap<u64, u64>,
-}
-
-struct End {
-    node: usize,
-    start: u64,
-    other: LinkId,
-}
-
-struct Event {
-    at: u64,
-    order: u64,
-    kind: Kind,
-}
-
-enum Kind {
-    Tick(usize, u64),
-    Poll(usize, u64),
-    Deliver(LinkId, Message),
-    Down(LinkId),
-    Dialed(usize, u64, SocketAddr),
-    Accepted(LinkId),
-    DialTimeout(usize, u64, SocketAddr),
-}
-
-impl PartialEq for Event {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Event {}
-
-impl PartialOrd for Event {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Event {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 impl Sim {
     /// Returns a fleet of which no node runs yet.
     pub(crate) fn new(seed: u64, domains: &[(&str, usize)]) -> Self {
@@ -182,39 +121,6 @@
         self.push(first, Kind::Poll(number, start));
     }
 
-    pub(crate) fn kill(&mut self, number: usize) {
-        self.nodes[number].replica = None;
-        let gone = self.links.iter().filter(|(_, end)| end.node == number);
-        let gone: Vec<_> = gone.map(|(id, end)| (*id, end.other)).collect();
-        for (id, other) in gone {
-            self.links.remove(&id);
-            self.push(2, Kind::Down(other));
-        }
-    }
-
-    pub(crate) fn publish(&mut self, text: impl Fn(usize) -> String) {
-        let text = text(self.platform.notes.len() + 1);
-        self.platform.notes.push(text.into_bytes().into());
-    }
-
-    /// Publishes a note that adds one service.
-    pub(crate) fn publish_service(&mut self) {
-        self.publish(|n| format!("note: {n}\nservices: {{add: [{{name: s{n}}}]}}\n"));
-    }
-
-    pub(crate) fn order(&mut self, number: usize, order: &DrainOrder) {
-        let now = self.now();
-        if let Some(replica) = &mut self.nodes[number].replica {
-            replica.order(order, now);
-        }
-        self.act(number);
-    }
-
-    /// Cuts all messages from one failure domain to another.
-    pub(crate) fn cut(&mut self, from: &str, to: &str) {
-        self.cuts.insert((from.into(), to.into()));
-    }
-
     pub(crate) fn run_for(&mut self, ms: u64) {
         let end = self.now_ms + ms;
         while self.queue.peek().is_some_and(|event| event.at <= end) {
@@ -240,52 +146,6 @@
         self.now_ms - begin
     }
 
-    pub(crate) fn running(&self) -> impl Iterator<Item = &Replica> {
-        self.nodes.iter().filter_map(|node| node.replica.as_ref())
-    }
-
-    pub(crate) fn all_have(&self, sequence: u64) -> bool {
-        self.running().all(|r| r.config().sequence.0 >= sequence)
-    }
-
-    pub(crate) fn all_serve(&self) -> bool {
-        self.running().all(Replica::is_serving)
-    }
-
-    /// Returns the running nodes of a failure domain by position in its tree.
-    pub(crate) fn by_position(&self, domain: &str) -> Vec<usize> {
-        let overlay = wagtaillever_coordination::Overlay::new(&self.platform.vms);
-        let domain = domain.into();
-        let place = |vm| self.nodes.iter().position(|node| node.entry.vm == vm);
-        let nodes = overlay.nodes(&domain).iter();
-        nodes.filter_map(|entry| place(entry.vm.clone())).collect()
-    }
-
-    pub(crate) fn describe(&self) -> String {
-        let mut text = String::new();
-        for node in &self.nodes {
-            let Some(replica) = &node.replica else {
-                continue;
-            };
-            text += &format!(
-                "\n{} note {} highest {} vms {} {:?} {:?} {:?} neighbours {:?}",
-                node.entry.vm,
-                replica.config().sequence,
-                replica.highest(),
-                replica.vms().number,
-                node.rule,
-                replica.join_wait(),
-                node.mode,
-                replica
-                    .neighbours()
-                    .iter()
-                    .map(|v| v.as_str().to_string())
-                    .collect::<Vec<_>>(),
-            );
-        }
-        text
-    }
-
     fn now(&self) -> Instant {
         self.base + Duration::from_millis(self.now_ms)
     }
@@ -547,19 +407,3 @@
         node.highest_served = sequence;
     }
 }
-
-impl Node {
-    fn new(entry: &Arc<VmEntry>) -> Self {
-        Self {
-            entry: Arc::clone(entry),
-            replica: None,
-            rule: None,
-            paused_until: 0,
-            refused: Vec::new(),
-            in_force: BTreeMap::new(),
-            start: 0,
-            mode: PlatformMode::Off,
-            highest_served: Sequence::ZERO,
-        }
-    }
-}
