--- a/crates/coordination/src/fleet.rs
+++ b/crates/coordination/src/fleet.rs
@@ -17,7 +17,7 @@
 /// Laggards that a summary names.
 const MAX_LAGGARDS: usize = 8;
 /// Time after which the report of a silent tree root no longer counts.
-const REPORT_LIFE: Duration = Duration::from_secs(12);
+const REPORT_LIFE: Duration = Duration::from_secs(25);
 
 /// How many nodes have which sequence in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -250,7 +250,7 @@
         let first = first.filter(|_| !is_reader && self.policy.relay);
         let mut changed = Vec::new();
         for (id, link) in &mut self.links {
-            let push = Some(*id) == first || (self.overlay.is_empty() && link.address.is_some());
+            let push = Some(*id) == first;
             if link.push != push {
                 link.push = push;
                 changed.push(*id);
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -28,7 +28,7 @@
 /// Longest further delay of a node with seeds.
 const LIST_DELAY_SEEDS_MS: u64 = 4_000;
 /// Contacts that a digest carries.
-const MAX_CONTACTS: usize = 2;
+const MAX_CONTACTS: usize = 1;
 
 /// Who reads the platform, and when it last answered.
 #[derive(Clone, Debug)]
--- a/crates/coordination/src/replica/spread.rs
+++ b/crates/coordination/src/replica/spread.rs
@@ -21,6 +21,8 @@
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which what was sent and is still missing is sent again.
 const RESEND: Duration = Duration::from_secs(2);
+/// Age of a link from which a list is sent to a neighbour that did not ask for pushes.
+const LIST_DELAY: Duration = Duration::from_millis(700);
 /// Bytes of note text in one message.
 const MAX_NOTES_BYTES: usize = 512 << 10;
 /// Bytes of a snapshot in one message.
@@ -174,7 +176,7 @@
         let number = self.vms.number;
         let lacking = self.links.iter().filter(|(id, link)| {
             let have = link.have().vms;
-            let is_due = have == 0 || !self.policy.digest || self.peer_wants_push(**id);
+            let is_due = !self.policy.digest || self.peer_wants_push(**id);
             Some(**id) != from && link.peer.is_some() && have < number && is_due
         });
         let lacking: Vec<_> = lacking.map(|(id, _)| *id).collect();
@@ -191,7 +193,11 @@
     }
 
     pub(super) fn repair_vms(&mut self, id: LinkId, have: Have, mine: Have, now: Instant) {
-        let is_due = self.links.get(&id).is_some_and(|l| is_old(l.listed, now));
+        let is_wanted = self.peer_wants_push(id);
+        let is_due = self.links.get(&id).is_some_and(|link| {
+            let age = now.saturating_duration_since(link.opened);
+            is_old(link.listed, now) && (is_wanted || age >= LIST_DELAY)
+        });
         if have.vms < mine.vms && is_due {
             self.send_vms(id, now);
         }
--- a/crates/coordination/src/replica/summary.rs
+++ b/crates/coordination/src/replica/summary.rs
@@ -14,7 +14,7 @@
 /// Shortest time between two reports of one root.
 const REPORT_EVERY: Duration = Duration::from_secs(1);
 /// Longest time between two reports of one root.
-const REFRESH_EVERY: Duration = Duration::from_secs(5);
+const REFRESH_EVERY: Duration = Duration::from_secs(10);
 
 /// Reports that this node made as the root of a tree.
 #[derive(Clone, Debug)]
