Give each node under test a loopback IP of its own

A port that was probed on 127.0.0.1 lies in the range of outgoing connections, and one took it before the node started: two tests of the distribution failed once with 'Address already in use' while other tests ran.

--- a/crates/node/tests/daemon.rs
+++ b/crates/node/tests/daemon.rs
@@ -5,9 +5,10 @@
 use std::{
     fs,
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use tempfile::TempDir;
@@ -58,8 +59,14 @@
     }
 }
 
+/// Returns an address on a loopback IP of its own, so that no connection of
+/// others can take the port between the probe and the start of the node.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    static ADDRESSES: AtomicU32 = AtomicU32::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let address = ADDRESSES.fetch_add(1, Ordering::Relaxed).to_be_bytes()[3];
+    let ip = Ipv4Addr::new(127, 128 + high % 64, low, address);
+    let listener = TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
--- a/crates/node/tests/distribution/fleet.rs
+++ b/crates/node/tests/distribution/fleet.rs
@@ -1,9 +1,12 @@
 //! Node processes under test.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     process::{Child, Command},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -183,7 +186,13 @@
     }
 }
 
+/// Returns addresses on a loopback IP that only this node uses, so that no connection
+/// of others can take a port between the probe and the start of the node.
 fn free_ports() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    static NODES: AtomicU32 = AtomicU32::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let node = NODES.fetch_add(1, Ordering::Relaxed).to_be_bytes()[3];
+    let ip = Ipv4Addr::new(127, 64 + high % 64, low, node);
+    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
     listeners.map(|listener| listener.local_addr().unwrap())
 }
