--- a/crates/coordination/src/candidates.rs
+++ b/crates/coordination/src/candidates.rs
@@ -14,7 +14,7 @@
 use crate::{
     config::{Config, Upstream},
     drain::DrainList,
-    name::{DomainName, ServiceName, UpstreamName, VmName},
+    name::{DomainName, ServiceName, VmName},
     vm::{VmEntry, VmList, VmState},
 };
 
@@ -73,15 +73,6 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the candidate of a service by the name of its upstream.
-    #[must_use]
-    pub fn get(&self, service: &ServiceName, upstream: &UpstreamName) -> Option<&Candidate> {
-        let candidates = self.of(service);
-        candidates
-            .iter()
-            .find(|candidate| candidate.upstream.name == *upstream)
-    }
-
     /// Returns the address of the node on a VM that the platform lists, drained or not.
     #[must_use]
     pub fn address(&self, vm: &VmName) -> Option<SocketAddr> {
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -9,8 +9,7 @@
 use actix_web::HttpResponse;
 use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
-    AttemptEnd, Attempts, Evidence, Next, NoChoice, RequestKind, Sequence, UpstreamName, Wish,
-    key_owner,
+    AttemptEnd, Attempts, Evidence, Next, RequestKind, Sequence, UpstreamName, Wish, key_owner,
 };
 
 use crate::{
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -1,14 +1,9 @@
 //! HTTP server for callers.
 
-use std::{
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    sync::{Arc, atomic::AtomicUsize},
-    time::Duration,
-};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use log::info;
 
 use crate::ingress::{
     handler::handle,
@@ -27,7 +22,8 @@
 /// HTTP server for callers, on one thread of its own.
 pub(super) struct Server {
     handle: ServerHandle,
-    addresses: Vec<SocketAddr>,
+    /// Addresses on which callers are served.
+    pub(super) addresses: Vec<SocketAddr>,
 }
 
 impl Server {
@@ -54,21 +50,18 @@
             .disable_signals()
             .bind(address)?;
         let addresses = server.addrs();
+        info!("callers are served on {addresses:?}");
         let server = server.run();
         let handle = server.handle();
         actix_rt::spawn(server);
         Ok(Self { handle, addresses })
     }
 
-    /// Returns the addresses on which callers are served.
-    pub(super) fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
-    }
-
     /// Refuses new calls for a moment, then takes no more connections and waits for the calls
     /// in flight.
     pub(super) async fn stop(self) {
         tokio::time::sleep(STOP_NOTICE).await;
+        info!("no more calls are taken on {:?}", self.addresses);
         self.handle.stop(true).await;
     }
 }
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -197,7 +197,7 @@
         context.view().set_phase(Phase::Serving);
         let mut ingress = Ingress::default();
         ingress.start(&context).await.unwrap();
-        let callers = ingress.server.as_ref().unwrap().addresses()[0];
+        let callers = ingress.server.as_ref().unwrap().addresses[0];
         Self {
             context,
             callers,
--- a/crates/node/src/ingress/visit.rs
+++ b/crates/node/src/ingress/visit.rs
@@ -16,7 +16,11 @@
     /// Takes a share, unless the caller holds too many.
     pub(super) fn take(worker: &Rc<Worker>, caller: Arc<str>) -> Option<Self> {
         let is_taken = worker.shares.borrow_mut().try_take(&caller);
-        is_taken.then(|| Self {
+        if !is_taken {
+            return None;
+        }
+        metrics::gauge!("calls_in_flight").increment(1);
+        Some(Self {
             worker: Rc::clone(worker),
             caller,
         })
@@ -25,6 +29,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        metrics::gauge!("calls_in_flight").decrement(1);
         self.worker.shares.borrow_mut().release(&self.caller);
     }
 }
