Show a refused note's reason at the moment when its number is used up

The status is now renewed before the sequence is shown. The test of the distribution asks for both at once; it fails without the change.

--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -248,15 +248,16 @@
     }
 
     fn tell_fold(&mut self, event: FoldEvent) {
+        if let FoldEvent::Refused(note, reason) = &event {
+            self.refused.push_front((*note, Arc::clone(reason)));
+            self.refused.truncate(MAX_REFUSED);
+            self.show_status(Instant::now());
+        }
         self.view.set_config(Arc::clone(self.replica.config()));
         let event = match event {
             FoldEvent::Accepted(note) => EventKind::NoteAccepted { note },
             FoldEvent::Installed(note) => EventKind::SnapshotInstalled { note },
-            FoldEvent::Refused(note, reason) => {
-                self.refused.push_front((note, Arc::clone(&reason)));
-                self.refused.truncate(MAX_REFUSED);
-                EventKind::NoteRefused { note, reason }
-            }
+            FoldEvent::Refused(note, reason) => EventKind::NoteRefused { note, reason },
         };
         info!(note = self.replica.config().sequence.0; "configuration changed");
         self.timeline.record(event);
--- a/crates/node/tests/distribution/main.rs
+++ b/crates/node/tests/distribution/main.rs
@@ -28,6 +28,11 @@
     fleet.until_all(|node| node["note"] == 3).await;
     let digests = fleet.all(|node| node["digest"].to_string()).await;
     assert!(digests.iter().all(|digest| *digest == digests[0]));
+    let refused = fleet.all(|node| node["refused"][0]["note"].clone()).await;
+    assert!(
+        refused.iter().all(|note| note == 3),
+        "shown with the note: {refused:?}"
+    );
 }
 
 #[actix_rt::test]
