Let the ingress ask again while keys are handed over

A key whose earlier owner had not confirmed was refused as unknown, which ends the call.

A VM that had no upstream of a service before took only the last owner for an earlier one. An owner from the note before that, which is behind by two notes, was not asked. It now asks all VMs of the service.

--- a/crates/coordination/src/handover.rs
+++ b/crates/coordination/src/handover.rs
@@ -62,7 +62,8 @@
 enum Before {
     /// The owners by this configuration.
     Config(Arc<Config>),
-    /// Any VM of the service in these configurations, as others may lie between them.
+    /// Any VM of the service in these configurations, as this VM has not followed who owned
+    /// keys before: it is new, skipped notes or had no upstream of the service.
     Anyone(Vec<Arc<Config>>),
 }
 
@@ -94,7 +95,8 @@
         }
         let before = std::mem::replace(&mut self.config, Arc::clone(config));
         let is_next = before.sequence.next() == config.sequence && before.sequence.0 > 0;
-        let before = if is_next {
+        let is_new_here = !self.services(config).is_subset(&self.services(&before));
+        let before = if is_next && !is_new_here {
             Before::Config(before)
         } else {
             Before::Anyone(vec![before, Arc::clone(config)])
@@ -190,13 +192,8 @@
 
     /// Returns the other VMs that may still decide on keys that this VM owns now.
     fn earlier_owners(&self, before: &Before) -> BTreeSet<VmName> {
-        let own = self.config.upstreams.values();
-        let services: BTreeSet<_> = own
-            .filter(|upstream| upstream.vm == self.vm)
-            .map(|upstream| &upstream.service)
-            .collect();
         let mut owners = BTreeSet::new();
-        for service in services {
+        for service in self.services(&self.config) {
             match before {
                 Before::Config(before) => {
                     if members(before, service) != members(&self.config, service) {
@@ -212,6 +209,14 @@
         owners
     }
 
+    /// Returns the services that have an upstream on this VM.
+    fn services<'a>(&self, config: &'a Config) -> BTreeSet<&'a ServiceName> {
+        let own = config.upstreams.values();
+        own.filter(|upstream| upstream.vm == self.vm)
+            .map(|upstream| &upstream.service)
+            .collect()
+    }
+
     /// Drops changes that are so old that no key of before them is accepted.
     fn forget(&mut self, now: Instant) {
         let is_old = |fence: &Fence| {
--- a/crates/coordination/src/handover/tests.rs
+++ b/crates/coordination/src/handover/tests.rs
@@ -71,6 +71,23 @@
     assert!(handover.awaited().is_empty());
 }
 
+#[test]
+fn a_vm_that_is_new_to_a_service_waits_for_all_of_it() {
+    let now = Instant::now();
+    let id = request(START_MS, 1);
+    let mut handover = HandOver::new(vm(1));
+    handover.update(&config(1, &[0]), now);
+    handover.update(&config(2, &[0, 2]), now);
+    handover.update(&config(3, &[0, 1, 2]), now);
+    let awaited: Vec<_> = handover.awaited().into_keys().collect();
+    assert_eq!(awaited, [vm(0), vm(2)]);
+    handover.confirm(&vm(0), Sequence(3), 5);
+    let ownership = handover.ownership(&id);
+    assert!(matches!(ownership, Ownership::Pending | Ownership::Other));
+    handover.confirm(&vm(2), Sequence(3), 6);
+    assert_ne!(handover.ownership(&id), Ownership::Pending);
+}
+
 #[test]
 fn a_key_that_does_not_move_is_not_held_up() {
     let now = Instant::now();
--- a/crates/node/src/sidecar/keys.rs
+++ b/crates/node/src/sidecar/keys.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     settings::Settings,
-    sidecar::refuse::{did_not_run, unknown},
+    sidecar::refuse::did_not_run,
     wire::{Refusal, RefusalReason},
 };
 
@@ -70,7 +70,7 @@
     pub(super) fn claim(&self, id: &RequestId) -> Result<Claim, Refusal> {
         let floor = match self.handover.borrow().ownership(id) {
             Ownership::Owned { floor } => floor,
-            Ownership::Pending => return Err(unknown(RefusalReason::NotReady)),
+            Ownership::Pending => return Err(did_not_run(RefusalReason::NotReady)),
             Ownership::Other => return Err(did_not_run(RefusalReason::NotOwner)),
         };
         let mut ledger = self.ledger.borrow_mut();
