Count attempts where they are made

Cause: executions at upstreams miss the attempts that never reached one, so 0.99 attempts a call were shown with a third of the upstreams down. Change: attempts_total over calls_total of the nodes.

--- a/crates/bench/src/service/result.rs
+++ b/crates/bench/src/service/result.rs
@@ -29,7 +29,7 @@
     pub(crate) p99_ms: f64,
     /// 99th percentile added by the system to a call, in milliseconds.
     pub(crate) added_p99_ms: Option<f64>,
-    /// Attempts at upstreams for each call that the callers made.
+    /// Attempts of the nodes for each call that reached one; resends of callers are calls of their own.
     pub(crate) attempts_per_call: f64,
     /// Requests refused with a true "did not run".
     pub(crate) refused: u64,
--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -210,6 +210,15 @@
         result.series = Bucket::series(records, SLICE);
     }
 
+    /// Returns the attempts for each call that reached a node; without nodes, for each request.
+    async fn attempts_per_call(&self, verdict: &Verdict) -> f64 {
+        if self.options.baseline == Some(ServiceBaseline::NoSidecar) {
+            return verdict.attempts as f64 / self.records.len().max(1) as f64;
+        }
+        let calls = self.site.metric("calls_total").await;
+        self.site.metric("attempts_total").await / calls.max(1.0)
+    }
+
     async fn settle(&self, result: &mut ServiceResult, injected: &Injected) {
         let verdict = Verdict::of(&self.records, &self.site.counts());
         result.wrong = verdict.wrong;
@@ -220,7 +229,7 @@
         result.over_limit = verdict.over_limit - self.past_system.over_limit;
         result.swamped = verdict.swamped - self.past_system.swamped;
         result.upstreams_crashed = verdict.crashed;
-        result.attempts_per_call = verdict.attempts as f64 / self.records.len().max(1) as f64;
+        result.attempts_per_call = self.attempts_per_call(&verdict).await;
         result.innocent_refused = result.reasons.get("poison").copied().unwrap_or(0);
         result.last_new_work_ms = injected.last_new_work_ms;
         result.invariants_broken = self.site.broken_invariants().await;
