Hand idempotency keys over by name

For two seconds after each hand-over all moved keys were unknown, since the new owner could not tell new ones from those that had run before. The earlier owner now names the keys that it knows with its confirmation, if both apply the same note and it awaits no confirmation itself; the others are new. Entries are kept two skews longer, as another node's clock may lag.

--- a/crates/coordination/src/handover.rs
+++ b/crates/coordination/src/handover.rs
@@ -12,7 +12,7 @@
 use crate::{
     config::Config,
     key::key_owner,
-    ledger::RequestId,
+    ledger::{Ledger, RequestId},
     name::{DomainName, ServiceName, VmName},
     sequence::Sequence,
     vm::VmList,
@@ -47,6 +47,15 @@
     Other,
 }
 
+/// All keys that an earlier owner knows and another VM owns now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownKeys {
+    /// Time in milliseconds since the Unix epoch before which there may be more.
+    pub floor: u64,
+    /// Requests that may have run.
+    pub requests: Vec<RequestId>,
+}
+
 /// One change of owners.
 #[derive(Clone, Debug)]
 struct Fence {
@@ -149,6 +158,33 @@
         awaited
     }
 
+    /// Returns the sequence of the configuration by which this VM decides.
+    #[must_use]
+    pub fn sequence(&self) -> Sequence {
+        self.config.sequence
+    }
+
+    /// Returns the keys of a ledger that another VM owns now, at most `limit`, with the floor
+    /// below which there may be more; `None` when this VM can't tell them all.
+    #[must_use]
+    pub fn known_to(&self, ledger: &Ledger, vm: &VmName, limit: usize) -> Option<KnownKeys> {
+        if self.fences.iter().any(|fence| !fence.awaited.is_empty()) {
+            return None;
+        }
+        let confirmed = self
+            .fences
+            .iter()
+            .flat_map(|f| f.confirmed.values().copied());
+        let floor = confirmed.chain([self.floor, ledger.floor()]).max()?;
+        let is_theirs = |id: &&RequestId| {
+            let owner = key_owner(&self.config, &id.service, &id.key);
+            owner.is_some_and(|owner| owner.vm == *vm)
+        };
+        let theirs = ledger.requests().filter(is_theirs);
+        let requests: Vec<_> = theirs.take(limit + 1).cloned().collect();
+        (requests.len() <= limit).then_some(KnownKeys { floor, requests })
+    }
+
     /// Takes in that a VM applies a sequence. From `floor_ms` on, the current time and the
     /// largest difference of clocks, no key can have been accepted there.
     pub fn confirm(&mut self, vm: &VmName, sequence: Sequence, floor_ms: u64) {
--- a/crates/coordination/src/handover/tests.rs
+++ b/crates/coordination/src/handover/tests.rs
@@ -251,8 +251,16 @@
         let other = &self.nodes[1 - at];
         let applied = Sequence(other.applied as u64 + 1);
         let (vm, floor) = (other.vm.clone(), self.wall + SKEW_MS);
+        let known = other
+            .handover
+            .known_to(&other.ledger, &self.nodes[at].vm, 10);
         let node = &mut self.nodes[at];
         let is_awaited = node.handover.awaited().contains_key(&vm);
+        let known = known.filter(|_| applied == node.handover.sequence());
+        let floor = known.as_ref().map_or(floor, |known| known.floor);
+        for id in known.iter().flat_map(|known| &known.requests) {
+            node.ledger.import(id, self.now);
+        }
         node.handover.confirm(&vm, applied, floor);
         is_awaited
     }
@@ -270,6 +278,29 @@
 /// Longest interleaving that is tried.
 const DEPTH: usize = 6;
 
+#[test]
+fn an_earlier_owner_tells_the_keys_that_it_knows() {
+    let mut world = World::new();
+    world.id = request(world.wall, 1);
+    world.send(0);
+    assert_eq!(world.ran, 1);
+    world.apply(0, 1);
+    world.apply(1, 1);
+    world.confirm(1);
+    world.send(1);
+    assert_eq!(world.ran, 1);
+    let other = RequestId {
+        service: "s".into(),
+        ..request(world.wall + 1, 1)
+    };
+    let node = &mut world.nodes[1];
+    let Ownership::Owned { floor } = node.handover.ownership(&other) else {
+        panic!("the key was handed over");
+    };
+    let claim = node.ledger.claim(&other, floor, world.now, world.wall);
+    assert_eq!(claim, Claim::Run);
+}
+
 #[test]
 fn no_interleaving_of_hand_overs_runs_a_request_twice() {
     let tried = Cell::new(0_u32);
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -190,6 +190,32 @@
         }
     }
 
+    /// Takes in a request that another owner knows; it may have run.
+    pub fn import(&mut self, id: &RequestId, now: Instant) {
+        if self.entries.contains_key(id) {
+            return;
+        }
+        self.claims += 1;
+        let entry = Entry {
+            state: State::Unknown,
+            claim: self.claims,
+        };
+        self.entries.insert(id.clone(), entry);
+        self.keep(id, now);
+    }
+
+    /// Iterates over the requests that are remembered.
+    pub fn requests(&self) -> impl Iterator<Item = &RequestId> {
+        self.entries.keys()
+    }
+
+    /// Returns the time in milliseconds since the Unix epoch before which an earlier process of
+    /// this VM may have accepted keys.
+    #[must_use]
+    pub fn floor(&self) -> u64 {
+        self.started.saturating_add(millis(self.settings.skew))
+    }
+
     /// Returns the time on the ledger's clock, in milliseconds since the Unix epoch.
     pub fn wall_ms(&mut self, now: Instant, wall_ms: u64) -> u64 {
         self.clock.read(now, wall_ms)
@@ -221,7 +247,12 @@
         };
         let before = self.entries.insert(id.clone(), entry);
         assert!(before.is_none(), "a request starts at most once");
-        let due = now + self.settings.retention;
+        self.keep(id, now);
+    }
+
+    /// Keeps the newest claim for as long as any node may accept its key.
+    fn keep(&mut self, id: &RequestId, now: Instant) {
+        let due = now + self.settings.retention + self.settings.skew * 2;
         self.expiry.push_back((due, id.clone(), self.claims));
     }
 
--- a/crates/coordination/src/ledger/tests.rs
+++ b/crates/coordination/src/ledger/tests.rs
@@ -116,7 +116,7 @@
     bed.ledger.finish(&first, Ending::Unknown);
     assert_eq!(bed.claim(&id(bed.wall + 1)), Claim::Full);
     assert_eq!(bed.claim(&first), Claim::Unknown);
-    bed.advance(600_001);
+    bed.advance(604_001);
     assert_eq!(bed.claim(&id(bed.wall)), Claim::Run);
     assert_eq!(bed.ledger.len(), 1);
 }
@@ -142,7 +142,7 @@
     let id = id(bed.wall);
     bed.claim(&id);
     bed.ledger.finish(&id, Ending::Ran(None));
-    bed.advance(600_001);
+    bed.advance(604_001);
     bed.wall -= 500_000;
     assert_eq!(bed.claim(&id), Claim::TooOld);
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -57,7 +57,7 @@
     error::NoteError,
     fleet::{FleetSummary, Summary, TreeReport},
     fold::{Fold, FoldEvent},
-    handover::{HandOver, Ownership},
+    handover::{HandOver, KnownKeys, Ownership},
     health::{Evidence, Health, HealthChange, Standing},
     history::{History, Verdict},
     join::{Join, JoinFacts, JoinRule, JoinWait},
--- a/crates/node/src/sidecar/fence.rs
+++ b/crates/node/src/sidecar/fence.rs
@@ -5,13 +5,15 @@
 use futures_util::future::LocalBoxFuture;
 use log::info;
 use tokio::time::timeout;
-use wagtaillever_coordination::{Sequence, VmName};
+use wagtaillever_coordination::{
+    IdempotencyKey, KnownKeys, RequestId, Sequence, ServiceName, VmName,
+};
 
 use crate::{
     sidecar::shared::Shared,
     timeline::EventKind,
     transport::{FrameReader, FrameWriter, StreamHandler, TransportError},
-    wire::{FenceAsk, FenceReply},
+    wire::{FenceAsk, FenceReply, KnownFrame},
 };
 
 /// Longest time that an asked node waits until it applies a sequence.
@@ -41,8 +43,13 @@
         let mut views = self.shared.context().view().watch();
         let applies = views.wait_for(|view| view.config.sequence.0 >= ask.sequence);
         let _ = timeout(CATCH_UP, applies).await;
-        let sequence = self.shared.sequence();
-        writer.frame(&FenceReply { sequence }).await?;
+        self.shared.refresh();
+        let known = self.shared.keys().known_to(&VmName::from(ask.vm));
+        let reply = FenceReply {
+            sequence: self.shared.sequence(),
+            known: known.map(into_frame),
+        };
+        writer.frame(&reply).await?;
         writer.end()
     }
 }
@@ -85,8 +92,8 @@
             let shared = Rc::clone(shared);
             actix_rt::spawn(async move {
                 let asked = ask(&shared, address, sequence);
-                if let Ok(Ok(applied)) = timeout(ASK_TIMEOUT, asked).await {
-                    confirm(&shared, &vm, applied, sequence);
+                if let Ok(Ok(reply)) = timeout(ASK_TIMEOUT, asked).await {
+                    confirm(&shared, &vm, reply, sequence);
                 }
                 fences.asked.borrow_mut().remove(&vm);
             });
@@ -94,8 +101,35 @@
     }
 }
 
-fn confirm(shared: &Shared, vm: &VmName, applied: Sequence, wanted: Sequence) {
-    shared.keys().confirm(vm, applied);
+fn into_frame(known: KnownKeys) -> KnownFrame {
+    let requests = known.requests.into_iter();
+    KnownFrame {
+        floor: known.floor,
+        requests: requests
+            .map(|id| (id.service.to_string(), id.key.to_string()))
+            .collect(),
+    }
+}
+
+/// Returns the keys of a frame; `None` if any of them is malformed.
+fn from_frame(frame: KnownFrame) -> Option<KnownKeys> {
+    let parse = |(service, key): (String, String)| {
+        let key = IdempotencyKey::parse(&key).ok()?;
+        let service = ServiceName::from(service);
+        Some(RequestId { service, key })
+    };
+    let requests: Option<Vec<_>> = frame.requests.into_iter().map(parse).collect();
+    Some(KnownKeys {
+        floor: frame.floor,
+        requests: requests?,
+    })
+}
+
+fn confirm(shared: &Shared, vm: &VmName, reply: FenceReply, wanted: Sequence) {
+    shared.refresh();
+    let applied = Sequence(reply.sequence);
+    let known = reply.known.and_then(from_frame);
+    shared.keys().confirm(vm, applied, known);
     if applied >= wanted {
         info!(vm:% = vm, note:% = wanted; "keys were handed over");
         shared
@@ -112,17 +146,16 @@
     shared: &Shared,
     address: SocketAddr,
     sequence: Sequence,
-) -> Result<Sequence, TransportError> {
+) -> Result<FenceReply, TransportError> {
     let link = shared.links().get(address).await?;
     let (mut writer, pending) = link.open("fence").await?;
     let ask = FenceAsk {
         sequence: sequence.0,
+        vm: shared.context().settings().vm.to_string(),
     };
     writer.frame(&ask).await?;
     writer.end()?;
     let mut reader = pending.ready().await?;
     let reply = reader.frame::<FenceReply>().await?;
-    reply
-        .map(|reply| Sequence(reply.sequence))
-        .ok_or(TransportError::Ended)
+    reply.ok_or(TransportError::Ended)
 }
--- a/crates/node/src/sidecar/keys.rs
+++ b/crates/node/src/sidecar/keys.rs
@@ -8,8 +8,8 @@
 };
 
 use wagtaillever_coordination::{
-    Claim, Config, Ending, HandOver, Ledger, LedgerSettings, Ownership, RequestId, Sequence,
-    VmList, VmName,
+    Claim, Config, Ending, HandOver, KnownKeys, Ledger, LedgerSettings, Ownership, RequestId,
+    Sequence, VmList, VmName,
 };
 
 use crate::{
@@ -56,10 +56,24 @@
         self.handover.borrow().awaited()
     }
 
-    /// Takes in that a VM applies a sequence.
-    pub(super) fn confirm(&self, vm: &VmName, sequence: Sequence) {
-        let floor = self.floor();
-        self.handover.borrow_mut().confirm(vm, sequence, floor);
+    /// Returns the keys that another VM owns now and this one knows, if it can tell them all.
+    pub(super) fn known_to(&self, vm: &VmName) -> Option<KnownKeys> {
+        let ledger = self.ledger.borrow();
+        self.handover.borrow().known_to(&ledger, vm, MAX_KNOWN)
+    }
+
+    /// Takes in that a VM applies a sequence, and the keys that it knows if it told them all.
+    pub(super) fn confirm(&self, vm: &VmName, sequence: Sequence, known: Option<KnownKeys>) {
+        let mut floor = self.floor();
+        let mut handover = self.handover.borrow_mut();
+        if let Some(known) = known.filter(|_| sequence == handover.sequence()) {
+            floor = known.floor;
+            let mut ledger = self.ledger.borrow_mut();
+            for id in &known.requests {
+                ledger.import(id, Instant::now());
+            }
+        }
+        handover.confirm(vm, sequence, floor);
     }
 
     /// Decides on a sending of a request.
@@ -94,6 +108,9 @@
     }
 }
 
+/// Keys that are told in one hand-over.
+const MAX_KNOWN: usize = 8_192;
+
 fn wall_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
--- a/crates/node/src/wire/fence.rs
+++ b/crates/node/src/wire/fence.rs
@@ -7,15 +7,29 @@
 use bincode::{Decode, Encode};
 
 /// Question whether a node applies a configuration yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct FenceAsk {
     /// Sequence that the node is to apply.
     pub(crate) sequence: u64,
+    /// VM that asks.
+    pub(crate) vm: String,
 }
 
 /// Sequence that a node applies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct FenceReply {
     /// Sequence in force at the answering node.
     pub(crate) sequence: u64,
+    /// Keys that the asker owns by that sequence and the answering node knows, if it can tell
+    /// them all.
+    pub(crate) known: Option<KnownFrame>,
+}
+
+/// Keys that an earlier owner knows.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct KnownFrame {
+    /// Time in milliseconds since the Unix epoch before which there may be more.
+    pub(crate) floor: u64,
+    /// Services and keys.
+    pub(crate) requests: Vec<(String, String)>,
 }
