Ask again for lower positions that were seen dead

A node whose lower neighbours refused a dial at the start took itself for a relay for ever, as it never dialled them again: 60 nodes in six failure domains had two relays more than twelve. It now dials them with the usual backoff as long as their death makes it a relay; the new test fails without that.

--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -120,6 +120,7 @@
                 self.plan_questions(&mut wanted, now);
             }
             self.plan_children(&mut wanted, now, rng);
+            self.check_dead(now);
             let position = self.effective_position();
             if position < RELAYS || (self.is_relay() && position < MAX_ACROSS) {
                 self.plan_across(&mut wanted, now);
@@ -170,6 +171,20 @@
         wanted.extend(ids);
     }
 
+    /// Dials the lower positions again whose death makes this node a relay.
+    fn check_dead(&mut self, now: Instant) {
+        let position = self.overlay.position(&self.me.domain, &self.me.vm);
+        if position < RELAYS || self.effective_position() >= RELAYS {
+            return;
+        }
+        let lower = &self.overlay.nodes(&self.me.domain)[..position];
+        let dead = lower.iter().filter(|entry| self.is_dead(entry));
+        let dead: Vec<_> = dead.map(|entry| entry.address).collect();
+        for address in dead {
+            self.dial_if_ready(address, now);
+        }
+    }
+
     /// Looks for listed children that are not linked, as they may not know whom to dial.
     fn plan_children(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant, rng: &mut impl Rng) {
         let is_due = self.children_due <= now;
--- a/crates/coordination/tests/replica/main.rs
+++ b/crates/coordination/tests/replica/main.rs
@@ -7,7 +7,9 @@
 mod parts;
 mod sim;
 
-use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope, JoinRule, Replica, parents};
+use wagtaillever_coordination::{
+    DrainAction, DrainOrder, DrainScope, JoinRule, PlatformMode, Replica, parents,
+};
 
 use crate::sim::Sim;
 
@@ -189,6 +191,27 @@
     }
 }
 
+#[test]
+fn relays_that_come_late_leave_only_themselves_as_readers() {
+    let mut sim = Sim::new(13, &THREE);
+    sim.publish_service();
+    let order = sim.by_position("a");
+    for number in (0..36).filter(|number| !order[..2].contains(number)) {
+        sim.start(number);
+    }
+    sim.run_for(5_000);
+    sim.start(order[0]);
+    sim.start(order[1]);
+    sim.run_for(40_000);
+    let is_reader = |replica: &&Replica| replica.platform_mode() == PlatformMode::Watch;
+    assert_eq!(
+        sim.running().filter(is_reader).count(),
+        6,
+        "{}",
+        sim.describe()
+    );
+}
+
 #[test]
 fn node_that_hears_nobody_does_not_serve() {
     let mut sim = Sim::new(8, &THREE);
