--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -80,17 +80,21 @@
         .add(Sidecar::default())
         .add(Ingress::default());
     let lifecycle = Lifecycle::starting(&context);
+    let stop = context.stop_requested();
     kernel.start().await?;
-    live(&context, lifecycle).await?;
+    live(&context, lifecycle, stop).await?;
     kernel.stop().await;
     Ok(())
 }
 
 /// Joins, serves and enters the stop when it is asked for.
-async fn live(context: &Context, lifecycle: Lifecycle<Starting>) -> Result<(), NodeError> {
+async fn live(
+    context: &Context,
+    lifecycle: Lifecycle<Starting>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), NodeError> {
     let peers: PeersHandle = context.registry().find("peers")?;
     let lifecycle = lifecycle.joining();
-    let stop = context.stop_requested();
     tokio::pin!(stop);
     tokio::select! {
         () = &mut stop => {
--- a/crates/node/src/kernel/context.rs
+++ b/crates/node/src/kernel/context.rs
@@ -73,23 +73,27 @@
     }
 
     /// Waits for the first request to stop; a second one ends the process at once.
-    pub(crate) async fn stop_requested(&self) {
+    ///
+    /// Requests are noticed from the call on, before the result is first polled.
+    pub(crate) fn stop_requested(&self) -> impl Future<Output = ()> + use<> {
         let terminate = signal(SignalKind::terminate());
         let interrupt = signal(SignalKind::interrupt());
-        let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-            return;
-        };
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        actix_rt::spawn(async move {
+        async move {
+            let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+                return;
+            };
             tokio::select! {
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
             }
-            std::process::exit(EXIT_ENDED);
-        });
+            actix_rt::spawn(async move {
+                tokio::select! {
+                    _ = terminate.recv() => {}
+                    _ = interrupt.recv() => {}
+                }
+                std::process::exit(EXIT_ENDED);
+            });
+        }
     }
 }
 
