--- a/crates/bench/src/converge/inject.rs
+++ b/crates/bench/src/converge/inject.rs
@@ -73,7 +73,8 @@
         self.replace_all()?;
         if self.fault == ConvergeFault::RelayKill {
             let relays = self.one_relay_each();
-            self.kill(&relays).await;
+            let victim = relays.choose(self.rng).copied();
+            self.kill(victim.as_slice()).await;
         }
         Ok(())
     }
@@ -85,6 +86,7 @@
     /// Returns an error when a replacement can't be started.
     pub(crate) fn end(&mut self) -> Result<(), BenchError> {
         self.replace_all()?;
+        let now = wall_ms();
         self.fleet.platform().heal();
         if let Some(proxy) = self.fleet.proxy() {
             proxy.rules().change(Rules::heal);
@@ -94,7 +96,7 @@
             if let Some(node) = node.filter(|node| node.is_paused()) {
                 node.resume();
             }
-            self.spans.end(vm, wall_ms());
+            self.spans.end(vm, now);
         }
         Ok(())
     }
@@ -196,8 +198,8 @@
     fn replace_all(&mut self) -> Result<(), BenchError> {
         for vm in 0..self.fleet.layout().vms.len() {
             if self.fleet.node(vm).is_none() {
-                self.fleet.start(vm)?;
                 self.spans.end(vm, wall_ms());
+                self.fleet.start(vm)?;
             }
         }
         Ok(())
--- a/crates/bench/src/meter.rs
+++ b/crates/bench/src/meter.rs
@@ -87,7 +87,8 @@
                 .sum(),
             platform_bytes: self.platform_bytes - earlier.platform_bytes,
             busiest_bytes_s: traffic().map(both_ways).fold(0.0, f64::max),
-            cpu_percent: cpu.iter().sum::<f64>() / cpu.len().max(1) as f64,
+            cpu_percent: cpu.iter().fold(0.0, |sum, percent| sum + percent)
+                / cpu.len().max(1) as f64,
             cpu_percent_max: cpu.iter().copied().fold(0.0, f64::max),
             rss: rss.iter().sum::<u64>() / rss.len().max(1) as u64,
             rss_max: rss.iter().copied().max().unwrap_or(0),
