Test that a caller that does not read holds the sidecar back

A reply of 256 MB to a caller that reads nothing must come to a halt with less than an eighth of it written, most of that in the buffers of sockets.

--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -571,3 +571,37 @@
         reply.is(200).body(b"halfrest");
     }
 }
+
+#[actix_rt::test]
+async fn a_caller_that_does_not_read_holds_the_sidecar_back() {
+    const WHOLE: u64 = 256 << 20;
+    let written = Rc::new(Cell::new(0u64));
+    let seen = Rc::clone(&written);
+    let make = move |_: &str| {
+        let written = Rc::clone(&written);
+        Fake::new(move |mut call| {
+            let written = Rc::clone(&written);
+            async move {
+                call.writer.frame(&answer_head(Some(WHOLE))).await.unwrap();
+                let part = Bytes::from(vec![0; 64 << 10]);
+                while written.get() < WHOLE && call.writer.bytes(part.clone()).await.is_ok() {
+                    written.set(written.get() + part.len() as u64);
+                }
+            }
+            .boxed_local()
+        })
+    };
+    let scene = Scene::start(&TWO[..1], make).await;
+    let mut stream = TcpStream::connect(scene.callers).await.unwrap();
+    let request = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut last = 0;
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        if last > 0 && seen.get() == last {
+            break;
+        }
+        last = seen.get();
+    }
+    assert!(last < WHOLE / 8, "{last} bytes, most of them in sockets");
+}
