--- a/crates/coordination/src/handover.rs
+++ b/crates/coordination/src/handover.rs
@@ -165,12 +165,10 @@
     }
 
     /// Returns the keys of a ledger that another VM owns now, at most `limit`, with the floor
-    /// below which there may be more; `None` when this VM can't tell them all.
+    /// below which there may be more; `None` when there are more. What this VM awaits from
+    /// others doesn't matter, as the new owner awaits it from them too.
     #[must_use]
     pub fn known_to(&self, ledger: &Ledger, vm: &VmName, limit: usize) -> Option<KnownKeys> {
-        if self.fences.iter().any(|fence| !fence.awaited.is_empty()) {
-            return None;
-        }
         let confirmed = self
             .fences
             .iter()
--- a/crates/coordination/src/handover/tests.rs
+++ b/crates/coordination/src/handover/tests.rs
@@ -141,7 +141,8 @@
 /// Two VMs that apply notes at their own pace, and one request that is sent to both.
 #[derive(Clone)]
 struct World {
-    nodes: [Node; 2],
+    nodes: Vec<Node>,
+    history: &'static [&'static [usize]],
     now: Instant,
     wall: u64,
     id: RequestId,
@@ -185,11 +186,17 @@
 
 impl World {
     fn new() -> Self {
+        Self::with(2, &HISTORY)
+    }
+
+    fn with(nodes: usize, history: &'static [&'static [usize]]) -> Self {
         let now = Instant::now();
         let node = |index| {
             let mut handover = HandOver::new(vm(index));
-            handover.update(&config(1, HISTORY[0]), now);
-            handover.confirm(&vm(0), Sequence(1), START_MS);
+            handover.update(&config(1, history[0]), now);
+            for &other in history[0] {
+                handover.confirm(&vm(other), Sequence(1), START_MS);
+            }
             Node {
                 vm: vm(index),
                 handover,
@@ -199,7 +206,8 @@
         };
         let wall = START_MS + 60_000;
         Self {
-            nodes: [node(0), node(1)],
+            nodes: (0..nodes).map(node).collect(),
+            history,
             now: now + Duration::from_secs(60),
             wall,
             id: request(wall, 1),
@@ -212,7 +220,7 @@
             Step::Apply(at) => return self.apply(at, 1),
             Step::Skip(at) => return self.apply(at, 2),
             Step::Send(at) => self.send(at),
-            Step::Confirm(at) => return self.confirm(at),
+            Step::Confirm(at) => return self.confirm(at, 1 - at),
             Step::Wait => {
                 self.now += Duration::from_secs(3);
                 self.wall += 3_000;
@@ -225,11 +233,11 @@
     fn apply(&mut self, at: usize, notes: usize) -> bool {
         let node = &mut self.nodes[at];
         let next = node.applied + notes;
-        if next >= HISTORY.len() {
+        if next >= self.history.len() {
             return false;
         }
         node.applied = next;
-        let config = config(next as u64 + 1, HISTORY[next]);
+        let config = config(next as u64 + 1, self.history[next]);
         node.handover.update(&config, self.now);
         true
     }
@@ -247,8 +255,8 @@
     }
 
     /// Lets a node ask the other one for its confirmation.
-    fn confirm(&mut self, at: usize) -> bool {
-        let other = &self.nodes[1 - at];
+    fn confirm(&mut self, at: usize, other: usize) -> bool {
+        let other = &self.nodes[other];
         let applied = Sequence(other.applied as u64 + 1);
         let (vm, floor) = (other.vm.clone(), self.wall + SKEW_MS);
         let known = other
@@ -270,7 +278,7 @@
         node.ledger = Ledger::new(LedgerSettings::default(), self.now, self.wall);
         node.handover = HandOver::new(node.vm.clone());
         let applied = node.applied;
-        let config = config(applied as u64 + 1, HISTORY[applied]);
+        let config = config(applied as u64 + 1, self.history[applied]);
         node.handover.update(&config, self.now);
     }
 }
@@ -286,7 +294,7 @@
     assert_eq!(world.ran, 1);
     world.apply(0, 1);
     world.apply(1, 1);
-    world.confirm(1);
+    world.confirm(1, 0);
     world.send(1);
     assert_eq!(world.ran, 1);
     let other = RequestId {
@@ -331,4 +339,38 @@
             world.step(STEPS[step]);
         }
     }
+
+    #[test]
+    fn no_run_on_three_vms_runs_a_request_twice(
+        steps in proptest::collection::vec((0..5_u8, 0..3_usize, 1..3_usize), 0..80),
+    ) {
+        let mut world = World::with(3, &LONG_HISTORY);
+        for (step, at, by) in steps {
+            match step {
+                0 => {
+                    world.apply(at, 1);
+                }
+                1 => world.send(at),
+                2 | 3 => {
+                    world.confirm(at, (at + by) % 3);
+                }
+                _ if by == 1 => {
+                    world.step(Step::Wait);
+                }
+                _ => world.restart(at),
+            }
+        }
+    }
 }
+
+/// Members of the service from one note to the next, on three VMs.
+const LONG_HISTORY: [&[usize]; 8] = [
+    &[0, 1],
+    &[0, 1, 2],
+    &[0, 2],
+    &[0, 1, 2],
+    &[1, 2],
+    &[0, 1, 2],
+    &[0, 1],
+    &[0, 1, 2],
+];
