Count control bytes where the nodes count them; use the proxy for network faults only

At 200 nodes the bench ran out of descriptors: every ingress holds a call connection to every upstream's node, and the proxy holds two sockets for each (5,000 descriptors at 48 nodes, 19,400 at 96). Without the proxy bytes come from the nodes' own counters, which leave the call connections out; a node that can't be asked now breaks a check in place of counting as 0.

--- a/crates/bench/src/converge/fault.rs
+++ b/crates/bench/src/converge/fault.rs
@@ -41,4 +41,10 @@
     pub(crate) fn replaces_nodes(self) -> bool {
         matches!(self, Self::RelayKill | Self::Herd | Self::Storm)
     }
+
+    /// Returns whether the fault is one of the network between nodes. Only then is the proxy
+    /// between them, as it holds two sockets for each of their connections.
+    pub(crate) fn needs_proxy(self) -> bool {
+        matches!(self, Self::Partition | Self::OneWay)
+    }
 }
--- a/crates/bench/src/converge/report.rs
+++ b/crates/bench/src/converge/report.rs
@@ -85,7 +85,8 @@
     pub(crate) idle_bytes_per_node_s: f64,
     /// Bytes a second that a node sends and receives while notes are published.
     pub(crate) bytes_per_node_s: f64,
-    /// The same of the node with the most.
+    /// The same of the node with the most, over the time from the first note until all had
+    /// the last one.
     pub(crate) busiest_bytes_s: f64,
     /// Most reads of the platform in any second, refused ones too.
     pub(crate) platform_peak_reads_s: usize,
@@ -154,7 +155,7 @@
             ended: outcome.ended,
             broken: Vec::new(),
         };
-        report.broken = report.check(options, &outcome).broken().to_vec();
+        report.broken = report.check(options, &outcome, cost).broken().to_vec();
         report
     }
 
@@ -166,7 +167,7 @@
         Verdict::Broken
     }
 
-    fn check(&self, options: &ConvergeOptions, outcome: &Outcome) -> Checks {
+    fn check(&self, options: &ConvergeOptions, outcome: &Outcome, cost: &Cost) -> Checks {
         let mut checks = Checks::default();
         let has_times = !outcome.times.direct.is_empty() || !outcome.times.after.is_empty();
         checks.expect("notes-were-seen", has_times, "no time was measured".into());
@@ -178,6 +179,11 @@
             let seen = format!("{:.0} bytes, limit {limit:.0}", self.bytes_per_node_note);
             checks.expect("note-cost", self.bytes_per_node_note <= limit, seen);
         }
+        let sampled = cost.idle.sampled.min(cost.notes.sampled);
+        let seen = format!("{sampled} of {} nodes", self.nodes);
+        checks.expect("all-sampled", sampled == self.nodes, seen);
+        let counted = cost.notes.peer_bytes > 0;
+        checks.expect("bytes-counted", counted, "no byte was counted".into());
         below(
             &mut checks,
             "idle-cost",
--- a/crates/bench/src/converge/run.rs
+++ b/crates/bench/src/converge/run.rs
@@ -68,6 +68,7 @@
     let mut fleet = FleetOptions::new(deployment);
     fleet.seed = options.seed;
     fleet.log = "warn".into();
+    fleet.proxied = options.fault.needs_proxy();
     if let Some(baseline) = options.baseline {
         fleet.policies = baseline.policies();
     }
@@ -101,13 +102,13 @@
         let start_ms = begin.elapsed().as_millis() as u64;
         info!("all serve after {start_ms} ms");
         sleep(SETTLE_TIME).await;
-        let quiet_begin = Reading::of(&self.fleet);
+        let quiet_begin = Reading::of(&self.fleet).await;
         sleep(QUIET_TIME).await;
-        let quiet_end = Reading::of(&self.fleet);
+        let quiet_end = Reading::of(&self.fleet).await;
         info!("publishing {} notes", self.options.notes);
         self.publish_all().await?;
         self.catch_up().await;
-        let end = Reading::of(&self.fleet);
+        let end = Reading::of(&self.fleet).await;
         let times = self.times().await;
         let ended = self.fleet.ended();
         for &vm in &ended {
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -227,6 +227,11 @@
         answers.into_iter().map(Option::unwrap_or_default).collect()
     }
 
+    /// Asks the nodes of VMs for their metrics; `None` stands for no answer.
+    pub(crate) async fn metrics(&self, vms: &[usize]) -> Vec<Option<String>> {
+        self.ask(vms, |address| self.admin.metrics(address)).await
+    }
+
     /// Waits until a condition holds for the status of all nodes of VMs.
     ///
     /// # Errors
