--- a/crates/coordination/src/handover/tests.rs
+++ b/crates/coordination/src/handover/tests.rs
@@ -342,16 +342,19 @@
 
     #[test]
     fn no_run_on_three_vms_runs_a_request_twice(
-        steps in proptest::collection::vec((0..5_u8, 0..3_usize, 1..3_usize), 0..80),
+        steps in proptest::collection::vec((0..40_u8, 0..3_usize, 1..3_usize), 0..120),
+        number in 0..=255_u8,
     ) {
         let mut world = World::with(3, &LONG_HISTORY);
+        let uuid = uuid::Builder::from_unix_timestamp_millis(world.wall, &[number; 10]);
+        world.id.key = IdempotencyKey::parse(&uuid.into_uuid().to_string()).unwrap();
         for (step, at, by) in steps {
             match step {
-                0 => {
+                0..8 => {
                     world.apply(at, 1);
                 }
-                1 => world.send(at),
-                2 | 3 => {
+                8..22 => world.send(at),
+                22..39 => {
                     world.confirm(at, (at + by) % 3);
                 }
                 _ if by == 1 => {
