Break each promise on purpose, to show that its check fails

Cause: a check that never failed may be one that can't fail. Change: a node built with the feature `mutants` takes deliberate faults from its settings, one for each promise; without the feature they are constant off and the field is refused. `wagtaillever-bench mutants` runs each with what brings it out and demands that the check of that name breaks. The process now ends when the loop that follows the configuration breaks an assertion; the runtime used to swallow it, and the node went on with what it believed.

--- a/crates/bench/src/chaos.rs
+++ b/crates/bench/src/chaos.rs
@@ -3,6 +3,7 @@
 mod action;
 mod breach;
 mod invariant;
+mod mutation;
 mod notes;
 mod orders;
 mod perform;
@@ -12,6 +13,7 @@
 mod schedule;
 
 pub(crate) use self::{
+    mutation::{Mutation, mutations},
     report::ChaosReport,
     run::{ChaosOptions, run_chaos},
 };
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -37,6 +37,21 @@
     pub(crate) seed: u64,
     /// Length of the schedule.
     pub(crate) length: Duration,
+    /// What is done instead of a schedule drawn from the seed.
+    pub(crate) scenario: Option<Scenario>,
+}
+
+/// Fixed steps, with what differs from a run with a drawn schedule.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    /// Deliberate fault of the nodes, by name.
+    pub(crate) mutant: &'static str,
+    /// What is done.
+    pub(crate) steps: Vec<Step>,
+    /// Load as a share of what all upstreams can carry.
+    pub(crate) load: f64,
+    /// Rest of the query of all requests.
+    pub(crate) query: &'static str,
 }
 
 /// Load as a share of what all upstreams can carry.
@@ -83,12 +98,17 @@
 pub(crate) async fn run_chaos(options: ChaosOptions) -> Result<ChaosReport, BenchError> {
     let mut fleet = FleetOptions::new(options.deployment.clone());
     fleet.seed = options.seed;
+    if let Some(scenario) = &options.scenario {
+        fleet.mutants.push(scenario.mutant);
+    }
     let site = Site::start(fleet).await?;
     let extent = Extent {
         vms: site.upstreams.len(),
         domains: site.fleet.layout().domains.len(),
     };
-    let steps = schedule::draw(options.seed, options.length, extent);
+    let drawn = || schedule::draw(options.seed, options.length, extent);
+    let steps = options.scenario.as_ref().map(|s| s.steps.clone());
+    let steps = steps.unwrap_or_else(drawn);
     for step in &steps {
         eprintln!("{step}");
     }
@@ -130,8 +150,13 @@
 
 impl Run {
     async fn play(&mut self, options: &ChaosOptions, steps: Vec<Step>) -> Result<(), BenchError> {
-        let rate = LOAD * self.site.capacity();
-        let workload = self.site.workload("chaos", rate);
+        let load = options.scenario.as_ref().map_or(LOAD, |s| s.load);
+        let mut workload = self.site.workload("chaos", load * self.site.capacity());
+        if let Some(scenario) = &options.scenario {
+            for kind in &mut workload.kinds {
+                kind.query = scenario.query.into();
+            }
+        }
         let load = CallerLoad::start(self.site.targets(), workload, options.seed);
         let started = load.started();
         let played = self.play_steps(options, steps).await;
--- a/crates/bench/src/fleet/options.rs
+++ b/crates/bench/src/fleet/options.rs
@@ -20,6 +20,8 @@
     pub(crate) policies: Policies,
     /// Whether nodes reach each other through the fault-injecting proxy.
     pub(crate) proxied: bool,
+    /// Deliberate faults of the nodes, by name; they need a build with the feature `mutants`.
+    pub(crate) mutants: Vec<&'static str>,
     /// Log filter of the nodes.
     pub(crate) log: String,
 }
@@ -36,6 +38,7 @@
             seed: 1,
             policies: Policies::default(),
             proxied: true,
+            mutants: Vec::new(),
             log: "info".into(),
         }
     }
--- a/crates/bench/src/fleet/settings.rs
+++ b/crates/bench/src/fleet/settings.rs
@@ -27,6 +27,8 @@
     platform: Vec<SocketAddr>,
     seeds: Vec<SocketAddr>,
     policies: &'a Policies,
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    mutants: &'a [&'static str],
     log: &'a str,
 }
 
@@ -49,6 +51,7 @@
         platform: vec![layout.platform[placement.domain]],
         seeds: seeds(layout, vm),
         policies: &options.policies,
+        mutants: &options.mutants,
         log: &options.log,
     };
     serde_yaml_ng::to_string(&file).expect("settings serialise")
--- a/crates/bench/src/subcommand.rs
+++ b/crates/bench/src/subcommand.rs
@@ -3,6 +3,7 @@
 mod chaos;
 mod converge;
 mod demo;
+mod mutants;
 mod platform;
 mod report;
 mod service;
@@ -26,6 +27,8 @@
     Report(report::Report),
     /// Runs a random schedule of faults and checks what must always hold.
     Chaos(chaos::Chaos),
+    /// Shows that each check fails when the nodes break its promise on purpose.
+    Mutants(mutants::Mutants),
 }
 
 impl Subcommand {
@@ -42,6 +45,7 @@
             Self::Service(service) => service.run().await,
             Self::Report(report) => report.run().await,
             Self::Chaos(chaos) => chaos.run().await,
+            Self::Mutants(mutants) => mutants.run().await,
         }
     }
 }
--- a/crates/bench/src/subcommand/chaos.rs
+++ b/crates/bench/src/subcommand/chaos.rs
@@ -38,6 +38,7 @@
             deployment: Deployment::load(&self.deployment)?,
             seed: self.seed,
             length: Duration::from_secs(self.seconds),
+            scenario: None,
         })
         .await?;
         if self.json {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -12,6 +12,7 @@
     kernel::{Context, Kernel},
     lifecycle::{Lifecycle, Starting},
     logging,
+    mutant::{self, Mutant},
     peers::{Peers, PeersHandle},
     settings::Settings,
     sidecar::Sidecar,
@@ -69,6 +70,8 @@
 
 async fn run_node(settings: Arc<Settings>) -> Result<(), NodeError> {
     let context = Context::new(settings);
+    #[cfg(feature = "mutants")]
+    crate::mutant::switch_on(&context.settings().mutants);
     logging::start(context.settings(), context.view().clone());
     let mut kernel = Kernel::new(context.clone());
     kernel
@@ -83,6 +86,9 @@
     let stop = context.stop_requested();
     kernel.start().await?;
     live(&context, lifecycle, stop).await?;
+    if mutant::is_on(Mutant::AbruptStop) {
+        return Ok(());
+    }
     kernel.stop().await;
     Ok(())
 }
--- a/crates/node/src/ingress/beliefs.rs
+++ b/crates/node/src/ingress/beliefs.rs
@@ -2,9 +2,13 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
-use wagtaillever_coordination::{Candidates, RouteTable};
+use wagtaillever_coordination::{Candidates, DrainList, RouteTable, VmEntry, VmList, VmState};
 
-use crate::{settings::Settings, view::View};
+use crate::{
+    mutant::{self, Mutant},
+    settings::Settings,
+    view::View,
+};
 
 /// Connections that are opened ahead of need.
 const MAX_WARM: usize = 128;
@@ -24,7 +28,7 @@
 impl Beliefs {
     /// Returns what follows from a view, seen from the node of the settings.
     pub(super) fn new(view: Arc<View>, settings: &Settings, last: Option<&Self>) -> Self {
-        let candidates = Candidates::new(&view.config, &view.vms, &view.drains);
+        let candidates = candidates(&view);
         let unchanged = last.filter(|last| Arc::ptr_eq(&last.view.config, &view.config));
         let routes = unchanged.map(|last| Rc::clone(&last.routes));
         let routes = routes.unwrap_or_else(|| Rc::new(RouteTable::new(&view.config)));
@@ -38,3 +42,24 @@
         }
     }
 }
+
+fn candidates(view: &View) -> Candidates {
+    if mutant::is_on(Mutant::IgnoreDrains) {
+        return Candidates::new(&view.config, &view.vms, &DrainList::default());
+    }
+    if mutant::is_on(Mutant::IgnoreLeaving) {
+        return Candidates::new(&view.config, &all_live(&view.vms), &view.drains);
+    }
+    Candidates::new(&view.config, &view.vms, &view.drains)
+}
+
+fn all_live(vms: &VmList) -> VmList {
+    let mut vms = vms.clone();
+    for entry in &mut vms.vms {
+        *entry = Arc::new(VmEntry {
+            state: VmState::Live,
+            ..VmEntry::clone(entry)
+        });
+    }
+    vms
+}
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -25,6 +25,7 @@
         visit::{Permit, Visit},
         worker::Worker,
     },
+    mutant::{self, Mutant},
     wire::{CallHead, CallStage, Outcome, Refusal, RefusalReason, ReplyHead},
 };
 
@@ -138,7 +139,13 @@
 
     fn choose(&mut self) -> Result<Place, Refusal> {
         let beliefs = self.worker.beliefs();
-        let candidates = beliefs.candidates.of(&self.request.route.service);
+        let any: Vec<_>;
+        let candidates = if mutant::is_on(Mutant::Misroute) {
+            any = beliefs.candidates.iter().cloned().collect();
+            &any
+        } else {
+            beliefs.candidates.of(&self.request.route.service)
+        };
         let wish = Wish {
             excluded: &self.tried,
             idempotent: self.request.idempotent,
@@ -296,6 +303,9 @@
         if refusal.outcome == Outcome::DidNotRun && !self.attempts.is_not_run() {
             refusal.outcome = Outcome::Unknown;
         }
+        if mutant::is_on(Mutant::FalseDidNotRun) {
+            refusal.outcome = Outcome::DidNotRun;
+        }
         let service = &self.request.route.service;
         let recorder = &self.worker.recorder;
         recorder.refused(service, self.attempts.made(), self.request.call, &refusal);
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -18,6 +18,7 @@
         channel::Channel,
         visit::{Permit, Visit},
     },
+    mutant::{self, Mutant},
     transport::FrameReader,
 };
 
@@ -58,6 +59,7 @@
         idle,
         _guards: (visit, permit, reply.channel),
     };
+    let length = length.filter(|_| !mutant::is_on(Mutant::ShortAnswers));
     let parts = stream::unfold(Some(body), next_part).boxed_local();
     sized(parts, length)
 }
@@ -88,6 +90,9 @@
         let part = timeout(self.idle, self.reader.bytes());
         let part = drive(part, &mut self.upload).await;
         let part = part.map_err(|_| BodyError::Idle)?;
+        if mutant::is_on(Mutant::ShortAnswers) {
+            return Ok(part.unwrap_or_default());
+        }
         let part = part.map_err(|_| BodyError::Broken)?;
         self.count(part.as_ref())?;
         Ok(part)
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -1,6 +1,7 @@
 //! What the ingress reads from a caller's request.
 
 use std::{
+    cell::RefCell,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,7 +10,10 @@
 use uuid::Uuid;
 use wagtaillever_coordination::{IdempotencyKey, Method, RequestKind, Route, RouteTable, Sequence};
 
-use crate::wire::RefusalReason;
+use crate::{
+    mutant::{self, Mutant},
+    wire::RefusalReason,
+};
 
 /// Hops that a call may take.
 const MAX_HOPS: u8 = 6;
@@ -146,16 +150,25 @@
     peer.unwrap_or_default().into()
 }
 
+thread_local! {
+    /// Headers of the request before, for a deliberate fault.
+    static BEFORE: RefCell<Vec<(String, Vec<u8>)>> = const { RefCell::new(Vec::new()) };
+}
+
 /// Returns the headers that are passed on to the next hop.
 pub(super) fn passed_on(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
     let named: Vec<String> = connection_options(headers);
-    headers
+    let own = headers
         .iter()
         .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
         .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()))
         .filter(|(name, _)| !named.iter().any(|option| option == name.as_str()))
         .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
-        .collect()
+        .collect();
+    if mutant::is_on(Mutant::CrossedAnswers) {
+        return BEFORE.replace(own);
+    }
+    own
 }
 
 fn connection_options(headers: &HeaderMap) -> Vec<String> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod kernel;
 mod lifecycle;
 mod logging;
+mod mutant;
 mod peers;
 mod settings;
 mod sidecar;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,7 +13,8 @@
 use std::rc::Rc;
 
 use futures_util::future::LocalBoxFuture;
-use tokio::sync::mpsc;
+use log::error;
+use tokio::{sync::mpsc, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use self::{core::Core, link::Acceptor};
@@ -45,7 +46,8 @@
             registry.publish("peers", handle);
             registry.publish("roster", roster);
             registry.publish_handler("control", Rc::new(acceptor));
-            actix_rt::spawn(core.run(receiver, token.clone()));
+            let core = actix_rt::spawn(core.run(receiver, token.clone()));
+            actix_rt::spawn(end_with(core));
             self.token = Some(token);
             Ok(())
         })
@@ -59,3 +61,12 @@
         })
     }
 }
+
+/// Ends the process when the loop broke an assertion: without it, the node would go on with what
+/// it believes for good.
+async fn end_with(core: JoinHandle<()>) {
+    if core.await.is_err_and(|err| err.is_panic()) {
+        error!("the loop that follows the configuration broke an assertion");
+        std::process::abort();
+    }
+}
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -17,8 +17,9 @@
 };
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    DrainList, DrainOrder, FoldEvent, Identity, JoinRule, LinkId, Message, Output, PlatformMode,
-    PlatformValue, Replica, ReplicaEvent, ReplicaPolicy, Sequence, SoftReport, Verdict,
+    Config, DrainList, DrainOrder, FoldEvent, Identity, JoinRule, LinkId, Message, Output,
+    PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy, Sequence, SoftReport,
+    Verdict,
 };
 
 use super::{
@@ -28,6 +29,7 @@
 };
 use crate::{
     kernel::Context,
+    mutant::{self, Mutant},
     stall::Stall,
     timeline::{EventKind, Timeline},
     view::ViewCell,
@@ -253,7 +255,7 @@
             self.refused.truncate(MAX_REFUSED);
             self.show_status(Instant::now());
         }
-        self.view.set_config(Arc::clone(self.replica.config()));
+        self.view.set_config(self.config_after(&event));
         let event = match event {
             FoldEvent::Accepted(note) => EventKind::NoteAccepted { note },
             FoldEvent::Installed(note) => EventKind::SnapshotInstalled { note },
@@ -263,6 +265,31 @@
         self.timeline.record(event);
     }
 
+    /// Returns the configuration that comes into force by an event.
+    fn config_after(&self, event: &FoldEvent) -> Arc<Config> {
+        let config = Arc::clone(self.replica.config());
+        match event {
+            FoldEvent::Accepted(_) if mutant::is_on(Mutant::GoBack) => Arc::default(),
+            FoldEvent::Accepted(_) if mutant::is_on(Mutant::DropNotes) => {
+                Arc::clone(&self.view.load().config)
+            }
+            FoldEvent::Refused(note, _) if mutant::is_on(Mutant::PartialNote) => {
+                self.applied_in_part(*note).map_or(config, Arc::new)
+            }
+            _ => config,
+        }
+    }
+
+    /// Returns what the first change of a refused note makes of the configuration in force.
+    fn applied_in_part(&self, note: Sequence) -> Option<Config> {
+        let history = self.replica.fold().history();
+        let notes = history.since(Sequence(note.0 - 1))?;
+        let text = String::from_utf8_lossy(&notes.first()?.1).into_owned();
+        let start: Vec<&str> = text.lines().take(2).collect();
+        let config = &self.view.load().config;
+        config.apply_text(note, start.join("\n").as_bytes()).ok()
+    }
+
     fn tell_mode(&mut self, mode: PlatformMode) {
         let was_relay = *self.handle.mode().borrow() == PlatformMode::Watch;
         self.handle.set_mode(mode);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -54,6 +54,10 @@
     /// Policies that experiments switch off; all are on by default.
     #[serde(default)]
     pub policies: Policies,
+    /// Deliberate faults.
+    #[cfg(feature = "mutants")]
+    #[serde(default)]
+    pub mutants: Vec<crate::mutant::Mutant>,
     /// Log filter, as `env_logger` reads it.
     #[serde(default = "default_log")]
     pub log: String,
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    mutant::{self, Mutant},
     sidecar::{
         call::Call,
         decide::decide,
@@ -122,7 +123,9 @@
     fn find(&self, call: &Call) -> Result<Rc<LocalUpstream>, Refusal> {
         let upstream = self.shared.upstreams().get(&call.head.upstream);
         upstream
-            .filter(|upstream| upstream.spec().service == call.service)
+            .filter(|upstream| {
+                upstream.spec().service == call.service || mutant::is_on(Mutant::Misroute)
+            })
             .ok_or_else(|| did_not_run(RefusalReason::NoUpstream))
     }
 
--- a/crates/node/src/sidecar/keys.rs
+++ b/crates/node/src/sidecar/keys.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    mutant::{self, Mutant},
     settings::Settings,
     sidecar::refuse::did_not_run,
     wire::{Refusal, RefusalReason},
@@ -87,6 +88,9 @@
             Ownership::Pending => return Err(did_not_run(RefusalReason::NotReady)),
             Ownership::Other => return Err(did_not_run(RefusalReason::NotOwner)),
         };
+        if mutant::is_on(Mutant::RunTwice) {
+            return Ok(Claim::Run);
+        }
         let mut ledger = self.ledger.borrow_mut();
         Ok(ledger.claim(id, floor, Instant::now(), wall_ms()))
     }
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     kernel::Context,
+    mutant::{self, Mutant},
     peers::PeersHandle,
     sidecar::{fence::Fences, keys::Keys, links::Links, suspects::Suspects, upstreams::Upstreams},
     stall::Stall,
@@ -75,7 +76,8 @@
     pub(super) fn is_drained(&self) -> bool {
         let settings = self.context.settings();
         let view = self.context.view().load();
-        view.drains.is_drained(&settings.vm, &settings.domain)
+        let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
+        is_drained && !mutant::is_on(Mutant::IgnoreDrains)
     }
 
     /// Lets waiting requests start that have waited long enough, and settles crashes.
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    mutant::{self, Mutant},
     settings::Policies,
     sidecar::{
         admit::{Permit, Verdict, turn_parts},
@@ -265,8 +266,8 @@
     AdmissionSettings {
         slots: spec.slots.min(spec.connections),
         adaptive: policies.adaptive,
-        limit: policies.limit,
-        ramp: policies.ramp,
+        limit: policies.limit && !mutant::is_on(Mutant::NoRamp),
+        ramp: policies.ramp && !mutant::is_on(Mutant::NoRamp),
     }
 }
 
