--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -89,6 +89,19 @@
     Case { text }.refuse("9", "the key `vm` is repeated");
 }
 
+#[cfg(not(feature = "mutants"))]
+#[test]
+fn deliberate_faults_are_refused() {
+    refuse("mutants: [go_back]", "9", "unknown field `mutants`");
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn deliberate_faults_are_read() {
+    let settings = Case::new().set("mutants: [go_back, no_ramp]").accept();
+    assert_eq!(settings.mutants.len(), 2);
+}
+
 #[test]
 fn values_of_the_wrong_type_are_refused() {
     refuse("address: nowhere", "4", "invalid IP address");
