Refuse keys that a process can't vouch for as not run; let a silent loss of warmth show

(2) a stand-in that turns cold without a restart slows down at once and falls over after 1 s; one that restarted falls over at once, as before.

--- a/crates/bench/src/upstream/tests.rs
+++ b/crates/bench/src/upstream/tests.rs
@@ -98,6 +98,20 @@
     assert!(upstream.state().counts().swamped > 0);
 }
 
+#[test]
+fn an_upstream_that_turns_cold_slows_down_before_it_falls_over() {
+    let state = UpstreamState::new(UpstreamModel::default(), 1);
+    state.turn_warm();
+    state.turn_cold();
+    let arrivals = (0..12).map(|_| state.execute(&Arrival::default()));
+    let running: Vec<_> = arrivals.collect();
+    assert!(running.iter().all(|run| matches!(run, Execution::Run(..))));
+    state.restart();
+    let arrivals = (0..12).map(|_| state.execute(&Arrival::default()));
+    let running: Vec<_> = arrivals.collect();
+    assert!(running.iter().any(|run| matches!(run, Execution::FallOver)));
+}
+
 #[actix_rt::test]
 async fn warm_upstream_bears_its_slots() {
     let state = UpstreamState::new(UpstreamModel::default(), 1);
--- a/crates/coordination/src/ledger.rs
+++ b/crates/coordination/src/ledger.rs
@@ -76,6 +76,9 @@
     Ran,
     /// It may have run.
     Unknown,
+    /// The key was minted before this process decided alone; this sending did not run, what
+    /// became of earlier ones is not known.
+    Stale,
     /// The key was minted in the future; the request did not run.
     TooNew,
     /// The key is so old that it may have run and been forgotten.
@@ -153,7 +156,7 @@
             return Claim::TooOld;
         }
         if minted < self.started.saturating_add(skew).max(floor) {
-            return Claim::Unknown;
+            return Claim::Stale;
         }
         if self.entries.len() >= self.settings.max_entries {
             return Claim::Full;
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -117,6 +117,7 @@
         RefusalReason::NoUpstream => "no-upstream",
         RefusalReason::NotOwner => "not-owner",
         RefusalReason::BadKey => "bad-key",
+        RefusalReason::StaleKey => "stale-key",
         RefusalReason::InProgress => "in-progress",
         RefusalReason::Poison => "poison",
         RefusalReason::TooManyHops => "too-many-hops",
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -111,6 +111,7 @@
     match refusal.reason {
         RefusalReason::Poison
         | RefusalReason::BadKey
+        | RefusalReason::StaleKey
         | RefusalReason::InProgress
         | RefusalReason::TooManyHops
         | RefusalReason::Deadline
--- a/crates/node/src/sidecar/decide.rs
+++ b/crates/node/src/sidecar/decide.rs
@@ -45,6 +45,7 @@
         Claim::InProgress => return Err(unknown(RefusalReason::InProgress)),
         Claim::Ran => return Err(with_outcome(Outcome::Ran, RefusalReason::BadAnswer)),
         Claim::Unknown => return Err(unknown(RefusalReason::NotReady)),
+        Claim::Stale => return Err(did_not_run(RefusalReason::StaleKey)),
         Claim::TooNew => return Err(did_not_run(RefusalReason::BadKey)),
         Claim::TooOld => return Err(unknown(RefusalReason::BadKey)),
         Claim::Full => return Err(did_not_run(RefusalReason::Overloaded)),
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -126,6 +126,8 @@
     NotOwner,
     /// The key is malformed, from the future or too old.
     BadKey,
+    /// An earlier process or owner may have run the key; a new key is decided on.
+    StaleKey,
     /// A request with the same key is running.
     InProgress,
     /// The request crashed upstreams before.
