Let the compiler see what is unused, and remove it

Cause: both crates allowed dead code while their parts grew; under it stood a list of sightings of VMs that nothing read (the ingress finds dead VMs by its own connections), unread fields and unused accessors. Change: the allowances are gone with what they hid. The proxy's cut and half-open rules and the planned stop of an upstream become faults of the experiment on calls, the proxy's counts a line of the demo.

--- a/crates/bench/src/caller/driver.rs
+++ b/crates/bench/src/caller/driver.rs
@@ -4,10 +4,6 @@
     cell::RefCell,
     net::SocketAddr,
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
     thread,
     time::{Duration, Instant},
 };
@@ -40,7 +36,6 @@
 pub(crate) struct CallerLoad {
     started: Instant,
     token: CancellationToken,
-    sent: Arc<AtomicU64>,
     threads: Vec<thread::JoinHandle<Vec<CallRecord>>>,
 }
 
@@ -56,14 +51,12 @@
     pub(crate) fn start(targets: Vec<Target>, workload: Workload, seed: u64) -> Self {
         let started = Instant::now();
         let token = CancellationToken::new();
-        let sent = Arc::new(AtomicU64::new(0));
         let spawn = |at| {
             let load = Thread {
                 targets: targets.clone(),
                 workload: workload.clone(),
                 started,
                 token: token.clone(),
-                sent: Arc::clone(&sent),
                 number: at,
             };
             thread::spawn(move || {
@@ -75,7 +68,6 @@
         Self {
             started,
             token,
-            sent,
             threads,
         }
     }
@@ -89,7 +81,6 @@
             workload,
             started: Instant::now(),
             token: CancellationToken::new(),
-            sent: Arc::default(),
             number: 0,
         };
         let call = Call {
@@ -106,11 +97,6 @@
         self.started
     }
 
-    /// Returns the number of requests sent so far.
-    pub(crate) fn sent(&self) -> u64 {
-        self.sent.load(Ordering::Relaxed)
-    }
-
     /// Stops new requests, waits for the answers and returns all records.
     ///
     /// # Panics
@@ -131,7 +117,6 @@
     workload: Workload,
     started: Instant,
     token: CancellationToken,
-    sent: Arc<AtomicU64>,
     number: u64,
 }
 
@@ -148,7 +133,6 @@
             if !thread.wait_until(due).await {
                 break;
             }
-            thread.sent.fetch_add(1, Ordering::Relaxed);
             let call = Call {
                 id: format!("{}-{}-{count}", thread.workload.label, thread.number),
                 due,
@@ -247,7 +231,6 @@
         CallRecord {
             answered: answered(&sendings),
             id: self.id,
-            service: self.kind.service,
             keyed: self.kind.keyed,
             due: self.due,
             took: thread.started.elapsed().saturating_sub(self.due),
--- a/crates/bench/src/caller/record.rs
+++ b/crates/bench/src/caller/record.rs
@@ -7,8 +7,6 @@
 pub(crate) struct CallRecord {
     /// Identity of the request.
     pub(crate) id: String,
-    /// Service that the request is for.
-    pub(crate) service: String,
     /// Whether the request must run at most once.
     pub(crate) keyed: bool,
     /// When the request was due, since the start of the load.
--- a/crates/bench/src/caller/tests.rs
+++ b/crates/bench/src/caller/tests.rs
@@ -5,7 +5,6 @@
 fn record(due_ms: u64, took_ms: u64, answered: Answered) -> CallRecord {
     CallRecord {
         id: due_ms.to_string(),
-        service: "s".into(),
         keyed: false,
         due: Duration::from_millis(due_ms),
         took: Duration::from_millis(took_ms),
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -4,7 +4,7 @@
     fs::File,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    time::{Instant, SystemTime},
+    time::Instant,
 };
 
 use nix::{
@@ -25,7 +25,6 @@
 pub(crate) struct NodeProcess {
     child: Child,
     started: Instant,
-    started_at: SystemTime,
     is_paused: bool,
 }
 
@@ -55,7 +54,6 @@
         Ok(Self {
             child,
             started: Instant::now(),
-            started_at: SystemTime::now(),
             is_paused: false,
         })
     }
@@ -65,11 +63,6 @@
         self.started
     }
 
-    /// Returns the wall time at which the process was started.
-    pub(crate) fn started_at(&self) -> SystemTime {
-        self.started_at
-    }
-
     /// Returns whether the process ended by itself.
     pub(crate) fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,5 @@
 //! Stand-ins, fault injection and experiments for wagtaillever.
 
-#![allow(dead_code, unused_imports)]
-
 mod arguments;
 mod caller;
 mod chaos;
--- a/crates/bench/src/proxy.rs
+++ b/crates/bench/src/proxy.rs
@@ -6,7 +6,7 @@
 mod rules;
 
 pub(crate) use self::{
-    counts::{Traffic, TrafficCounts},
+    counts::TrafficCounts,
     listener::{Endpoint, Proxy},
     rules::{Rule, Rules, RulesCell},
 };
--- a/crates/bench/src/proxy/listener.rs
+++ b/crates/bench/src/proxy/listener.rs
@@ -10,10 +10,7 @@
 };
 
 use snafu::ResultExt;
-use tokio::{
-    io::AsyncReadExt,
-    net::{TcpListener, TcpSocket, TcpStream},
-};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
--- a/crates/bench/src/proxy/listener/tests.rs
+++ b/crates/bench/src/proxy/listener/tests.rs
@@ -1,6 +1,9 @@
 use std::net::Ipv4Addr;
 
-use tokio::{io::AsyncWriteExt, time::timeout};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    time::timeout,
+};
 
 use super::*;
 
--- a/crates/bench/src/service/fault.rs
+++ b/crates/bench/src/service/fault.rs
@@ -22,6 +22,10 @@
     Pause,
     /// One failure domain is cut off from the others.
     Partition,
+    /// Connections between failure domains are cut in the middle of what they carry.
+    CutBody,
+    /// A VM's connections stay open without an answer.
+    HalfOpen,
     /// A failure domain is drained.
     DomainLeave,
     /// A failure domain is drained before the run and restored in it.
@@ -32,6 +36,8 @@
     ThirdDown,
     /// Nodes are stopped gracefully, one after the other, and come back.
     NodeStop,
+    /// An upstream is withdrawn by a release note and stopped gracefully after it.
+    UpstreamStop,
     /// Release notes add, change and withdraw upstreams all the time.
     ConfigChurn,
 }
@@ -46,6 +52,7 @@
                 | Self::DomainLeave
                 | Self::DomainReturn
                 | Self::NodeStop
+                | Self::UpstreamStop
                 | Self::ConfigChurn
         )
     }
--- a/crates/bench/src/service/inject.rs
+++ b/crates/bench/src/service/inject.rs
@@ -10,7 +10,7 @@
 use crate::{
     caller::{CallerLoad, Target},
     error::BenchError,
-    proxy::Rule,
+    proxy::{Rule, Rules},
     service::{ServiceFault, run::HIT_DOMAIN, site::Site},
     upstream::HealthMode,
 };
@@ -47,6 +47,8 @@
 const POISON_SENDINGS: u32 = 8;
 /// Time for which a caller repeats such a request.
 const POISON_DEADLINE: Duration = Duration::from_secs(8);
+/// Bytes after which a connection between failure domains is cut.
+const CUT_BYTES: u64 = 100_000;
 /// Pause between two release notes of a churn.
 const CHURN_PAUSE: Duration = Duration::from_millis(250);
 
@@ -80,6 +82,15 @@
             ServiceFault::Kill => self.kill(end).await?,
             ServiceFault::Pause => self.pause(end).await,
             ServiceFault::Partition => self.partition(span).await,
+            ServiceFault::CutBody => {
+                self.rule(span, |rules| rules.set_between(Rule::CutAfter(CUT_BYTES)))
+                    .await;
+            }
+            ServiceFault::HalfOpen => {
+                let vm = self.some_vm();
+                self.rule(span, |rules| rules.set_vm(vm, Rule::HalfOpen))
+                    .await;
+            }
             ServiceFault::DomainLeave => {
                 injected.last_new_work_ms = self.leave(span).await;
             }
@@ -87,6 +98,9 @@
             ServiceFault::DomainDeath => self.domain_death(),
             ServiceFault::ThirdDown => self.third_down(span),
             ServiceFault::NodeStop => self.stop_nodes(end).await?,
+            ServiceFault::UpstreamStop => {
+                injected.last_new_work_ms = self.stop_upstream(span).await;
+            }
             ServiceFault::ConfigChurn => self.churn(end).await,
         }
         Ok(injected)
@@ -160,16 +174,25 @@
 
     async fn partition(&self, span: Duration) {
         let domains = self.site.fleet.layout().domains.len();
+        self.rule(span, |rules| {
+            for other in (0..domains).filter(|&other| other != HIT_DOMAIN) {
+                rules.set_both_ways(HIT_DOMAIN, other, Rule::Hold);
+            }
+        })
+        .await;
+    }
+
+    /// Holds rules of the proxy for a span.
+    async fn rule(&self, span: Duration, change: impl FnOnce(&mut Rules)) {
         let Some(proxy) = self.site.fleet.proxy() else {
             return;
         };
+        proxy.rules().change(change);
+        sleep(span).await;
         proxy.rules().change(|rules| {
-            for other in (0..domains).filter(|&other| other != HIT_DOMAIN) {
-                rules.set_both_ways(HIT_DOMAIN, other, Rule::Hold);
-            }
+            rules.heal();
+            rules.set_between(Rule::Pass);
         });
-        sleep(span).await;
-        proxy.rules().change(|rules| rules.heal());
     }
 
     async fn leave(&mut self, span: Duration) -> Option<f64> {
@@ -181,7 +204,7 @@
             .iter()
             .map(|&vm| self.site.upstreams[vm].state().counts().last_start);
         let last = starts.flatten().max()?;
-        Some(last.saturating_duration_since(ordered).as_secs_f64() * 1e3)
+        Some(millis_between(ordered, last))
     }
 
     fn domain_death(&mut self) {
@@ -220,6 +243,18 @@
         }
     }
 
+    async fn stop_upstream(&mut self, span: Duration) -> Option<f64> {
+        let vm = self.some_vm();
+        let note = self.churn_note(Sequence(2), None, Some(vm));
+        let ordered = Instant::now();
+        self.site.fleet.publish_note(&note);
+        sleep(span).await;
+        let upstream = &self.site.upstreams[vm];
+        upstream.stop().await;
+        let last = upstream.state().counts().last_start?;
+        Some(millis_between(ordered, last))
+    }
+
     /// Withdraws and adds one upstream after the other.
     async fn churn(&mut self, end: Instant) {
         let mut sequence = Sequence(1);
@@ -264,3 +299,7 @@
         }
     }
 }
+
+fn millis_between(from: Instant, to: Instant) -> f64 {
+    to.saturating_duration_since(from).as_secs_f64() * 1e3
+}
--- a/crates/bench/src/service/tests.rs
+++ b/crates/bench/src/service/tests.rs
@@ -21,7 +21,6 @@
     };
     let record = CallRecord {
         id: "r".into(),
-        service: "s".into(),
         keyed,
         due: Duration::ZERO,
         took: Duration::ZERO,
--- a/crates/bench/src/subcommand/demo.rs
+++ b/crates/bench/src/subcommand/demo.rs
@@ -7,7 +7,6 @@
 use std::path::PathBuf;
 
 use crate::{
-    checks::Checks,
     deployment::Deployment,
     error::BenchError,
     fleet::FleetOptions,
--- a/crates/bench/src/subcommand/demo/act.rs
+++ b/crates/bench/src/subcommand/demo/act.rs
@@ -322,6 +322,15 @@
             "  the platform counted {} reads in its busiest second",
             counts.peak
         );
+        if let Some(proxy) = self.site.fleet.proxy() {
+            let traffic = proxy.counts().read();
+            let bytes: u64 = traffic.iter().map(|vm| vm.received).sum();
+            let opened: u64 = traffic.iter().map(|vm| vm.opened).sum();
+            println!(
+                "  {} kB passed between the nodes over {opened} connections",
+                bytes / 1000
+            );
+        }
         self.checks
             .expect_none("platform-rate-kept", counts.refused);
     }
--- a/crates/bench/src/upstream/control.rs
+++ b/crates/bench/src/upstream/control.rs
@@ -65,6 +65,7 @@
     }
 
     /// Returns the address.
+    #[cfg(test)]
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/bench/src/upstream/state.rs
+++ b/crates/bench/src/upstream/state.rs
@@ -124,11 +124,6 @@
         self.inner.lock().epoch
     }
 
-    /// Returns the number of requests that run.
-    pub(crate) fn active(&self) -> u32 {
-        self.inner.lock().active
-    }
-
     /// Turns the upstream cold without a restart, as after a lost cache. It slows down at once and
     /// falls over when it is still crowded after a while.
     pub(crate) fn turn_cold(&self) {
@@ -138,6 +133,7 @@
     }
 
     /// Lets the upstream bear its slots at once.
+    #[cfg(test)]
     pub(crate) fn turn_warm(&self) {
         let mut inner = self.inner.lock();
         inner.warmed = inner.model.slots * inner.model.warm_step.max(1);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,8 +3,6 @@
 //! A node is a micro-kernel with services that find each other by name. The
 //! thin daemon `wagtailleverd` reads the settings and runs [`run`].
 
-#![allow(dead_code, unused_imports, unreachable_pub)]
-
 mod admin;
 mod daemon;
 mod error;
@@ -27,5 +25,6 @@
 pub use crate::{
     daemon::{Arguments, run},
     error::NodeError,
+    mutant::Mutant,
     settings::{Limits, Policies, Settings, SettingsError},
 };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,12 +3,8 @@
 mod core;
 mod handle;
 mod link;
-mod roster;
 
-pub(crate) use self::{
-    handle::{PeersHandle, PeersStatus, PlatformState},
-    roster::Roster,
-};
+pub(crate) use self::handle::{PeersHandle, PeersStatus, PlatformState};
 
 use std::rc::Rc;
 
@@ -38,13 +34,11 @@
         Box::pin(async move {
             let (inputs, receiver) = mpsc::channel(MAX_INPUTS);
             let handle = PeersHandle::new(inputs.clone());
-            let roster = Roster::default();
             let token = context.token();
-            let core = Core::new(context, handle.clone(), roster.clone(), inputs.clone());
+            let core = Core::new(context, handle.clone(), inputs.clone());
             let acceptor = Acceptor::new(inputs, core.link_context());
             let registry = context.registry();
             registry.publish("peers", handle);
-            registry.publish("roster", roster);
             registry.publish_handler("control", Rc::new(acceptor));
             let core = actix_rt::spawn(core.run(receiver, token.clone()));
             actix_rt::spawn(end_with(core));
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use log::{info, warn};
+use log::{debug, info, warn};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{
     sync::{mpsc, oneshot},
@@ -25,7 +25,6 @@
 use super::{
     handle::{PeersHandle, PeersStatus, PlatformState},
     link::{LinkContext, LinkSender, dial},
-    roster::Roster,
 };
 use crate::{
     invariant::must_hold,
@@ -71,7 +70,6 @@
     link_context: LinkContext,
     inputs: mpsc::Sender<Input>,
     handle: PeersHandle,
-    roster: Roster,
     view: ViewCell,
     timeline: Timeline,
     stall: Option<Stall>,
@@ -82,12 +80,7 @@
 
 impl Core {
     /// Returns the loop of a fresh process.
-    pub(super) fn new(
-        context: &Context,
-        handle: PeersHandle,
-        roster: Roster,
-        inputs: mpsc::Sender<Input>,
-    ) -> Self {
+    pub(super) fn new(context: &Context, handle: PeersHandle, inputs: mpsc::Sender<Input>) -> Self {
         let settings = context.settings();
         let me = Identity {
             vm: settings.vm.clone(),
@@ -113,7 +106,6 @@
             link_context,
             inputs,
             handle,
-            roster,
             view: context.view().clone(),
             timeline: context.timeline().clone(),
             stall: context.registry().find("stall").ok(),
@@ -213,24 +205,18 @@
     fn tell(&mut self, event: ReplicaEvent) {
         match event {
             ReplicaEvent::Fold(event) => self.tell_fold(event),
-            ReplicaEvent::Vms(list) => {
-                self.roster.retain(|vm| list.get(vm).is_some());
-                self.view.set_vms(list);
-            }
+            ReplicaEvent::Vms(list) => self.view.set_vms(list),
             ReplicaEvent::Order(order) => {
                 self.view
                     .set_drains(Arc::new(self.replica.drains().clone()));
                 self.timeline.record(EventKind::OrderApplied { order });
             }
             ReplicaEvent::Report(report) => self.handle.tell(report),
-            ReplicaEvent::LinkUp(peer) => {
-                self.roster.alive(&peer);
-                self.timeline.record(EventKind::LinkUp { peer });
-            }
+            ReplicaEvent::LinkUp(peer) => self.timeline.record(EventKind::LinkUp { peer }),
             ReplicaEvent::LinkDown(peer) => {
                 self.timeline.record(EventKind::LinkDown { peer });
             }
-            ReplicaEvent::Unreachable(vm) => self.roster.suspect(&vm),
+            ReplicaEvent::Unreachable(vm) => debug!("VM {vm} can't be reached"),
             ReplicaEvent::Platform(mode) => self.tell_mode(mode),
             ReplicaEvent::PlatformLost => self.timeline.record(EventKind::PlatformLost),
             ReplicaEvent::PlatformFound => self.timeline.record(EventKind::PlatformFound),
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -1,6 +1,6 @@
 //! Handle by which other services use the peers.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -69,21 +69,11 @@
         }
     }
 
-    /// Returns what part of the fleet has which sequence in force.
-    pub(crate) fn fleet(&self) -> FleetSummary {
-        self.status().fleet.clone()
-    }
-
     /// Returns the state of the exchange with other nodes.
     pub(crate) fn status(&self) -> Arc<PeersStatus> {
         Arc::clone(&self.status.lock())
     }
 
-    /// Returns the time since any reader in reach heard the platform.
-    pub(crate) fn platform_age(&self) -> Option<Duration> {
-        self.status().platform_age_ms.map(Duration::from_millis)
-    }
-
     /// Takes in an order of an operator and returns the orders in force.
     pub(crate) async fn order(&self, order: DrainOrder) -> DrainList {
         let (reply, answer) = oneshot::channel();
--- a/crates/node/src/sidecar/tests/bed.rs
+++ b/crates/node/src/sidecar/tests/bed.rs
@@ -28,7 +28,7 @@
 pub(super) struct Bed {
     pub(super) context: Context,
     pub(super) sidecar: Sidecar,
-    transport: Transport,
+    _transport: Transport,
     connection: Rc<Connection>,
 }
 
@@ -55,7 +55,7 @@
         Self {
             context,
             sidecar,
-            transport,
+            _transport: transport,
             connection: Rc::new(connection),
         }
     }
@@ -92,8 +92,8 @@
 /// Reads the whole reply.
 pub(super) async fn reply(reader: &mut FrameReader) -> Reply {
     let head = timeout(STEP, reader.frame::<ReplyHead>()).await.unwrap();
-    let (status, load_limit) = match head {
-        Ok(Some(ReplyHead::Answer { status, load, .. })) => (status, load.limit),
+    let status = match head {
+        Ok(Some(ReplyHead::Answer { status, .. })) => status,
         Ok(Some(ReplyHead::Refused { refusal, .. })) => return Reply::Refused(refusal),
         _ => return Reply::Reset,
     };
@@ -105,22 +105,14 @@
             Err(_) => return Reply::Cut { status },
         }
     }
-    Reply::Whole {
-        status,
-        body,
-        load_limit,
-    }
+    Reply::Whole { status, body }
 }
 
 /// What an ingress sees of a call.
 #[derive(Debug)]
 pub(super) enum Reply {
     /// The whole answer.
-    Whole {
-        status: u16,
-        body: Vec<u8>,
-        load_limit: u32,
-    },
+    Whole { status: u16, body: Vec<u8> },
     /// An answer whose body broke off visibly.
     Cut { status: u16 },
     /// No answer of the upstream.
--- a/crates/node/src/source/client.rs
+++ b/crates/node/src/source/client.rs
@@ -29,8 +29,6 @@
 pub(super) struct Value {
     /// The value.
     pub(super) body: Bytes,
-    /// Revision of the whole store when it was read.
-    pub(super) store_revision: u64,
 }
 
 /// Answer of a watch.
@@ -101,10 +99,7 @@
         let body = answer.body().limit(MAX_ANSWER_BYTES).await;
         let body = body.map_err(|err| out(&err))?;
         count_bytes(body.len());
-        let value = Value {
-            body,
-            store_revision,
-        };
+        let value = Value { body };
         Ok((Some(value), store_revision))
     }
 
--- a/crates/node/src/transport/error.rs
+++ b/crates/node/src/transport/error.rs
@@ -7,7 +7,7 @@
 /// Why a message could not be exchanged with another node.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
-pub enum TransportError {
+pub(crate) enum TransportError {
     /// No connection could be opened; nothing was sent.
     #[snafu(display("{address} can't be reached: {source}"))]
     Connect {
