Tell callers of a broken call to come back when its crash is known

A crash is told from a broken connection after about 100 ms, but the caller was told to come back after 50. Change: 500 ms for broken calls.

--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -13,6 +13,9 @@
 const MAX_REST: Duration = Duration::from_secs(1);
 /// Time after which a caller is told to come back when an upstream is out of reach.
 const RETRY_AFTER_MS: u64 = 250;
+/// Time after which a broken call may be resent, in milliseconds: by then all nodes know
+/// whether it crashed its upstream.
+const BROKEN_AFTER_MS: u64 = 500;
 
 /// What the end of an attempt means.
 pub(super) struct Feedback {
@@ -101,7 +104,10 @@
         refusal: Some(Refusal {
             outcome,
             reason,
-            after_ms: RETRY_AFTER_MS,
+            after_ms: match reason {
+                RefusalReason::Broken => BROKEN_AFTER_MS,
+                _ => RETRY_AFTER_MS,
+            },
         }),
     }
 }
--- a/crates/node/src/sidecar/refuse.rs
+++ b/crates/node/src/sidecar/refuse.rs
@@ -6,6 +6,9 @@
 
 /// Time after which a resend makes sense when nothing better is known.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time after which a broken request may be resent: by then a crash is told from a broken
+/// connection, and all nodes know the requests that were in flight.
+const BROKEN_AFTER: Duration = Duration::from_millis(500);
 
 /// Returns a refusal of a request of which nothing was written to an upstream.
 pub(super) fn did_not_run(reason: RefusalReason) -> Refusal {
@@ -19,7 +22,11 @@
 
 /// Returns a refusal with an outcome.
 pub(super) fn with_outcome(outcome: Outcome, reason: RefusalReason) -> Refusal {
-    after(outcome, reason, RETRY_AFTER)
+    let wait = match reason {
+        RefusalReason::Broken => BROKEN_AFTER,
+        _ => RETRY_AFTER,
+    };
+    after(outcome, reason, wait)
 }
 
 /// Returns a refusal with an outcome and the time after which a resend makes sense.
