Give nodes under test ports that no probe holds

A socket of the probe lives on in a child that a test running beside it forks, until that child runs its program. Change: each node under test has a loopback IP of its own already; its ports are fixed on it and not probed.

--- a/crates/node/tests/distribution/fleet.rs
+++ b/crates/node/tests/distribution/fleet.rs
@@ -1,7 +1,7 @@
 //! Node processes under test.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     process::{Child, Command},
     sync::{
         Arc,
@@ -186,13 +186,15 @@
     }
 }
 
-/// Returns addresses on a loopback IP that only this node uses, so that no connection
-/// of others can take a port between the probe and the start of the node.
+/// Ports of a node on its own loopback IP.
+const PORTS: [u16; 3] = [20_001, 20_002, 20_003];
+
+/// Returns addresses on a loopback IP that only this node uses. They are not probed: a probe's socket
+/// lives on in a child that another test forks at that moment, until the child runs its program.
 fn free_ports() -> [SocketAddr; 3] {
     static NODES: AtomicU32 = AtomicU32::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     let node = NODES.fetch_add(1, Ordering::Relaxed).to_be_bytes()[3];
     let ip = Ipv4Addr::new(127, 64 + high % 64, low, node);
-    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+    PORTS.map(|port| SocketAddr::new(ip.into(), port))
 }
