--- a/crates/node/tests/daemon.rs
+++ b/crates/node/tests/daemon.rs
@@ -59,15 +59,17 @@
     }
 }
 
-/// Returns an address on a loopback IP of its own, so that no connection of
-/// others can take the port between the probe and the start of the node.
+/// Port of an address on its own loopback IP.
+const PORT: u16 = 20_001;
+
+/// Returns an address on a loopback IP of its own. It is not probed: a probe's socket lives on in
+/// a child that another test forks at that moment, until the child runs its program.
 fn free_address() -> SocketAddr {
     static ADDRESSES: AtomicU32 = AtomicU32::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     let address = ADDRESSES.fetch_add(1, Ordering::Relaxed).to_be_bytes()[3];
     let ip = Ipv4Addr::new(127, 128 + high % 64, low, address);
-    let listener = TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
+    SocketAddr::new(ip.into(), PORT)
 }
 
 fn terminate(node: &Child) {
