Let chaos end with planned stops that nothing else disturbs

Change: after the schedule one node of each failure domain is stopped while callers go on. The mutant abrupt_stop shows that the check can fail.

--- a/crates/bench/src/chaos/perform.rs
+++ b/crates/bench/src/chaos/perform.rs
@@ -19,6 +19,8 @@
 const CRASH_SENDINGS: u32 = 8;
 /// Time for which a caller repeats such a request.
 const CRASH_DEADLINE: Duration = Duration::from_secs(6);
+/// Longest time until a replaced node serves.
+const SERVE_LIMIT: Duration = Duration::from_secs(20);
 
 /// An action that began, with what its end must know.
 pub(crate) struct Active {
@@ -239,6 +241,27 @@
         }
     }
 
+    /// Stops a node of each failure domain when nothing else can cut requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a replacement can't be started or does not serve in time.
+    pub(crate) async fn stop_calmly(&mut self) -> Result<(), BenchError> {
+        for domain in 0..self.site.fleet.layout().domains.len() {
+            let vms = self.site.fleet.layout().vms_of(domain);
+            let Some(&vm) = vms.iter().find(|&&vm| self.site.fleet.node(vm).is_some()) else {
+                continue;
+            };
+            if let Some(node) = self.site.fleet.node(vm) {
+                node.terminate();
+            }
+            self.stopping.insert(vm, Instant::now());
+            self.finish_stop(vm).await?;
+            self.site.fleet.wait_serving(&[vm], SERVE_LIMIT).await?;
+        }
+        Ok(())
+    }
+
     fn pause(&mut self, active: &mut Active, vm: usize) {
         active.effective = self.awake().contains(&vm) && !self.stopping.contains_key(&vm);
         if !active.effective {
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -162,9 +162,13 @@
         }
         let load = CallerLoad::start(self.site.targets(), workload, options.seed);
         let started = load.started();
-        let played = self.play_steps(options, steps).await;
+        let mut played = self.play_steps(options, steps).await;
         if played.is_ok() && self.checks.broken().is_empty() {
             self.catch_up().await;
+            if options.scenario.is_none() {
+                sleep(CUT_ECHO).await;
+                played = self.stop_calmly().await;
+            }
         }
         let records = load.finish().await;
         self.settle(&records, started).await;
