Hold what a run broke in one place

The result of the experiment on calls listed the fields of its verdict again and copied them one by one; it now holds the verdict. The JSON is the same.

--- a/crates/bench/src/service/result.rs
+++ b/crates/bench/src/service/result.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::caller::Bucket;
+use crate::{caller::Bucket, service::Verdict};
 
 /// Result of one run; the fields are those that reports read.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -35,22 +35,9 @@
     pub(crate) refused: u64,
     /// Requests that may have run.
     pub(crate) unknown: u64,
-    /// Wrong answers.
-    pub(crate) wrong: u64,
-    /// Sendings that a planned action cut.
-    pub(crate) cut: u64,
-    /// Keyed requests that ran more than once.
-    pub(crate) ran_twice: u64,
-    /// Sendings that ran though the caller was told otherwise.
-    pub(crate) false_did_not_run: u64,
-    /// Requests that reached another service.
-    pub(crate) misrouted: u64,
-    /// Requests that ran above the slots of an upstream.
-    pub(crate) over_limit: u64,
-    /// Times that an upstream fell over under load.
-    pub(crate) swamped: u64,
-    /// Upstreams that a request crashed.
-    pub(crate) upstreams_crashed: u64,
+    /// Promises that were broken.
+    #[serde(flatten)]
+    pub(crate) verdict: Verdict,
     /// Innocent requests that were refused as poison.
     pub(crate) innocent_refused: u64,
     /// Time from an order to drain until the last new work, in milliseconds.
@@ -94,23 +81,24 @@
 
     /// Notes the bounds that the run broke.
     pub(crate) fn judge(&mut self, is_planned: bool, poisons: u64) {
+        let verdict = &self.verdict;
         let zero = |name, count: u64| Bound {
             name,
             holds: count == 0,
         };
         let bounds = [
-            zero("wrong", self.wrong),
-            zero("cut", if is_planned { self.cut } else { 0 }),
-            zero("ran_twice", self.ran_twice),
-            zero("false_did_not_run", self.false_did_not_run),
-            zero("misrouted", self.misrouted),
-            zero("over_limit", self.over_limit),
-            zero("swamped", self.swamped),
+            zero("wrong", verdict.wrong),
+            zero("cut", if is_planned { verdict.cut } else { 0 }),
+            zero("ran_twice", verdict.ran_twice),
+            zero("false_did_not_run", verdict.false_did_not_run),
+            zero("misrouted", verdict.misrouted),
+            zero("over_limit", verdict.over_limit),
+            zero("swamped", verdict.swamped),
             zero("innocent_refused", self.innocent_refused),
             zero("invariants_broken", self.invariants_broken),
             Bound {
                 name: "upstreams_crashed",
-                holds: self.upstreams_crashed <= poisons * CRASHES_PER_REQUEST,
+                holds: verdict.crashed <= poisons * CRASHES_PER_REQUEST,
             },
             Bound {
                 name: "added_p99_ms",
--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -221,15 +221,12 @@
 
     async fn settle(&self, result: &mut ServiceResult, injected: &Injected) {
         let verdict = Verdict::of(&self.records, &self.site.counts());
-        result.wrong = verdict.wrong;
-        result.cut = verdict.cut;
-        result.ran_twice = verdict.ran_twice;
-        result.false_did_not_run = verdict.false_did_not_run;
-        result.misrouted = verdict.misrouted;
-        result.over_limit = verdict.over_limit - self.past_system.over_limit;
-        result.swamped = verdict.swamped - self.past_system.swamped;
-        result.upstreams_crashed = verdict.crashed;
         result.attempts_per_call = self.attempts_per_call(&verdict).await;
+        result.verdict = Verdict {
+            over_limit: verdict.over_limit - self.past_system.over_limit,
+            swamped: verdict.swamped - self.past_system.swamped,
+            ..verdict
+        };
         result.innocent_refused = result.reasons.get("poison").copied().unwrap_or(0);
         result.last_new_work_ms = injected.last_new_work_ms;
         result.invariants_broken = self.site.broken_invariants().await;
--- a/crates/bench/src/service/tests.rs
+++ b/crates/bench/src/service/tests.rs
@@ -71,8 +71,11 @@
 #[test]
 fn broken_bounds_are_named() {
     let mut result = ServiceResult {
-        ran_twice: 1,
-        cut: 1,
+        verdict: Verdict {
+            ran_twice: 1,
+            cut: 1,
+            ..Verdict::default()
+        },
         added_p99_ms: Some(2.0),
         ..ServiceResult::default()
     };
--- a/crates/bench/src/service/verdict.rs
+++ b/crates/bench/src/service/verdict.rs
@@ -2,13 +2,15 @@
 
 use std::collections::HashMap;
 
+use serde::Serialize;
+
 use crate::{
     caller::{Answered, CallRecord, Told},
     upstream::Counts,
 };
 
 /// Promises that were broken in a run, by count.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub(crate) struct Verdict {
     /// Answers of another request, and short ones that look whole.
     pub(crate) wrong: u64,
@@ -25,8 +27,10 @@
     /// Times that an upstream fell over under too much load.
     pub(crate) swamped: u64,
     /// Times that a request crashed an upstream.
+    #[serde(rename = "upstreams_crashed")]
     pub(crate) crashed: u64,
     /// Executions and sheddings at upstreams.
+    #[serde(skip)]
     pub(crate) attempts: u64,
 }
 
