Give callers two seconds to leave a node that stops

A caller that holds many idle connections uses each of them once in a second or two; those that were not used in the 500 ms of notice were closed under a request. Change: the notice takes 2 s. What is left is the race of any HTTP/1.1 server that closes an idle connection.

--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -17,7 +17,7 @@
 /// Time in which a caller must have sent the head of its request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for which a stopping node goes on telling callers to go elsewhere.
-const STOP_NOTICE: Duration = Duration::from_millis(500);
+const STOP_NOTICE: Duration = Duration::from_secs(2);
 
 /// HTTP server for callers, on one thread of its own.
 pub(super) struct Server {
