--- a/crates/bench/src/layout.rs
+++ b/crates/bench/src/layout.rs
@@ -125,6 +125,7 @@
             region: vm.region.clone(),
             address: vm.advertised,
             state: VmState::Live,
+            upstreams: Vec::new(),
         };
         let vms = self.vms.iter().map(|vm| Arc::new(entry(vm))).collect();
         VmList { number, vms }
@@ -141,35 +142,32 @@
             address: vm.upstream_address,
             slots: shape.slots,
             connections: shape.connections,
+            start: None,
         }
     }
 
     /// Returns a release note that adds all services, routes and upstreams.
     pub(crate) fn first_note(&self, deployment: &Deployment, sequence: Sequence) -> ReleaseNote {
         let services = deployment.services.iter();
-        let routes = deployment.services.iter().map(|shape| RouteSpec {
-            name: format!("{}-route", shape.name).as_str().into(),
-            path: shape.path.clone(),
-            methods: shape.methods.clone(),
-            service: shape.name.clone(),
-            idempotent: None,
-            timeout_ms: ROUTE_TIMEOUT_MS,
+        let routes = deployment.services.iter().map(|shape| {
+            let name = format!("{}-route", shape.name).into();
+            let service = shape.name.clone();
+            RouteSpec {
+                methods: shape.methods.clone(),
+                ..RouteSpec::to_service(name, shape.path.clone(), service, ROUTE_TIMEOUT_MS)
+            }
         });
         let upstreams = self.vms.iter().map(|vm| self.upstream(deployment, vm));
         ReleaseNote {
             note: sequence,
             summary: Some(format!("first note of {}", deployment.name)),
-            services: additions(services.map(|shape| service(&shape.name))),
+            services: additions(services.map(|shape| ServiceSpec::named(shape.name.clone()))),
             routes: additions(routes),
             upstreams: additions(upstreams),
         }
     }
 }
 
-fn service(name: &ServiceName) -> ServiceSpec {
-    ServiceSpec { name: name.clone() }
-}
-
 fn additions<S, N>(things: impl Iterator<Item = S>) -> Changes<S, N> {
     Changes {
         add: things.map(Arc::new).collect(),
--- a/crates/bench/src/subcommand/demo/act.rs
+++ b/crates/bench/src/subcommand/demo/act.rs
@@ -359,12 +359,9 @@
 }
 
 fn summary_route(shape: &ServiceShape) -> RouteSpec {
+    let name = format!("{}-summary", shape.name);
     RouteSpec {
-        name: format!("{}-summary", shape.name).as_str().into(),
-        path: summary_path(shape),
         methods: shape.methods.clone(),
-        service: shape.name.clone(),
-        idempotent: None,
-        timeout_ms: 5_000,
+        ..RouteSpec::to_service(name.into(), summary_path(shape), shape.name.clone(), 5_000)
     }
 }
--- a/crates/coordination/examples/fold.rs
+++ b/crates/coordination/examples/fold.rs
@@ -47,7 +47,7 @@
         }
     }
     let routes = RouteTable::new(fold.config());
-    if let Some(route) = routes.find(Method::Get, "/balances/7") {
+    if let Some(route) = routes.find("", Method::Get, "/balances/7") {
         println!("GET /balances/7 goes to service {}", route.service);
     }
     for value in fold.config().publications() {
--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -2,6 +2,7 @@
 
 mod adaptive;
 mod alone;
+mod cold;
 mod queue;
 mod ramp;
 #[cfg(test)]
@@ -12,6 +13,7 @@
 use crate::admission::{
     adaptive::AdaptiveLimit,
     alone::{AloneQueue, MAX_ALONE},
+    cold::ColdRate,
     queue::FairQueue,
     ramp::Ramp,
 };
@@ -27,6 +29,7 @@
     settings: AdmissionSettings,
     adaptive: AdaptiveLimit,
     ramp: Ramp,
+    cold: ColdRate,
     queue: FairQueue,
     alone: AloneQueue,
     active: u32,
@@ -47,6 +50,9 @@
     pub limit: bool,
     /// Whether an upstream that started gets a trickle first.
     pub ramp: bool,
+    /// Requests a second that a cold upstream bears, where its service states it; there is no
+    /// ramp then.
+    pub cold_per_second: Option<u32>,
 }
 
 /// A request that asks to be run.
@@ -155,6 +161,7 @@
             settings,
             adaptive: AdaptiveLimit::new(settings.slots),
             ramp: Ramp::default(),
+            cold: ColdRate::new(settings.cold_per_second),
             queue: FairQueue::default(),
             alone: AloneQueue::default(),
             active: 0,
@@ -170,7 +177,7 @@
     /// Decides on a request that arrives.
     pub fn arrive(&mut self, ask: Ask, now: Instant) -> Arrival {
         if !self.settings.limit {
-            self.count_start();
+            self.count_start(now);
             return Arrival::Start;
         }
         if let Some(after) = self.ramp.down_for(now) {
@@ -179,11 +186,11 @@
         if ask.alone {
             return self.arrive_alone(ask, now);
         }
-        if self.queue.is_empty() && self.has_room() && !self.alone.holds_others(now) {
-            self.start();
+        if self.queue.is_empty() && self.has_room(now) && !self.alone.holds_others(now) {
+            self.start(now);
             return Arrival::Start;
         }
-        let wait = self.wait_behind(self.queue.len());
+        let wait = self.wait_behind(self.queue.len(), now);
         if now + wait + self.latency > ask.deadline {
             return Arrival::Refuse(reject(RejectionCause::Late, wait));
         }
@@ -195,7 +202,7 @@
 
     /// Returns the next waiting request that has its turn; to be called until it is `None`.
     pub fn next(&mut self, now: Instant) -> Option<Turn> {
-        let wait = self.wait_behind(self.queue.len());
+        let wait = self.wait_behind(self.queue.len(), now);
         if let Some(ticket) = self.queue.take_evicted() {
             return Some(Turn::Refuse(ticket, reject(RejectionCause::Full, wait)));
         }
@@ -206,14 +213,14 @@
         if let Some(turn) = self.next_alone(now) {
             return Some(turn);
         }
-        if !self.has_room() || self.alone.holds_others(now) {
+        if !self.has_room(now) || self.alone.holds_others(now) {
             return None;
         }
         let (ticket, ask) = self.queue.pop()?;
         if now + self.latency > ask.deadline {
             return Some(Turn::Refuse(ticket, reject(RejectionCause::Late, wait)));
         }
-        self.start();
+        self.start(now);
         Some(Turn::Start(ticket))
     }
 
@@ -267,14 +274,21 @@
 
     /// Takes note of a sign that the upstream has restarted and is cold.
     pub fn restarted(&mut self, now: Instant) {
-        if self.settings.ramp && self.settings.slots > 1 {
+        let is_ramped = self.settings.ramp && self.settings.cold_per_second.is_none();
+        if is_ramped && self.settings.slots > 1 {
             self.ramp.start(now);
         }
     }
 
+    /// Takes note of how long the upstream stays cold, as its platform or itself tells.
+    pub fn cold_for(&mut self, time: Duration, now: Instant) {
+        self.cold.set_until(now + time);
+    }
+
     /// Takes in changed bounds; a lower limit holds for what starts from now on.
     pub fn reconfigure(&mut self, settings: AdmissionSettings) {
         self.settings = settings;
+        self.cold.set_rate(settings.cold_per_second);
         self.adaptive.set_slots(settings.slots);
     }
 
@@ -296,8 +310,8 @@
 
     /// Returns whether the upstream still gets less than it can bear when warm.
     #[must_use]
-    pub fn is_cold(&self) -> bool {
-        self.ramp.is_cold()
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.ramp.is_cold() || self.cold.is_cold(now)
     }
 
     /// Returns a mark of the request that was started last, for [`Self::ran_alone`].
@@ -325,8 +339,8 @@
     }
 
     fn arrive_alone(&mut self, ask: Ask, now: Instant) -> Arrival {
-        if self.active == 0 && self.alone.len() == 0 {
-            self.start();
+        if self.active == 0 && self.alone.len() == 0 && self.cold.has_room(now) {
+            self.start(now);
             self.alone.start(now);
             return Arrival::Start;
         }
@@ -340,8 +354,8 @@
     }
 
     fn next_alone(&mut self, now: Instant) -> Option<Turn> {
-        let is_free = self.active == 0 || self.has_room() && self.alone.waited_enough(now);
-        if self.alone.is_running() || !is_free {
+        let is_free = self.active == 0 || self.has_room(now) && self.alone.waited_enough(now);
+        if self.alone.is_running() || !is_free || !self.cold.has_room(now) {
             return None;
         }
         let (ticket, ask) = self.alone.pop(now)?;
@@ -354,21 +368,22 @@
         } else {
             self.alone.start_beside();
         }
-        self.start();
+        self.start(now);
         Some(Turn::Start(ticket))
     }
 
-    fn has_room(&self) -> bool {
-        self.active < self.limit()
+    fn has_room(&self, now: Instant) -> bool {
+        self.active < self.limit() && self.cold.has_room(now)
     }
 
-    fn count_start(&mut self) {
+    fn count_start(&mut self, now: Instant) {
         self.active += 1;
         self.starts += 1;
+        self.cold.start(now);
     }
 
-    fn start(&mut self) {
-        self.count_start();
+    fn start(&mut self, now: Instant) {
+        self.count_start(now);
         assert!(
             self.active <= self.settings.slots,
             "an upstream must not get more than its slots"
@@ -376,11 +391,12 @@
     }
 
     /// Returns the time that a request waits behind a number of others, about.
-    fn wait_behind(&self, ahead: usize) -> Duration {
+    fn wait_behind(&self, ahead: usize, now: Instant) -> Duration {
+        let cold = self.cold.wait_behind(ahead, now);
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let over = self.active.saturating_sub(self.limit());
         let rounds = f64::from(ahead.saturating_add(over)) / f64::from(self.limit());
-        self.held.mul_f64(rounds)
+        self.held.mul_f64(rounds).max(cold)
     }
 
     fn queue_bound(&self) -> usize {
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -14,6 +14,7 @@
         adaptive: true,
         limit: true,
         ramp: true,
+        cold_per_second: None,
     }
 }
 
@@ -135,7 +136,7 @@
     );
     bed.run_for(ms(4000), ms(5));
     assert_eq!(
-        (bed.admission.limit(), bed.admission.is_cold()),
+        (bed.admission.limit(), bed.admission.is_cold(bed.now)),
         (SLOTS, false)
     );
 }
@@ -212,7 +213,7 @@
     for _ in 0..SHED_BURST {
         bed.finish(SampleResult::Shed);
     }
-    assert!(bed.admission.is_cold());
+    assert!(bed.admission.is_cold(bed.now));
     assert_eq!(bed.admission.limit(), 1);
 }
 
@@ -385,3 +386,50 @@
         }
     }
 }
+
+/// Load pattern: full load on an upstream that has just become cold without a sign of a restart.
+#[test]
+fn a_cold_upstream_gets_no_more_in_any_second_than_its_service_states() {
+    const RATE: u32 = 26;
+    let mut bed = Bed::new(AdmissionSettings {
+        cold_per_second: Some(RATE),
+        ..settings()
+    });
+    let mut starts = Vec::new();
+    for step in 0..400u64 {
+        if step == 100 {
+            bed.admission.cold_for(ms(2_000), bed.now);
+        }
+        for _ in 0..2 {
+            if bed.arrive(step, ms(5_000)) == Arrival::Start {
+                starts.push(step);
+                bed.admission.release(ms(10), false);
+                bed.running.pop();
+            }
+        }
+        while let Some(turn) = bed.admission.next(bed.now) {
+            let (Turn::Start(ticket) | Turn::Refuse(ticket, _)) = turn;
+            bed.waiting.remove(&ticket);
+            if matches!(turn, Turn::Start(_)) {
+                starts.push(step);
+                bed.admission.release(ms(10), false);
+            }
+        }
+        bed.now += ms(10);
+    }
+    let within = |from: u64| {
+        starts
+            .iter()
+            .filter(|&&at| (from..from + 100).contains(&at))
+            .count()
+    };
+    assert!(within(0) > 100, "warm: {}", within(0));
+    for from in 100..200 {
+        assert!(
+            within(from) <= RATE as usize,
+            "{} from {from} on",
+            within(from)
+        );
+    }
+    assert!(within(300) > 100, "warm again: {}", within(300));
+}
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -89,6 +89,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             slots: 8,
             connections: 8,
+            start: None,
         }),
         address: "127.0.0.1:2".parse().unwrap(),
     }
--- a/crates/coordination/src/border/generated.rs
+++ b/crates/coordination/src/border/generated.rs
@@ -190,6 +190,28 @@
         Self(value)
     }
 }
+///An upstream that the platform lists on a VM.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ListedUpstream {
+    ///Address of the upstream as seen from its VM, as <ip>:<port>.
+    pub address: ::std::net::SocketAddr,
+    ///Time in milliseconds for which the upstream stays cold from the change of the list on.
+    #[serde(default)]
+    pub cold_ms: u64,
+    pub name: Name,
+    pub service: Name,
+    ///Requests that the upstream can run at once.
+    pub slots: ::std::num::NonZeroU32,
+    ///Start of the upstream in milliseconds since the Unix epoch, by the clock of its VM.
+    pub started: u64,
+}
+impl ::std::convert::From<&ListedUpstream> for ListedUpstream {
+    fn from(value: &ListedUpstream) -> Self {
+        value.clone()
+    }
+}
 ///HTTP method that a route can name.
 ///
 #[derive(
@@ -377,6 +399,12 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
+    ///Upstreams to which one call may be sent.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub attempts: ::std::option::Option<::std::num::NonZeroU32>,
+    ///Host whose requests take the route; without it, those of all hosts.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub host: ::std::option::Option<::std::string::String>,
     ///Whether a request may run more than once; by default what HTTP says of the method.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub idempotent: ::std::option::Option<bool>,
@@ -386,7 +414,16 @@
     pub name: Name,
     ///Path prefix, which starts with a slash and matches whole segments.
     pub path: ::std::string::String,
+    ///Rank of the route's calls where not all can be served; 0 goes first.
+    #[serde(default)]
+    pub priority: u8,
     pub service: Name,
+    ///Services among which the calls are divided by weight, in place of the one service.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub split: ::std::vec::Vec<SplitPart>,
+    ///Time in milliseconds within which callers want the answer.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub target_ms: ::std::option::Option<::std::num::NonZeroU64>,
     ///Longest time in milliseconds that a call may take.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 10000>")]
     pub timeout_ms: ::std::num::NonZeroU64,
@@ -430,6 +467,15 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
+    ///Time in milliseconds for which an upstream of the service is cold after its start.
+    #[serde(default)]
+    pub cold_ms: u64,
+    ///Requests a second that a cold upstream of the service bears; without it, sidecars find out.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub cold_per_second: ::std::option::Option<::std::num::NonZeroU32>,
+    ///Path under which an upstream of the service tells its health.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub health: ::std::option::Option<::std::string::String>,
     pub name: Name,
 }
 impl ::std::convert::From<&Service> for Service {
@@ -466,6 +512,20 @@
         }
     }
 }
+///Part of a route's calls that goes to one service.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SplitPart {
+    pub service: Name,
+    ///Share of the calls, relative to the other parts.
+    pub weight: ::std::num::NonZeroU32,
+}
+impl ::std::convert::From<&SplitPart> for SplitPart {
+    fn from(value: &SplitPart) -> Self {
+        value.clone()
+    }
+}
 ///An upstream: one server of a service on one VM.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -527,6 +587,9 @@
     pub region: Name,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub state: ::std::option::Option<VmState>,
+    ///Upstreams that the platform lists on the VM, beside those of release notes.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub upstreams: ::std::vec::Vec<ListedUpstream>,
     pub vm: Name,
 }
 impl ::std::convert::From<&Vm> for Vm {
--- a/crates/coordination/src/border/note.rs
+++ b/crates/coordination/src/border/note.rs
@@ -1,11 +1,14 @@
 //! Conversion of release notes.
 
-use std::sync::Arc;
+use std::{
+    num::{NonZeroU32, NonZeroU64},
+    sync::Arc,
+};
 
 use super::{MAX_PATH_BYTES, about, generated, name};
 use crate::{
     error::{Kind, NoteError},
-    note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, SplitPart, UpstreamSpec},
     rule::Rule,
     sequence::Sequence,
 };
@@ -46,6 +49,9 @@
         let blame = about(Kind::Service, &service.name);
         Ok(Self {
             name: name("service", &service.name).map_err(blame)?,
+            health: service.health,
+            cold_per_second: service.cold_per_second.map(NonZeroU32::get),
+            cold_ms: service.cold_ms,
         })
     }
 }
@@ -63,10 +69,25 @@
             methods: route.methods.into_iter().map(Method::from).collect(),
             idempotent: route.idempotent,
             timeout_ms: route.timeout_ms.get(),
+            host: route.host.map(|host| host.to_ascii_lowercase().into()),
+            split: convert_split(&route.split).map_err(&blame)?,
+            attempts: route.attempts.map(NonZeroU32::get),
+            target_ms: route.target_ms.map(NonZeroU64::get),
+            priority: route.priority,
         })
     }
 }
 
+fn convert_split(parts: &[generated::SplitPart]) -> Result<Vec<SplitPart>, NoteError> {
+    let converted = parts.iter().map(|part| {
+        Ok(SplitPart {
+            service: name("service", &part.service)?,
+            weight: part.weight.get(),
+        })
+    });
+    converted.collect()
+}
+
 impl TryFrom<generated::Upstream> for UpstreamSpec {
     type Error = NoteError;
 
@@ -80,6 +101,7 @@
             address: upstream.address,
             slots: upstream.slots.get(),
             connections: upstream.connections.get(),
+            start: None,
         })
     }
 }
--- a/crates/coordination/src/border/vms.rs
+++ b/crates/coordination/src/border/vms.rs
@@ -6,7 +6,7 @@
 use crate::{
     error::NoteError,
     rule::Rule,
-    vm::{VmEntry, VmList, VmState},
+    vm::{ListedUpstream, VmEntry, VmList, VmState},
 };
 
 impl VmList {
@@ -51,10 +51,27 @@
             region: name("region", &vm.region)?,
             address: vm.address,
             state: vm.state.unwrap_or_default().into(),
+            upstreams: convert_upstreams(&vm.upstreams)?,
         })
     }
 }
 
+fn convert_upstreams(
+    upstreams: &[generated::ListedUpstream],
+) -> Result<Vec<ListedUpstream>, NoteError> {
+    let converted = upstreams.iter().map(|upstream| {
+        Ok(ListedUpstream {
+            name: name("upstream", &upstream.name)?,
+            service: name("service", &upstream.service)?,
+            address: upstream.address,
+            slots: upstream.slots.get(),
+            started: upstream.started,
+            cold_ms: upstream.cold_ms,
+        })
+    });
+    converted.collect()
+}
+
 impl From<generated::VmState> for VmState {
     fn from(state: generated::VmState) -> Self {
         match state {
--- a/crates/coordination/src/candidates.rs
+++ b/crates/coordination/src/candidates.rs
@@ -44,18 +44,18 @@
         let entries: HashMap<&VmName, &VmEntry> =
             vms.vms.iter().map(|entry| (&entry.vm, &**entry)).collect();
         let mut services: HashMap<ServiceName, Vec<Candidate>> = HashMap::new();
-        for upstream in config.upstreams.values() {
+        let noted = config.upstreams.values().cloned();
+        let listed = vms.vms.iter().flat_map(|entry| entry.listed());
+        for upstream in noted.chain(listed) {
             let Some(entry) = entries.get(&upstream.vm) else {
                 continue;
             };
-            if entry.state == VmState::Leaving || is_drained(upstream, entry, drains) {
+            if entry.state == VmState::Leaving || is_drained(&upstream, entry, drains) {
                 continue;
             }
             let candidates = services.entry(upstream.service.clone()).or_default();
-            candidates.push(Candidate {
-                upstream: Arc::clone(upstream),
-                address: entry.address,
-            });
+            let address = entry.address;
+            candidates.push(Candidate { upstream, address });
         }
         let addresses = entries
             .iter()
--- a/crates/coordination/src/candidates/tests.rs
+++ b/crates/coordination/src/candidates/tests.rs
@@ -21,6 +21,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             slots: 1,
             connections: 1,
+            start: None,
         };
         let name = upstream.name.clone();
         self.config.upstreams.insert(name, Arc::new(upstream));
@@ -35,6 +36,7 @@
             region: "r".into(),
             address: format!("127.0.0.1:{port}").parse().unwrap(),
             state,
+            upstreams: Vec::new(),
         }));
         self
     }
--- a/crates/coordination/src/config/check.rs
+++ b/crates/coordination/src/config/check.rs
@@ -25,7 +25,9 @@
     }
 
     fn check_route(&self, route: &Route, note: &ReleaseNote) -> Result<(), NoteError> {
-        self.check_service(&route.service, Kind::Route, route.name.as_str(), note)?;
+        for service in route.services() {
+            self.check_service(service, Kind::Route, route.name.as_str(), note)?;
+        }
         if !route.path.starts_with('/') {
             let reason = format!("route {}: the path must start with a slash", route.name);
             return Err(NoteError::new(Rule::Path, reason).about(Kind::Route, route.name.as_str()));
@@ -77,10 +79,10 @@
     }
 
     fn check_overlap(&self) -> Result<(), NoteError> {
-        let mut seen: BTreeMap<&str, Vec<&Route>> = BTreeMap::new();
+        let mut seen: BTreeMap<(Option<&str>, &str), Vec<&Route>> = BTreeMap::new();
         for route in self.routes.values() {
             let path = route.path.trim_end_matches('/');
-            let same = seen.entry(path).or_default();
+            let same = seen.entry((route.host.as_deref(), path)).or_default();
             if let Some(other) = same.iter().find(|other| methods_overlap(other, route)) {
                 let (name, other) = (&route.name, &other.name);
                 let reason = format!("routes {other} and {name} have the same path and method");
--- a/crates/coordination/src/handover/tests.rs
+++ b/crates/coordination/src/handover/tests.rs
@@ -30,6 +30,7 @@
             address: "127.0.0.1:9".parse().unwrap(),
             slots: 1,
             connections: 1,
+            start: None,
         };
         config
             .upstreams
@@ -131,6 +132,7 @@
         region: "sicily".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         state: crate::VmState::Live,
+        upstreams: Vec::new(),
     };
     VmList {
         number,
--- a/crates/coordination/src/join.rs
+++ b/crates/coordination/src/join.rs
@@ -23,6 +23,8 @@
     BestKnown,
     /// The list of VMs names no other node, and the platform answered.
     OnlyNode,
+    /// The platform answered, and its answers are never older than what was in force.
+    PlatformRead,
 }
 
 /// Why a node does not take work yet.
@@ -64,6 +66,8 @@
     pub platform: bool,
     /// Whether no other node is listed.
     pub only_node: bool,
+    /// Whether the platform's answers are never older than what was in force anywhere.
+    pub platform_is_current: bool,
 }
 
 /// Decides when a joining node takes work.
@@ -96,6 +100,9 @@
         if facts.have < facts.highest {
             return Err(JoinWait::Behind);
         }
+        if facts.platform_is_current && facts.platform && facts.have > Sequence::ZERO {
+            return Ok(JoinRule::PlatformRead);
+        }
         if facts.near_serving {
             return Ok(JoinRule::ServingPeer);
         }
--- a/crates/coordination/src/key/tests.rs
+++ b/crates/coordination/src/key/tests.rs
@@ -25,6 +25,7 @@
                 address: format!("127.0.0.1:{}", 7000 + index).parse().unwrap(),
                 slots: 12,
                 connections: 120,
+                start: None,
             };
             config
                 .upstreams
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 mod candidates;
 mod config;
 mod crash;
+mod dialect;
 mod drain;
 mod error;
 mod fleet;
@@ -29,6 +30,7 @@
 mod note;
 mod overlay;
 mod poison;
+mod registrations;
 mod replica;
 mod report;
 mod retry;
@@ -37,7 +39,9 @@
 mod sequence;
 mod share;
 mod soft_report;
+mod split;
 mod stall;
+mod store;
 mod vm;
 
 pub use crate::{
@@ -53,6 +57,7 @@
     candidates::{Candidate, Candidates},
     config::{Config, Route, Service, Upstream},
     crash::CrashDetector,
+    dialect::{Dialect, RetryAfterForm},
     drain::{DrainAction, DrainList, DrainOrder, DrainScope},
     error::NoteError,
     fleet::{FleetSummary, Summary, TreeReport},
@@ -68,9 +73,13 @@
         DomainName, MAX_NAME_BYTES, RegionName, RouteName, ServiceName, UpstreamName, VmName,
         is_name,
     },
-    note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    note::{
+        Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, SplitPart, UpstreamSpec,
+        UpstreamStart,
+    },
     overlay::{Overlay, parents},
     poison::{InFlight, Poison, PoisonReport, Suspicion},
+    registrations::{Registration, Registrations},
     replica::{
         Identity, LinkId, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy,
     },
@@ -78,12 +87,17 @@
         DomainReport, LaggardReport, NoteReport, NoteVerdict, RefusedReport, SpreadReport,
         StatusReport,
     },
-    retry::{AttemptEnd, Attempts, Next, RequestKind, RetryBudget},
+    retry::{
+        AttemptEnd, AttemptLimit, Attempts, FleetRetryBudget, Next, RequestKind, RetryBudget,
+        RetryRates,
+    },
     routing::RouteTable,
     rule::Rule,
     sequence::Sequence,
     share::CallShares,
     soft_report::SoftReport,
+    split::Splitter,
     stall::{STALL_GAP, StallDetector},
-    vm::{Incarnation, VmEntry, VmList, VmState},
+    store::{ConfigStore, StoreChange, StoreChanges, StoreFailure, StoreState, Unusable},
+    vm::{Incarnation, ListedUpstream, VmEntry, VmList, VmState},
 };
--- a/crates/coordination/src/note.rs
+++ b/crates/coordination/src/note.rs
@@ -67,6 +67,33 @@
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: ServiceName,
+    /// Path under which an upstream of the service tells its health.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub health: Option<String>,
+    /// Requests a second that a cold upstream bears; without it, sidecars find out.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_per_second: Option<u32>,
+    /// Time in milliseconds for which an upstream is cold after its start.
+    #[serde(skip_serializing_if = "is_default")]
+    pub cold_ms: u64,
+}
+
+impl ServiceSpec {
+    /// Returns a service of which nothing but the name is known.
+    #[must_use]
+    pub fn named(name: ServiceName) -> Self {
+        Self {
+            name,
+            health: None,
+            cold_per_second: None,
+            cold_ms: 0,
+        }
+    }
+}
+
+/// Returns whether a value need not be written, as it is the default.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
 
 /// A route from a path prefix to a service.
@@ -86,6 +113,62 @@
     pub idempotent: Option<bool>,
     /// Longest time in milliseconds that a call may take.
     pub timeout_ms: u64,
+    /// Host whose requests take the route, in lower case; `None` stands for all hosts.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub host: Option<Arc<str>>,
+    /// Services among which the calls are divided; an empty list sends all to `service`.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<SplitPart>,
+    /// Upstreams to which one call may be sent; by default the product's own limit.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
+    /// Time in milliseconds within which callers want the answer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub target_ms: Option<u64>,
+    /// Rank of the calls where not all can be served; 0 goes first.
+    #[serde(skip_serializing_if = "is_default")]
+    pub priority: u8,
+}
+
+impl RouteSpec {
+    /// Returns a route for all hosts and methods that sends its calls to one service.
+    #[must_use]
+    pub fn to_service(
+        name: RouteName,
+        path: impl Into<String>,
+        service: ServiceName,
+        timeout_ms: u64,
+    ) -> Self {
+        Self {
+            name,
+            path: path.into(),
+            methods: Vec::new(),
+            service,
+            idempotent: None,
+            timeout_ms,
+            host: None,
+            split: Vec::new(),
+            attempts: None,
+            target_ms: None,
+            priority: 0,
+        }
+    }
+
+    /// Iterates over all services to which calls of the route may go.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let single = self.split.is_empty().then_some(&self.service);
+        let parts = self.split.iter().map(|part| &part.service);
+        single.into_iter().chain(parts)
+    }
+}
+
+/// Part of a route's calls that goes to one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SplitPart {
+    /// The service.
+    pub service: ServiceName,
+    /// Share of the calls, relative to the other parts.
+    pub weight: u32,
 }
 
 /// An upstream: one server of a service on one VM.
@@ -106,6 +189,18 @@
     pub slots: u32,
     /// Connections that the upstream accepts.
     pub connections: u32,
+    /// What the platform tells of the upstream's start; a note tells nothing of it.
+    #[serde(skip)]
+    pub start: Option<UpstreamStart>,
+}
+
+/// What the platform tells of an upstream's start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamStart {
+    /// Time of the start in milliseconds since the Unix epoch, by the clock of the upstream's VM.
+    pub started: u64,
+    /// Time in milliseconds for which the upstream was still cold when it was listed.
+    pub cold_ms: u64,
 }
 
 /// HTTP methods that a route can name.
--- /dev/null
+++ b/crates/coordination/src/registrations.rs
@@ -0,0 +1,223 @@
+//! Upstreams that register themselves at the platform, and the list of VMs that follows from them.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    name::{DomainName, RegionName, UpstreamName, VmName},
+    vm::{ListedUpstream, VmEntry, VmList, VmState},
+};
+
+/// Silence of the platform after which registrations may have lapsed through no fault of their
+/// upstreams.
+const OUTAGE: Duration = Duration::from_secs(1);
+/// Time after an outage for which a missing registration is kept. The platform's pages say that
+/// those of live upstreams are back within about two seconds.
+const LAPSED_HOLD: Duration = Duration::from_millis(2_200);
+/// Bits of a list's number that count changes at one revision of the platform.
+const CHANGE_BITS: u32 = 8;
+
+/// Registration of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Registration {
+    /// The upstream.
+    pub upstream: ListedUpstream,
+    /// VM on which it runs.
+    pub vm: VmName,
+    /// Failure domain of the VM.
+    pub domain: DomainName,
+    /// Region of the failure domain.
+    pub region: RegionName,
+    /// Address on which the VM's node accepts other nodes.
+    pub node: SocketAddr,
+    /// Whether the upstream is about to leave.
+    pub is_leaving: bool,
+}
+
+/// All registrations that one reader of the platform knows.
+///
+/// A registration that goes missing is dropped at once, unless the platform was silent before:
+/// then it may have lapsed and is kept until its upstream had time to renew it.
+#[derive(Clone, Debug, Default)]
+pub struct Registrations {
+    known: BTreeMap<UpstreamName, Known>,
+    heard: Option<Instant>,
+    hold_until: Option<Instant>,
+    revision: u64,
+    published: VmList,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    registration: Registration,
+    is_missing: bool,
+}
+
+impl Registrations {
+    /// Returns what a reader starts from that follows the list of an earlier one; `silence` is
+    /// the time since any reader heard the platform.
+    #[must_use]
+    pub fn resume(list: &VmList, silence: Duration, now: Instant) -> Self {
+        let mut registrations = Self {
+            heard: now.checked_sub(silence),
+            published: list.clone(),
+            ..Self::default()
+        };
+        for entry in &list.vms {
+            for upstream in &entry.upstreams {
+                let registration = Registration {
+                    upstream: upstream.clone(),
+                    vm: entry.vm.clone(),
+                    domain: entry.domain.clone(),
+                    region: entry.region.clone(),
+                    node: entry.address,
+                    is_leaving: entry.state == VmState::Leaving,
+                };
+                let known = Known {
+                    registration,
+                    is_missing: false,
+                };
+                registrations.known.insert(upstream.name.clone(), known);
+            }
+        }
+        registrations
+    }
+
+    /// Notes that the platform answered; to be called before what it said is applied.
+    pub fn heard(&mut self, now: Instant) {
+        let silent = self.heard.map(|at| now.saturating_duration_since(at));
+        if silent.is_some_and(|silent| silent >= OUTAGE) {
+            self.hold_until = Some(now + LAPSED_HOLD);
+        }
+        self.heard = Some(now);
+    }
+
+    /// Notes that the platform is still waiting for something to tell, so it is not silent.
+    pub fn waited(&mut self, now: Instant) {
+        self.heard = Some(now);
+    }
+
+    /// Applies one change: a new registration, or `None` where it is gone.
+    pub fn apply(
+        &mut self,
+        name: &UpstreamName,
+        registration: Option<Registration>,
+        revision: u64,
+        now: Instant,
+    ) {
+        self.revision = self.revision.max(revision);
+        match registration {
+            Some(registration) => {
+                let known = Known {
+                    registration,
+                    is_missing: false,
+                };
+                self.known.insert(name.clone(), known);
+            }
+            None => self.miss(name, now),
+        }
+    }
+
+    /// Replaces all registrations by those of a whole reading.
+    pub fn replace(&mut self, registrations: Vec<Registration>, revision: u64, now: Instant) {
+        let names: Vec<_> = registrations
+            .iter()
+            .map(|r| r.upstream.name.clone())
+            .collect();
+        for registration in registrations {
+            let name = registration.upstream.name.clone();
+            self.apply(&name, Some(registration), revision, now);
+        }
+        let missing = self.known.keys().filter(|name| !names.contains(name));
+        for name in missing.cloned().collect::<Vec<_>>() {
+            self.miss(&name, now);
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Returns the list of VMs if it changed since it was returned last.
+    pub fn changed_list(&mut self, now: Instant) -> Option<VmList> {
+        if !self.is_holding(now) {
+            self.known.retain(|_, known| !known.is_missing);
+        }
+        let vms = self.vms();
+        if vms == self.published.vms {
+            return None;
+        }
+        let number = self.revision << CHANGE_BITS;
+        let number = number.max(self.published.number + 1);
+        self.published = VmList { number, vms };
+        Some(self.published.clone())
+    }
+
+    /// Returns the time at which registrations that are still missing are dropped.
+    #[must_use]
+    pub fn hold_until(&self) -> Option<Instant> {
+        let is_any_missing = self.known.values().any(|known| known.is_missing);
+        self.hold_until.filter(|_| is_any_missing)
+    }
+
+    fn miss(&mut self, name: &UpstreamName, now: Instant) {
+        if !self.is_holding(now) {
+            self.known.remove(name);
+            return;
+        }
+        if let Some(known) = self.known.get_mut(name) {
+            known.is_missing = !known.registration.is_leaving;
+            if known.registration.is_leaving {
+                self.known.remove(name);
+            }
+        }
+    }
+
+    fn is_holding(&self, now: Instant) -> bool {
+        self.hold_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns one entry a VM. A VM leaves when all its upstreams do. Of two upstreams at one
+    /// address only the one that started last can be alive.
+    fn vms(&self) -> Vec<Arc<VmEntry>> {
+        let mut vms: BTreeMap<&VmName, Vec<&Registration>> = BTreeMap::new();
+        for known in self.known.values() {
+            let registration = &known.registration;
+            vms.entry(&registration.vm).or_default().push(registration);
+        }
+        vms.into_values()
+            .map(|of_vm| Arc::new(entry(&of_vm)))
+            .collect()
+    }
+}
+
+/// Returns the entry of a VM with at least one registration.
+fn entry(of_vm: &[&Registration]) -> VmEntry {
+    let newest = of_vm
+        .iter()
+        .max_by_key(|r| (r.upstream.started, &r.upstream.name))
+        .expect("a VM has at least one registration");
+    let alive = |r: &&&Registration| {
+        let is_replaced = r.upstream.address == newest.upstream.address;
+        !is_replaced || r.upstream.name == newest.upstream.name
+    };
+    let alive: Vec<_> = of_vm.iter().filter(alive).collect();
+    let is_leaving = alive.iter().all(|r| r.is_leaving);
+    let staying = alive.iter().filter(|r| is_leaving || !r.is_leaving);
+    VmEntry {
+        vm: newest.vm.clone(),
+        domain: newest.domain.clone(),
+        region: newest.region.clone(),
+        address: newest.node,
+        state: if is_leaving {
+            VmState::Leaving
+        } else {
+            VmState::Live
+        },
+        upstreams: staying.map(|r| r.upstream.clone()).collect(),
+    }
+}
--- a/crates/coordination/src/replica/input.rs
+++ b/crates/coordination/src/replica/input.rs
@@ -32,6 +32,8 @@
     pub delta: bool,
     /// Digests repair loss.
     pub digest: bool,
+    /// What the platform answers is never older than what was in force anywhere.
+    pub platform_is_current: bool,
 }
 
 impl Default for ReplicaPolicy {
@@ -40,6 +42,7 @@
             relay: true,
             delta: true,
             digest: true,
+            platform_is_current: false,
         }
     }
 }
--- a/crates/coordination/src/replica/joining.rs
+++ b/crates/coordination/src/replica/joining.rs
@@ -59,6 +59,7 @@
             asked_all: self.has_asked_all(now),
             platform: self.platform_age(now).is_some(),
             only_node: self.is_only_node(),
+            platform_is_current: self.policy.platform_is_current && !self.overlay.is_empty(),
         }
     }
 
--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -6,9 +6,13 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
+use serde::Deserialize;
 
 /// Attempts that a call may take.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
+/// Further attempts of a call on a route that states its own limit, for sidecars that turn the
+/// call away before it reaches their upstreams.
+const MAX_TURNED_AWAY: u32 = 2;
 /// Attempts of one call after which an upstream may have been lost.
 const MAX_BROKEN: u32 = 2;
 /// Shortest time that an attempt is worth.
@@ -34,6 +38,8 @@
     Unreachable,
     /// The other side refused the attempt and proved that the request did not run.
     Refused,
+    /// The upstream itself refused the request and stated that it did not run.
+    Shed,
     /// The other side has another configuration; the request did not run.
     Stale,
     /// The time of the attempt ran out; the request may have run.
@@ -47,12 +53,21 @@
 }
 
 impl AttemptEnd {
+    /// Returns whether the attempt may have reached an upstream.
+    #[must_use]
+    pub fn is_arrived(self) -> bool {
+        matches!(
+            self,
+            Self::Shed | Self::TimedOut | Self::Broken | Self::Undecided
+        )
+    }
+
     /// Returns whether the request is proved not to have run in this attempt.
     #[must_use]
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::Unreachable | Self::Refused | Self::Stale | Self::Final
+            Self::Unreachable | Self::Refused | Self::Shed | Self::Stale | Self::Final
         )
     }
 }
@@ -74,11 +89,42 @@
     },
 }
 
+/// Bounds on the attempts of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimit {
+    /// Attempts in all.
+    pub made: u32,
+    /// Attempts that may have reached an upstream.
+    pub arrived: u32,
+}
+
+impl AttemptLimit {
+    /// Returns the limit of a route that allows a call to be sent to so many upstreams.
+    #[must_use]
+    pub fn of_route(attempts: u32) -> Self {
+        Self {
+            made: attempts.saturating_add(MAX_TURNED_AWAY),
+            arrived: attempts,
+        }
+    }
+}
+
+impl Default for AttemptLimit {
+    fn default() -> Self {
+        Self {
+            made: MAX_ATTEMPTS,
+            arrived: MAX_ATTEMPTS,
+        }
+    }
+}
+
 /// Attempts of one call.
 #[derive(Clone, Debug)]
 pub struct Attempts {
     kind: RequestKind,
+    limit: AttemptLimit,
     made: u32,
+    arrived: u32,
     broken: u32,
     is_not_run: bool,
 }
@@ -86,10 +132,12 @@
 impl Attempts {
     /// Returns the record of a call before its first attempt.
     #[must_use]
-    pub fn new(kind: RequestKind) -> Self {
+    pub fn new(kind: RequestKind, limit: AttemptLimit) -> Self {
         Self {
             kind,
+            limit,
             made: 0,
+            arrived: 0,
             broken: 0,
             is_not_run: true,
         }
@@ -110,6 +158,7 @@
     /// Records the end of an attempt.
     pub fn record(&mut self, end: AttemptEnd) {
         self.made += 1;
+        self.arrived += u32::from(end.is_arrived());
         self.is_not_run &= end.is_not_run();
         if end == AttemptEnd::Broken {
             self.broken += 1;
@@ -128,7 +177,8 @@
         budget: &mut RetryBudget,
         rng: &mut impl Rng,
     ) -> Next {
-        if self.made >= MAX_ATTEMPTS || self.broken >= MAX_BROKEN || !is_resendable {
+        let is_used_up = self.made >= self.limit.made || self.arrived >= self.limit.arrived;
+        if is_used_up || self.broken >= MAX_BROKEN || !is_resendable {
             return Next::Stop;
         }
         let after = self.pause(end, budget, rng);
@@ -136,7 +186,8 @@
             return Next::Stop;
         }
         let next = self.place(end, after);
-        if next == Next::Stop || end == AttemptEnd::Unreachable || budget.try_take() {
+        let is_free = end == AttemptEnd::Unreachable || budget.spares(end);
+        if next == Next::Stop || is_free || budget.try_take() {
             return next;
         }
         Next::Stop
@@ -170,11 +221,71 @@
 /// can't multiply the load. A trickle of tokens over time lets a service with few calls resend.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
+    rates: RetryRates,
     tokens: f64,
     filled: Instant,
     is_unlimited: bool,
 }
 
+/// How a retry budget fills.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRates {
+    /// Tokens that a call adds.
+    pub per_call: f64,
+    /// Tokens that a second adds.
+    pub per_second: f64,
+    /// Tokens that the budget holds.
+    pub most: f64,
+    /// Whether only resends of requests that reached an upstream take a token.
+    pub arrivals_only: bool,
+}
+
+impl Default for RetryRates {
+    fn default() -> Self {
+        Self {
+            per_call: TOKENS_PER_CALL,
+            per_second: TOKENS_PER_SECOND,
+            most: MAX_TOKENS,
+            arrivals_only: false,
+        }
+    }
+}
+
+/// Resends that all nodes together may make in any window of time.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetRetryBudget {
+    /// Resends for each call of a service in the window.
+    pub ratio: f64,
+    /// Further resends in the window, whatever the calls.
+    pub minimum: f64,
+    /// Length of the window in seconds.
+    pub window_s: f64,
+}
+
+impl FleetRetryBudget {
+    /// Returns one node's part of the budget in a fleet of `nodes`.
+    ///
+    /// Half of the ratio is left to the calls that a resent request makes itself: each of those
+    /// counts as a resend at its own service. In any window a node spends at most what it held
+    /// and what was added, which together stay within its part of the minimum.
+    #[must_use]
+    pub fn part(&self, nodes: usize) -> RetryRates {
+        #[allow(clippy::cast_precision_loss)]
+        let minimum = self.minimum / nodes.max(1) as f64;
+        RetryRates {
+            per_call: self.ratio * OWN_RATIO_SHARE,
+            per_second: minimum * (1.0 - HELD_SHARE) / self.window_s,
+            most: (minimum * HELD_SHARE).max(1.0),
+            arrivals_only: true,
+        }
+    }
+}
+
+/// Share of the ratio that resends of the service's own calls may use.
+const OWN_RATIO_SHARE: f64 = 0.5;
+/// Share of a node's part of the minimum that can be spent at once.
+const HELD_SHARE: f64 = 0.5;
 /// Tokens that a call adds.
 const TOKENS_PER_CALL: f64 = 0.2;
 /// Tokens that a second adds.
@@ -185,20 +296,27 @@
 impl RetryBudget {
     /// Returns a budget with a few tokens.
     #[must_use]
-    pub fn new(now: Instant) -> Self {
+    pub fn new(rates: RetryRates, now: Instant) -> Self {
         Self {
-            tokens: MAX_TOKENS / 2.0,
+            rates,
+            tokens: rates.most / 2.0,
             filled: now,
             is_unlimited: false,
         }
     }
 
+    /// Changes how the budget fills, such as when the size of the fleet changes.
+    pub fn set_rates(&mut self, rates: RetryRates) {
+        self.rates = rates;
+        self.tokens = self.tokens.min(rates.most);
+    }
+
     /// Returns a budget that allows each resend, and without a pause.
     #[must_use]
     pub fn unlimited(now: Instant) -> Self {
         Self {
             is_unlimited: true,
-            ..Self::new(now)
+            ..Self::new(RetryRates::default(), now)
         }
     }
 
@@ -206,8 +324,14 @@
     pub fn count_call(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.filled);
         self.filled = self.filled.max(now);
-        let added = TOKENS_PER_CALL + passed.as_secs_f64() * TOKENS_PER_SECOND;
-        self.tokens = (self.tokens + added).min(MAX_TOKENS);
+        let rates = self.rates;
+        let added = rates.per_call + passed.as_secs_f64() * rates.per_second;
+        self.tokens = (self.tokens + added).min(rates.most);
+    }
+
+    /// Returns whether a resend after such an end takes no token.
+    fn spares(&self, end: AttemptEnd) -> bool {
+        self.rates.arrivals_only && !end.is_arrived()
     }
 
     fn is_unlimited(&self) -> bool {
--- a/crates/coordination/src/retry/tests.rs
+++ b/crates/coordination/src/retry/tests.rs
@@ -15,8 +15,8 @@
 
 fn after(kind: RequestKind, ends: &[AttemptEnd]) -> Next {
     let mut rng = SmallRng::seed_from_u64(1);
-    let mut budget = RetryBudget::new(Instant::now());
-    let mut attempts = Attempts::new(kind);
+    let mut budget = RetryBudget::new(RetryRates::default(), Instant::now());
+    let mut attempts = Attempts::new(kind, AttemptLimit::default());
     let mut next = Next::Stop;
     for &end in ends {
         attempts.record(end);
@@ -86,9 +86,9 @@
 #[test]
 fn a_body_that_is_gone_is_not_resent() {
     let mut rng = SmallRng::seed_from_u64(1);
-    let mut attempts = Attempts::new(RequestKind::Idempotent);
+    let mut attempts = Attempts::new(RequestKind::Idempotent, AttemptLimit::default());
     attempts.record(AttemptEnd::Refused);
-    let mut budget = RetryBudget::new(Instant::now());
+    let mut budget = RetryBudget::new(RetryRates::default(), Instant::now());
     let left = Duration::from_secs(1);
     let next = attempts.next(AttemptEnd::Refused, false, left, &mut budget, &mut rng);
     assert_eq!(next, Next::Stop);
@@ -103,11 +103,11 @@
     ) {
         let start = Instant::now();
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut budget = RetryBudget::new(start);
+        let mut budget = RetryBudget::new(RetryRates::default(), start);
         let mut resends = 0;
         for i in 0..calls {
             budget.count_call(start + Duration::from_micros(gap_us) * i as u32);
-            let mut attempts = Attempts::new(RequestKind::Idempotent);
+            let mut attempts = Attempts::new(RequestKind::Idempotent, AttemptLimit::default());
             loop {
                 attempts.record(AttemptEnd::Refused);
                 let left = Duration::from_secs(1);
@@ -126,8 +126,8 @@
     #[test]
     fn a_resend_leaves_time_for_an_attempt(left_ms in 0u64..40, made in 1u32..3, seed in any::<u64>()) {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut budget = RetryBudget::new(Instant::now());
-        let mut attempts = Attempts::new(RequestKind::Idempotent);
+        let mut budget = RetryBudget::new(RetryRates::default(), Instant::now());
+        let mut attempts = Attempts::new(RequestKind::Idempotent, AttemptLimit::default());
         for _ in 0..made {
             attempts.record(AttemptEnd::Refused);
         }
@@ -138,3 +138,62 @@
         }
     }
 }
+
+/// Load pattern: a grey service that fails half of all requests, on every node of a fleet.
+#[test]
+fn the_parts_of_all_nodes_stay_within_the_fleets_budget() {
+    const NODES: usize = 12;
+    const CALLS_PER_NODE_AND_SECOND: u32 = 40;
+    let fleet = FleetRetryBudget {
+        ratio: 0.2,
+        minimum: 60.0,
+        window_s: 10.0,
+    };
+    let start = Instant::now();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut budget = RetryBudget::new(fleet.part(NODES), start);
+    let mut resends = Vec::new();
+    let steps = CALLS_PER_NODE_AND_SECOND * 30;
+    for step in 0..steps {
+        let at = start + Duration::from_secs(30) * step / steps;
+        budget.count_call(at);
+        let mut attempts = Attempts::new(RequestKind::Idempotent, AttemptLimit::of_route(2));
+        attempts.record(AttemptEnd::Shed);
+        let left = Duration::from_secs(1);
+        let next = attempts.next(AttemptEnd::Shed, true, left, &mut budget, &mut rng);
+        if is_elsewhere(next) {
+            resends.push(at);
+        }
+    }
+    let calls = f64::from(CALLS_PER_NODE_AND_SECOND) * fleet.window_s;
+    let allowed = fleet.ratio * calls + fleet.minimum / NODES as f64;
+    for (i, from) in resends.iter().enumerate() {
+        let within = resends[i..]
+            .iter()
+            .take_while(|at| **at - *from < Duration::from_secs(10));
+        let within = within.count();
+        assert!(within as f64 <= allowed, "{within} of {allowed}");
+    }
+    assert!(resends.len() > 100, "{}", resends.len());
+}
+
+#[test]
+fn a_call_that_sidecars_turned_away_takes_no_token_and_no_attempt_of_its_route() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let fleet = FleetRetryBudget {
+        ratio: 0.0,
+        minimum: 0.0,
+        window_s: 10.0,
+    };
+    let mut budget = RetryBudget::new(fleet.part(1), Instant::now());
+    let mut attempts = Attempts::new(RequestKind::Plain, AttemptLimit::of_route(2));
+    let left = Duration::from_secs(1);
+    for _ in 0..3 {
+        attempts.record(AttemptEnd::Refused);
+        let next = attempts.next(AttemptEnd::Refused, true, left, &mut budget, &mut rng);
+        assert!(is_elsewhere(next));
+    }
+    attempts.record(AttemptEnd::Refused);
+    let next = attempts.next(AttemptEnd::Refused, true, left, &mut budget, &mut rng);
+    assert_eq!(next, Next::Stop, "the attempts in all are bounded");
+}
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -22,6 +22,11 @@
             service: "s".into(),
             idempotent: None,
             timeout_ms: 1000,
+            host: None,
+            split: Vec::new(),
+            attempts: None,
+            target_ms: None,
+            priority: 0,
         };
         self.config.routes.insert(name.into(), Arc::new(route));
         self
@@ -29,7 +34,9 @@
 
     fn leads(self, method: Method, target: &str, expected: Option<&str>) -> Self {
         let table = RouteTable::new(&self.config);
-        let found = table.find(method, target).map(|route| route.name.as_str());
+        let found = table
+            .find("", method, target)
+            .map(|route| route.name.as_str());
         assert_eq!(found, expected, "{method:?} {target}");
         self
     }
@@ -68,7 +75,7 @@
     config
         .routes
         .values()
-        .filter(|route| takes(route, method) && wanted.starts_with(&segments(&route.path)))
+        .filter(|route| takes(route, method, &path) && wanted.starts_with(&segments(&route.path)))
         .max_by_key(|route| segments(&route.path).len())
 }
 
@@ -87,7 +94,44 @@
         let table = RouteTable::new(&case.config);
         for method in [Method::Get, Method::Post] {
             let expected = naive(&case.config, method, &path).map(|route| &route.name);
-            prop_assert_eq!(table.find(method, &path).map(|route| &route.name), expected);
+            prop_assert_eq!(table.find("", method, &path).map(|route| &route.name), expected);
         }
     }
 }
+
+#[test]
+fn the_routes_of_the_host_go_before_those_of_all_hosts() {
+    let on = |mut case: Case, name: &str, path: &str, host: &str| {
+        let mut route = Route::to_service(name.into(), path, "s".into(), 1_000);
+        route.host = Some(host.into());
+        case.config.routes.insert(name.into(), Arc::new(route));
+        case
+    };
+    let case = on(
+        case().route("any", "/a/b", &[]),
+        "own",
+        "/a/",
+        "shop.example",
+    );
+    let table = RouteTable::new(&on(case, "deep", "/a/b/", "shop.example").config);
+    let find = |host: &str, path: &str| {
+        let route = table.find(host, Method::Get, path);
+        route.map(|route| route.name.to_string())
+    };
+    assert_eq!(find("shop.example", "/a/x").as_deref(), Some("own"));
+    assert_eq!(
+        find("Shop.Example:8080", "/a/b/c?q=/").as_deref(),
+        Some("deep")
+    );
+    assert_eq!(
+        find("shop.example", "/a/b").as_deref(),
+        Some("own"),
+        "not whole"
+    );
+    assert_eq!(find("other.example", "/a/b/c").as_deref(), Some("any"));
+    assert_eq!(
+        find("shop.example", "/a"),
+        None,
+        "a prefix ends with its slash"
+    );
+}
--- /dev/null
+++ b/crates/coordination/src/split/tests.rs
@@ -0,0 +1,74 @@
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::*;
+
+struct Case {
+    splitter: Splitter,
+    rng: SmallRng,
+    route: Route,
+}
+
+fn case(parts: &[(&str, u32)]) -> Case {
+    let mut route = Route::to_service("r".into(), "/", "whole".into(), 1_000);
+    let part = |&(service, weight): &(&str, u32)| SplitPart {
+        service: service.into(),
+        weight,
+    };
+    route.split = parts.iter().map(part).collect();
+    Case {
+        splitter: Splitter::default(),
+        rng: SmallRng::seed_from_u64(7),
+        route,
+    }
+}
+
+impl Case {
+    fn counts(&mut self, calls: u32, expected: &[(&str, std::ops::RangeInclusive<u32>)]) {
+        let mut counts = HashMap::new();
+        for _ in 0..calls {
+            let service = self.splitter.next(&self.route, &mut self.rng);
+            *counts.entry(service).or_insert(0) += 1;
+        }
+        for (service, range) in expected {
+            let count = counts.remove(*service).unwrap_or(0);
+            assert!(range.contains(&count), "{service}: {count}");
+        }
+        assert!(counts.is_empty(), "{counts:?}");
+    }
+}
+
+#[test]
+fn a_route_without_parts_goes_to_its_service() {
+    case(&[]).counts(10, &[("whole", 10..=10)]);
+}
+
+#[test]
+fn short_runs_follow_the_weights() {
+    case(&[("a", 90), ("b", 10)]).counts(20, &[("a", 17..=19), ("b", 1..=3)]);
+    case(&[("a", 1), ("b", 1), ("c", 2)])
+        .counts(40, &[("a", 9..=11), ("b", 9..=11), ("c", 19..=21)]);
+}
+
+#[test]
+fn changed_weights_hold_from_the_next_call_on() {
+    let mut case = case(&[("a", 1), ("b", 1)]);
+    case.counts(10, &[("a", 4..=6), ("b", 4..=6)]);
+    case.route.split[0].weight = 9;
+    case.counts(100, &[("a", 88..=92), ("b", 8..=12)]);
+}
+
+/// Load pattern: a storm of configurations that changes the weights before a part with a small
+/// weight had its turn.
+#[test]
+fn a_small_part_gets_its_share_though_weights_change_all_the_time() {
+    let mut case = case(&[("a", 900), ("b", 100)]);
+    let mut small = 0;
+    for round in 0..500 {
+        case.route.split[0].weight = 900 + round % 2;
+        for _ in 0..4 {
+            let service = case.splitter.next(&case.route, &mut case.rng);
+            small += u32::from(service.as_str() == "b");
+        }
+    }
+    assert!((120..=280).contains(&small), "{small} of 2000");
+}
--- /dev/null
+++ b/crates/coordination/src/store.rs
@@ -0,0 +1,109 @@
+//! What a node reads from a store that holds the newest configuration in full.
+
+use std::{collections::BTreeMap, error::Error, time::Duration};
+
+use crate::{
+    config::Config,
+    name::{DomainName, UpstreamName},
+    registrations::Registration,
+};
+
+/// Store that can be read and watched; each deployment has its own names, formats and calls.
+pub trait ConfigStore {
+    /// Why the store gave no usable answer.
+    type Error: Error;
+
+    /// Reads all that the store holds, never older than what it acknowledged.
+    fn read(&mut self) -> impl Future<Output = Result<StoreState, Self::Error>>;
+
+    /// Reads the registrations alone; they may be some seconds old.
+    fn read_registrations(&mut self) -> impl Future<Output = Result<StoreState, Self::Error>>;
+
+    /// Waits for changes after a revision, at most for a time.
+    fn watch(
+        &mut self,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<StoreChanges, Self::Error>>;
+
+    /// Returns what an error means for the next reading.
+    fn failure(err: &Self::Error) -> StoreFailure;
+}
+
+/// All that a store holds.
+#[derive(Debug, Default)]
+pub struct StoreState {
+    /// The newest configuration, if there is a usable one.
+    pub config: Option<Config>,
+    /// Registrations of upstreams.
+    pub registrations: Vec<Registration>,
+    /// Failure domains that are to get no work, with the revision of the order.
+    pub drained: BTreeMap<DomainName, u64>,
+    /// Values that can't be used.
+    pub unusable: Vec<Unusable>,
+    /// Revision from which changes are to be watched.
+    pub revision: u64,
+}
+
+/// Changes of a store after a revision.
+#[derive(Debug, Default)]
+pub struct StoreChanges {
+    /// The changes, in their order.
+    pub changes: Vec<StoreChange>,
+    /// Revision from which to go on.
+    pub revision: u64,
+}
+
+/// One change of a store.
+#[derive(Debug)]
+pub enum StoreChange {
+    /// A newer configuration in full.
+    Config(Config),
+    /// A registration, or `None` where it is gone.
+    Registration {
+        /// Upstream that registered.
+        name: UpstreamName,
+        /// The registration.
+        registration: Option<Registration>,
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// A failure domain is to get no work, or gets work again.
+    Drain {
+        /// The failure domain.
+        domain: DomainName,
+        /// Whether it is to get no work.
+        is_drained: bool,
+        /// Revision of the change.
+        revision: u64,
+    },
+    /// A value that can't be used; what was known before stays in force.
+    Unusable(Unusable),
+}
+
+/// A value that can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unusable {
+    /// Key of the value.
+    pub key: String,
+    /// Upstream whose registration the value replaces, if it stands under the key of one.
+    pub upstream: Option<UpstreamName>,
+    /// Revision of the value.
+    pub revision: u64,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// What a failed reading means for the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFailure {
+    /// The store no longer holds the changes; all has to be read anew.
+    Forgotten,
+    /// The store asks to wait.
+    Busy {
+        /// Time to wait.
+        after: Duration,
+    },
+    /// The store can't be reached or failed.
+    Out,
+}
--- a/crates/coordination/src/vm.rs
+++ b/crates/coordination/src/vm.rs
@@ -4,7 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::{DomainName, RegionName, VmName};
+use crate::{
+    config::Upstream,
+    name::{DomainName, RegionName, ServiceName, UpstreamName, VmName},
+    note::UpstreamStart,
+};
 
 /// The platform's lagging list of live and leaving VMs.
 ///
@@ -50,6 +54,50 @@
     /// State that the platform reports for the VM.
     #[serde(default)]
     pub state: VmState,
+    /// Upstreams that the platform lists on the VM, beside those of release notes.
+    #[serde(default)]
+    pub upstreams: Vec<ListedUpstream>,
+}
+
+impl VmEntry {
+    /// Iterates over the upstreams that the platform lists on the VM, in the form in which notes
+    /// state theirs. Only the sidecar connects to them, so their slots bound the connections too.
+    pub fn listed(&self) -> impl Iterator<Item = Arc<Upstream>> + '_ {
+        self.upstreams.iter().map(|listed| {
+            Arc::new(Upstream {
+                name: listed.name.clone(),
+                service: listed.service.clone(),
+                vm: self.vm.clone(),
+                domain: self.domain.clone(),
+                address: listed.address,
+                slots: listed.slots,
+                connections: listed.slots,
+                start: Some(UpstreamStart {
+                    started: listed.started,
+                    cold_ms: listed.cold_ms,
+                }),
+            })
+        })
+    }
+}
+
+/// An upstream that the platform lists on a VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListedUpstream {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// Service that the upstream serves.
+    pub service: ServiceName,
+    /// Address of the upstream as seen from its VM.
+    pub address: SocketAddr,
+    /// Requests that the upstream can run at once.
+    pub slots: u32,
+    /// Start of the upstream in milliseconds since the Unix epoch, by the clock of its VM.
+    pub started: u64,
+    /// Time in milliseconds for which the upstream stays cold from the change of the list on.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
 
 /// State that the platform reports for a VM.
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -62,6 +62,7 @@
                     region: "r".into(),
                     address: SocketAddr::from(([127, 0, 0, 1], port)),
                     state: Default::default(),
+                    upstreams: Vec::new(),
                 }));
             }
         }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -8,7 +8,7 @@
 mod tests;
 mod token;
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 use actix::Actor;
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
@@ -24,7 +24,7 @@
 /// Service that answers operators.
 #[derive(Default)]
 pub(crate) struct Admin {
-    server: Option<ServerHandle>,
+    servers: Vec<ServerHandle>,
 }
 
 /// Threads that answer operators.
@@ -41,38 +41,54 @@
 
     fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>> {
         Box::pin(async move {
-            let address = context.settings().admin;
-            let listener = TcpListener::bind(address).context(BindSnafu { address })?;
+            let settings = context.settings();
             let shared = Shared {
                 timeline: context.timeline().clone(),
                 queries: Queries::new(context.clone()).start(),
                 exporter: Exporter::install(),
                 guard: Guard::new(context.settings().token.clone()),
             };
-            let server = HttpServer::new(move || {
-                App::new()
-                    .app_data(web::Data::new(shared.clone()))
-                    .configure(routes::configure)
-            })
-            .workers(WORKERS)
-            .max_connections(MAX_CONNECTIONS)
-            .disable_signals()
-            .shutdown_timeout(STOP_WAIT_S)
-            .listen(listener)
-            .context(BindSnafu { address })?
-            .run();
-            info!("operators are answered on {address}");
-            self.server = Some(server.handle());
-            actix_rt::spawn(server);
+            self.serve(settings.admin, &shared, routes::configure)?;
+            if let Some(probes) = settings.probes {
+                self.serve(probes, &shared, routes::configure_probes)?;
+            }
             Ok(())
         })
     }
 
     fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
-            if let Some(server) = self.server.take() {
+            for server in self.servers.drain(..) {
                 server.stop(true).await;
             }
         })
     }
 }
+
+impl Admin {
+    fn serve(
+        &mut self,
+        address: SocketAddr,
+        shared: &Shared,
+        routes: fn(&mut web::ServiceConfig),
+    ) -> Result<(), StartError> {
+        let listener = TcpListener::bind(address).context(BindSnafu { address })?;
+        let shared = shared.clone();
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(web::Data::new(shared.clone()))
+                .configure(routes)
+        })
+        .workers(WORKERS)
+        .max_connections(MAX_CONNECTIONS)
+        .disable_signals()
+        .shutdown_timeout(STOP_WAIT_S)
+        .listen(listener)
+        .context(BindSnafu { address })?
+        .run();
+        info!("operators and probes are answered on {address}");
+        self.servers.push(server.handle());
+        actix_rt::spawn(server);
+        Ok(())
+    }
+}
--- a/crates/node/src/admin/report.rs
+++ b/crates/node/src/admin/report.rs
@@ -62,7 +62,7 @@
         Phase::Starting => Some("the services start"),
         Phase::Joining => Some(peers.waiting.map_or(JOINING, wait_reason)),
         Phase::Serving => None,
-        Phase::Stopping => Some("the node stops"),
+        Phase::Leaving | Phase::Stopping => Some("the node stops"),
     }
 }
 
--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -42,6 +42,11 @@
         .service(drains);
 }
 
+/// Adds the routes that anyone may ask.
+pub(crate) fn configure_probes(config: &mut ServiceConfig) {
+    config.service(health).service(ready).service(metrics);
+}
+
 #[get("/health")]
 async fn health() -> impl Responder {
     HttpResponse::Ok().body("ok\n")
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Command line and run of the daemon.
 
-use std::{path::PathBuf, process::ExitCode, sync::Arc};
+use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
 use clap::Parser;
 use log::error;
@@ -111,6 +111,9 @@
     }
     let lifecycle = lifecycle.serving();
     stop.await;
+    let lifecycle = lifecycle.leaving();
+    let notice = context.settings().limits.notice_ms;
+    tokio::time::sleep(Duration::from_millis(notice)).await;
     lifecycle.stopping();
     Ok(())
 }
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -7,8 +7,7 @@
         header::{HeaderName, HeaderValue},
     },
 };
-use uuid::Uuid;
-use wagtaillever_coordination::{Sequence, UpstreamName};
+use wagtaillever_coordination::{Dialect, RetryAfterForm, Sequence, UpstreamName};
 
 use crate::wire::{Outcome, Refusal, RefusalReason};
 
@@ -35,6 +34,7 @@
     headers: &[(String, Vec<u8>)],
     upstream: &UpstreamName,
     note: Sequence,
+    dialect: &Dialect,
 ) -> Option<HttpResponseBuilder> {
     let status = StatusCode::from_u16(status).ok()?;
     let mut builder = HttpResponse::build(status);
@@ -45,9 +45,11 @@
             builder.append_header((name, value));
         }
     }
-    builder.insert_header(("x-outcome", outcome_text(Outcome::Ran)));
-    builder.insert_header(("x-upstream", upstream.as_str()));
-    builder.insert_header(("x-note", note.to_string()));
+    if dialect.explains {
+        builder.insert_header(("x-outcome", outcome_text(Outcome::Ran)));
+        builder.insert_header(("x-upstream", upstream.as_str()));
+        builder.insert_header(("x-note", note.to_string()));
+    }
     Some(builder)
 }
 
@@ -69,21 +71,31 @@
 }
 
 /// Returns the answer to a call that got none of an upstream.
-pub(super) fn refused(refusal: &Refusal) -> HttpResponseBuilder {
+pub(super) fn refused(refusal: &Refusal, dialect: &Dialect) -> HttpResponseBuilder {
     let mut builder = HttpResponse::build(status(refusal));
-    builder.insert_header(("x-outcome", outcome_text(refusal.outcome)));
-    builder.insert_header(("x-reason", reason_text(refusal.reason)));
-    if refusal.after_ms > 0 {
-        let seconds = refusal.after_ms.div_ceil(1000);
-        builder.insert_header(("retry-after", seconds.to_string()));
-        builder.insert_header(("x-retry-after-ms", refusal.after_ms.to_string()));
+    if dialect.explains {
+        builder.insert_header(("x-outcome", outcome_text(refusal.outcome)));
+        builder.insert_header(("x-reason", reason_text(refusal.reason)));
+    }
+    let after_ms = refusal.after_ms;
+    match dialect.retry_after {
+        _ if after_ms == 0 => {}
+        RetryAfterForm::WholeSeconds => {
+            let seconds = after_ms.div_ceil(1000);
+            builder.insert_header(("retry-after", seconds.to_string()));
+            builder.insert_header(("x-retry-after-ms", after_ms.to_string()));
+        }
+        RetryAfterForm::Fractions => {
+            let seconds = format!("{}.{:03}", after_ms / 1000, after_ms % 1000);
+            builder.insert_header(("retry-after", seconds));
+        }
     }
     builder
 }
 
 /// Adds the identity of the call, by which the time line finds it.
-pub(super) fn add_call(builder: &mut HttpResponseBuilder, call: Uuid) {
-    builder.insert_header(("x-call-id", call.to_string()));
+pub(super) fn add_call(builder: &mut HttpResponseBuilder, call: &str, dialect: &Dialect) {
+    builder.insert_header((dialect.call_id, call));
 }
 
 fn status(refusal: &Refusal) -> StatusCode {
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -9,7 +9,8 @@
 use actix_web::HttpResponse;
 use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
-    AttemptEnd, Attempts, Evidence, Next, RequestKind, Sequence, UpstreamName, Wish, key_owner,
+    AttemptEnd, AttemptLimit, Attempts, Evidence, Next, RequestKind, Route, Sequence, UpstreamName,
+    Wish, key_owner,
 };
 
 use crate::{
@@ -55,7 +56,7 @@
     pub(super) fn new(worker: &Rc<Worker>, request: CallerRequest, body: RequestBody) -> Self {
         Self {
             worker: Rc::clone(worker),
-            attempts: Attempts::new(request.kind()),
+            attempts: Attempts::new(request.kind(), attempt_limit(&request)),
             request,
             body,
             tried: Vec::new(),
@@ -65,7 +66,7 @@
 
     /// Makes attempts until there is an answer; the permit is held until its body ends.
     pub(super) async fn run(mut self, permit: Permit) -> HttpResponse {
-        let service = self.request.route.service.clone();
+        let service = self.request.service.clone();
         let now = Instant::now();
         self.worker
             .with_budget(&service, |budget, _| budget.count_call(now));
@@ -122,7 +123,7 @@
     /// request where there is room.
     fn owner(&mut self) -> Result<Place, Refusal> {
         let beliefs = self.worker.beliefs();
-        let service = &self.request.route.service;
+        let service = &self.request.service;
         let key = self.request.key.as_ref();
         let owner = key.and_then(|key| key_owner(&beliefs.view.config, service, key));
         let owner =
@@ -145,7 +146,7 @@
             any = beliefs.candidates.iter().cloned().collect();
             &any
         } else {
-            beliefs.candidates.of(&self.request.route.service)
+            beliefs.candidates.of(&self.request.service)
         };
         let wish = Wish {
             excluded: &self.tried,
@@ -212,7 +213,7 @@
     async fn prepare_next(&mut self, end: AttemptEnd) -> bool {
         let is_resendable = self.body.is_resendable();
         let left = self.request.left();
-        let service = self.request.route.service.clone();
+        let service = self.request.service.clone();
         let next = self.worker.with_budget(&service, |budget, rng| {
             self.attempts.next(end, is_resendable, left, budget, rng)
         });
@@ -237,7 +238,8 @@
             let _ = timeout_at(self.request.deadline.into(), caught_up).await;
         }
         let routes = Rc::clone(&self.worker.beliefs().routes);
-        self.request.reroute(&routes)
+        let choose = |route: &Route| self.worker.choose_service(route);
+        self.request.reroute(&routes, choose)
     }
 
     fn head(&self, place: &Place) -> CallHead {
@@ -248,11 +250,11 @@
             RequestKind::Idempotent | RequestKind::Plain => CallStage::Plain,
         };
         CallHead {
-            call: request.call.as_u128(),
+            call: request.call.to_string(),
             attempt: self.attempts.made() + 1,
             sequence: request.sequence.0,
             route: request.route.name.to_string(),
-            service: request.route.service.to_string(),
+            service: request.service.to_string(),
             upstream: place.upstream.to_string(),
             stage,
             method: request.method.clone(),
@@ -279,11 +281,13 @@
             return self.refuse(bad_answer());
         };
         let (length, note) = (*length, Sequence(*sequence));
-        let Some(mut builder) = answer::head(*status, headers, &place.upstream, note) else {
+        let dialect = self.worker.words().dialect;
+        let head = answer::head(*status, headers, &place.upstream, note, dialect);
+        let Some(mut builder) = head else {
             return self.refuse(bad_answer());
         };
-        answer::add_call(&mut builder, self.request.call);
-        let service = &self.request.route.service;
+        answer::add_call(&mut builder, &self.request.call, dialect);
+        let service = &self.request.service;
         let attempts = self.attempts.made() + 1;
         let recorder = &self.worker.recorder;
         recorder.answered(service, attempts, self.request.arrived);
@@ -312,11 +316,13 @@
             "false_did_not_run",
             !is_not_run || self.attempts.is_not_run(),
         );
-        let service = &self.request.route.service;
+        let service = &self.request.service;
         let recorder = &self.worker.recorder;
-        recorder.refused(service, self.attempts.made(), self.request.call, &refusal);
-        let mut builder = answer::refused(&refusal);
-        answer::add_call(&mut builder, self.request.call);
+        let call = &self.request.call;
+        recorder.refused(service, self.attempts.made(), call, &refusal);
+        let dialect = self.worker.words().dialect;
+        let mut builder = answer::refused(&refusal, dialect);
+        answer::add_call(&mut builder, call, dialect);
         builder.finish()
     }
 }
@@ -325,3 +331,8 @@
 fn is_bodiless(status: u16) -> bool {
     matches!(status, 100..200 | 204 | 304)
 }
+
+fn attempt_limit(request: &CallerRequest) -> AttemptLimit {
+    let stated = request.route.attempts;
+    stated.map_or_else(AttemptLimit::default, AttemptLimit::of_route)
+}
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -103,6 +103,7 @@
         rest: None,
         refusal: Some(Refusal {
             outcome,
+            is_arrived: end.is_arrived(),
             reason,
             after_ms: match reason {
                 RefusalReason::Broken => BROKEN_AFTER_MS,
@@ -126,6 +127,7 @@
             AttemptEnd::Final
         }
         RefusalReason::NoUpstream | RefusalReason::NotOwner if is_not_run => AttemptEnd::Stale,
+        _ if is_not_run && refusal.is_arrived => AttemptEnd::Shed,
         _ if is_not_run => AttemptEnd::Refused,
         RefusalReason::Broken => AttemptEnd::Broken,
         RefusalReason::Deadline => AttemptEnd::TimedOut,
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -7,6 +7,7 @@
     http::{ConnectionType, Version},
     web,
 };
+use wagtaillever_coordination::{Dialect, Route};
 
 use crate::{
     ingress::{
@@ -37,21 +38,24 @@
         return answer::old_version().finish();
     }
     let worker = Rc::clone(&worker);
-    if worker.beliefs().view.phase != Phase::Serving {
-        let mut answer = refuse(RefusalReason::NotReady, NOT_READY_AFTER_MS);
+    let words = worker.words();
+    let dialect = words.dialect;
+    if !worker.beliefs().view.phase.takes_calls() {
+        let mut answer = refuse(dialect, RefusalReason::NotReady, NOT_READY_AFTER_MS);
         return answer.force_close().finish();
     }
     if worker.is_quarantined() {
-        return refuse(RefusalReason::NotReady, NOT_READY_AFTER_MS).finish();
+        return refuse(dialect, RefusalReason::NotReady, NOT_READY_AFTER_MS).finish();
     }
     let Some(permit) = Permit::take(&worker, caller_name(&request)) else {
-        return refuse(RefusalReason::Overloaded, OVERLOADED_AFTER_MS).finish();
+        return refuse(dialect, RefusalReason::Overloaded, OVERLOADED_AFTER_MS).finish();
     };
+    let choose = |route: &Route| worker.choose_service(route);
     let routes = Rc::clone(&worker.beliefs().routes);
-    let read = match CallerRequest::read(&request, &routes, arrived) {
+    let read = match CallerRequest::read(&request, &routes, words, choose, arrived) {
         Ok(read) => read,
         Err(ReadError::NoRoute) => return answer::no_route().finish(),
-        Err(ReadError::Rule(reason)) => return refuse(reason, 0).finish(),
+        Err(ReadError::Rule(reason)) => return refuse(dialect, reason, 0).finish(),
     };
     let body = RequestBody::new(payload, read.length);
     let mut response = Dispatch::new(&worker, read, body).run(permit).await;
@@ -62,10 +66,12 @@
     response
 }
 
-fn refuse(reason: RefusalReason, after_ms: u64) -> HttpResponseBuilder {
-    answer::refused(&Refusal {
+fn refuse(dialect: &Dialect, reason: RefusalReason, after_ms: u64) -> HttpResponseBuilder {
+    let refusal = Refusal {
         outcome: Outcome::DidNotRun,
+        is_arrived: false,
         reason,
         after_ms,
-    })
+    };
+    answer::refused(&refusal, dialect)
 }
--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -6,7 +6,6 @@
 };
 
 use log::info;
-use uuid::Uuid;
 use wagtaillever_coordination::{HealthChange, ServiceName, UpstreamName};
 
 use crate::{
@@ -47,7 +46,7 @@
         &self,
         service: &ServiceName,
         attempts: u32,
-        call: Uuid,
+        call: &str,
         refusal: &Refusal,
     ) {
         let reason = reason_text(refusal.reason);
@@ -56,7 +55,7 @@
         if self.is_sampled() {
             info!(call:% = call, service:% = service, reason; "call got no answer of an upstream");
             self.timeline.record(EventKind::CallRefused {
-                call: call.to_string().into(),
+                call: call.into(),
                 service: service.clone(),
                 outcome: refusal.outcome,
                 reason: refusal.reason,
--- a/crates/node/src/ingress/refusal.rs
+++ b/crates/node/src/ingress/refusal.rs
@@ -11,6 +11,7 @@
 pub(super) fn not_run(reason: RefusalReason, after_ms: u64) -> Refusal {
     Refusal {
         outcome: Outcome::DidNotRun,
+        is_arrived: false,
         reason,
         after_ms,
     }
@@ -26,6 +27,7 @@
 pub(super) fn bad_answer() -> Refusal {
     Refusal {
         outcome: Outcome::Unknown,
+        is_arrived: true,
         reason: RefusalReason::BadAnswer,
         after_ms: 0,
     }
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -8,7 +8,9 @@
 
 use actix_web::{HttpRequest, http::header::HeaderMap};
 use uuid::Uuid;
-use wagtaillever_coordination::{IdempotencyKey, Method, RequestKind, Route, RouteTable, Sequence};
+use wagtaillever_coordination::{
+    Dialect, IdempotencyKey, Method, RequestKind, Route, RouteTable, Sequence, ServiceName,
+};
 
 use crate::{
     mutant::{self, Mutant},
@@ -33,23 +35,21 @@
     "transfer-encoding",
     "upgrade",
 ];
-/// Headers that nodes set anew for each hop, and the length, which travels apart.
-const OWN_HEADERS: [&str; 5] = [
-    "content-length",
-    "x-call-id",
-    "x-deadline-ms",
-    "x-hops",
-    "x-note",
-];
+/// Longest identity of a call in bytes that is passed on.
+const MAX_CALL_ID_BYTES: usize = 128;
 
 /// Request of a caller with the route that it takes.
 pub(super) struct CallerRequest {
     /// Identity of the call.
-    pub(super) call: Uuid,
+    pub(super) call: Arc<str>,
     /// Sequence of the configuration that routed the call.
     pub(super) sequence: Sequence,
+    /// Host that the caller named.
+    pub(super) host: String,
     /// Route that the call takes.
     pub(super) route: Arc<Route>,
+    /// Service to which the call goes.
+    pub(super) service: ServiceName,
     /// HTTP method.
     pub(super) method: String,
     /// Path and query.
@@ -71,7 +71,7 @@
 }
 
 impl CallerRequest {
-    /// Reads a request that arrived at `arrived`.
+    /// Reads a request that arrived at `arrived`; `choose` divides the calls of a route.
     ///
     /// # Errors
     ///
@@ -79,23 +79,29 @@
     pub(super) fn read(
         request: &HttpRequest,
         routes: &RouteTable,
+        words: Words<'_>,
+        choose: impl FnOnce(&Route) -> ServiceName,
         arrived: Instant,
     ) -> Result<Self, ReadError> {
         let headers = request.headers();
+        let dialect = words.dialect;
         let target = request.uri().path_and_query().map_or("/", |t| t.as_str());
-        let route = find_route(routes, request.method().as_str(), target)?;
-        let hops = hops(headers)?;
+        let host = text(headers, "host").unwrap_or_default();
+        let route = find_route(routes, host, request.method().as_str(), target)?;
+        let hops = hops(headers, dialect)?;
         let idempotent = is_idempotent(&route, request.method().as_str());
         let key = if idempotent { None } else { key(headers)? };
         Ok(Self {
-            call: call_id(headers),
+            call: call_id(headers, dialect),
+            host: host.to_string(),
+            service: choose(&route),
             sequence: routes.sequence(),
             method: request.method().to_string(),
             target: target.to_string(),
-            headers: passed_on(headers),
+            headers: passed_on(headers, words),
             length: length(headers),
             arrived,
-            deadline: arrived + time_left(headers, &route),
+            deadline: arrived + time_left(headers, &route, dialect),
             hops,
             idempotent,
             key,
@@ -104,13 +110,20 @@
     }
 
     /// Routes the request by a newer table, and returns whether its kind is still the same.
-    pub(super) fn reroute(&mut self, routes: &RouteTable) -> bool {
-        let Ok(route) = find_route(routes, &self.method, &self.target) else {
+    pub(super) fn reroute(
+        &mut self,
+        routes: &RouteTable,
+        choose: impl FnOnce(&Route) -> ServiceName,
+    ) -> bool {
+        let Ok(route) = find_route(routes, &self.host, &self.method, &self.target) else {
             return false;
         };
         if is_idempotent(&route, &self.method) != self.idempotent {
             return false;
         }
+        if !route.services().any(|service| *service == self.service) {
+            self.service = choose(&route);
+        }
         self.route = route;
         self.sequence = routes.sequence();
         true
@@ -155,16 +168,46 @@
     static BEFORE: RefCell<Vec<(String, Vec<u8>)>> = const { RefCell::new(Vec::new()) };
 }
 
+/// Headers of the deployment and what the node tells in them of its own VM.
+#[derive(Clone, Copy)]
+pub(super) struct Words<'a> {
+    /// Names of the headers.
+    pub(super) dialect: &'a Dialect,
+    /// Service of the VM on which calls begin.
+    pub(super) origin: Option<&'a ServiceName>,
+}
+
+impl Words<'_> {
+    /// Returns whether nodes set a header anew, or its content travels apart.
+    fn is_own(self, name: &str) -> bool {
+        let Dialect {
+            call_id,
+            deadline_ms,
+            hops,
+            note,
+            origin,
+            expected,
+            ..
+        } = *self.dialect;
+        let always = [call_id, deadline_ms, "content-length"];
+        let some = [hops, note, origin, expected];
+        always.contains(&name) || some.contains(&Some(name))
+    }
+}
+
 /// Returns the headers that are passed on to the next hop.
-pub(super) fn passed_on(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+pub(super) fn passed_on(headers: &HeaderMap, words: Words<'_>) -> Vec<(String, Vec<u8>)> {
     let named: Vec<String> = connection_options(headers);
-    let own = headers
+    let mut own: Vec<_> = headers
         .iter()
         .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
-        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()))
+        .filter(|(name, _)| !words.is_own(name.as_str()))
         .filter(|(name, _)| !named.iter().any(|option| option == name.as_str()))
         .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
         .collect();
+    if let (Some(header), Some(origin)) = (words.dialect.origin, words.origin) {
+        own.push((header.into(), origin.as_str().into()));
+    }
     if mutant::is_on(Mutant::CrossedAnswers) {
         return BEFORE.replace(own);
     }
@@ -180,9 +223,14 @@
         .collect()
 }
 
-fn find_route(routes: &RouteTable, method: &str, target: &str) -> Result<Arc<Route>, ReadError> {
+fn find_route(
+    routes: &RouteTable,
+    host: &str,
+    method: &str,
+    target: &str,
+) -> Result<Arc<Route>, ReadError> {
     let method = Method::from_name(method).ok_or(ReadError::NoRoute)?;
-    let route = routes.find(method, target);
+    let route = routes.find(host, method, target);
     route.cloned().ok_or(ReadError::NoRoute)
 }
 
@@ -191,8 +239,8 @@
     route.idempotent.unwrap_or(by_method)
 }
 
-fn hops(headers: &HeaderMap) -> Result<u8, ReadError> {
-    let Some(hops) = text(headers, "x-hops") else {
+fn hops(headers: &HeaderMap, dialect: &Dialect) -> Result<u8, ReadError> {
+    let Some(hops) = dialect.hops.and_then(|name| text(headers, name)) else {
         return Ok(1);
     };
     match hops.parse::<u8>() {
@@ -215,10 +263,10 @@
     Ok(Some(key))
 }
 
-fn call_id(headers: &HeaderMap) -> Uuid {
-    let given = text(headers, "x-call-id");
-    let given = given.and_then(|given| Uuid::parse_str(given).ok());
-    given.unwrap_or_else(Uuid::now_v7)
+fn call_id(headers: &HeaderMap, dialect: &Dialect) -> Arc<str> {
+    let given = text(headers, dialect.call_id);
+    let given = given.filter(|id| !id.is_empty() && id.len() <= MAX_CALL_ID_BYTES);
+    given.map_or_else(|| Uuid::now_v7().to_string().into(), Arc::from)
 }
 
 fn length(headers: &HeaderMap) -> Option<u64> {
@@ -231,9 +279,9 @@
 
 /// Returns the time within which the call must be answered. A caller that says how long it waits
 /// is answered a little earlier, so that it still has the answer when it gives up.
-fn time_left(headers: &HeaderMap, route: &Route) -> Duration {
+fn time_left(headers: &HeaderMap, route: &Route, dialect: &Dialect) -> Duration {
     let limit = Duration::from_millis(route.timeout_ms);
-    let asked = text(headers, "x-deadline-ms").and_then(|text| text.parse().ok());
+    let asked = text(headers, dialect.deadline_ms).and_then(|text| text.parse().ok());
     let asked = asked.map(Duration::from_millis);
     asked.map_or(limit, |asked| limit.min(asked - way_back(asked)))
 }
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -16,12 +16,13 @@
 const MAX_CONNECTIONS: usize = 4096;
 /// Time in which a caller must have sent the head of its request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for which a stopping node goes on telling callers to go elsewhere.
+/// Time for which a stopping node tells callers of its stop, the notice of the settings included.
 const STOP_NOTICE: Duration = Duration::from_secs(2);
 
 /// HTTP server for callers, on one thread of its own.
 pub(super) struct Server {
     handle: ServerHandle,
+    notice: Duration,
     /// Addresses on which callers are served.
     pub(super) addresses: Vec<SocketAddr>,
 }
@@ -34,6 +35,7 @@
     /// Returns an error when the address can't be bound.
     pub(super) fn start(shared: Shared) -> io::Result<Self> {
         let address = shared.settings.callers;
+        let notice = Duration::from_millis(shared.settings.limits.notice_ms);
         let stop_seconds = shared.settings.limits.stop_ms.div_ceil(1000);
         let app = move || {
             let worker = web::Data::new(Rc::clone(&Worker::spawn(shared.clone())));
@@ -54,13 +56,17 @@
         let server = server.run();
         let handle = server.handle();
         actix_rt::spawn(server);
-        Ok(Self { handle, addresses })
+        Ok(Self {
+            handle,
+            notice: STOP_NOTICE.saturating_sub(notice),
+            addresses,
+        })
     }
 
     /// Refuses new calls for a moment, then takes no more connections and waits for the calls
     /// in flight.
     pub(super) async fn stop(self) {
-        tokio::time::sleep(STOP_NOTICE).await;
+        tokio::time::sleep(self.notice).await;
         info!("no more calls are taken on {:?}", self.addresses);
         self.handle.stop(true).await;
     }
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -122,6 +122,7 @@
     async move {
         let refusal = Refusal {
             outcome,
+            is_arrived: false,
             reason,
             after_ms: 1_200,
         };
@@ -327,7 +328,7 @@
         sequence: Sequence(7),
         ..Config::default()
     };
-    let service = ServiceSpec { name: "s".into() };
+    let service = ServiceSpec::named("s".into());
     config.services.insert("s".into(), Arc::new(service));
     for (name, path, timeout_ms) in [("x", "/x", 4_000), ("short", "/short", 300)] {
         let route = RouteSpec {
@@ -337,6 +338,11 @@
             service: "s".into(),
             idempotent: None,
             timeout_ms,
+            host: None,
+            split: Vec::new(),
+            attempts: None,
+            target_ms: None,
+            priority: 0,
         };
         config.routes.insert(name.into(), Arc::new(route));
     }
@@ -359,6 +365,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         slots: 8,
         connections: 8,
+        start: None,
     };
     config.upstreams.insert(name.into(), Arc::new(upstream));
     vms.vms.push(Arc::new(VmEntry {
@@ -367,5 +374,6 @@
         region: "r".into(),
         address,
         state: VmState::Live,
+        upstreams: Vec::new(),
     }));
 }
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -12,7 +12,8 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    Balancer, BalancerPolicy, CallShares, RetryBudget, Sequence, ServiceName,
+    Balancer, BalancerPolicy, CallShares, RetryBudget, RetryRates, Route, Sequence, ServiceName,
+    Splitter,
 };
 
 use crate::{
@@ -21,6 +22,7 @@
         channel::CALL_WINDOW_BYTES,
         pool::{self, Pool},
         record::Recorder,
+        request::Words,
     },
     settings::Settings,
     stall::Stall,
@@ -64,6 +66,7 @@
     pub(super) rng: RefCell<SmallRng>,
     stalls: Cell<u64>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    splitter: RefCell<Splitter>,
     beliefs: RefCell<Rc<Beliefs>>,
 }
 
@@ -85,6 +88,7 @@
             recorder: Recorder::new(shared.timeline.clone()),
             stalls: Cell::new(shared.stall.generation()),
             budgets: RefCell::default(),
+            splitter: RefCell::default(),
             beliefs: RefCell::new(Rc::new(beliefs)),
             shared,
         });
@@ -95,6 +99,21 @@
         worker
     }
 
+    /// Returns the headers of the deployment.
+    pub(super) fn words(&self) -> Words<'_> {
+        let settings = &self.shared.settings;
+        Words {
+            dialect: settings.protocol.dialect(),
+            origin: settings.service.as_ref(),
+        }
+    }
+
+    /// Returns the service that gets the next call of a route.
+    pub(super) fn choose_service(&self, route: &Route) -> ServiceName {
+        let mut rng = self.rng.borrow_mut();
+        self.splitter.borrow_mut().next(route, &mut *rng)
+    }
+
     /// Returns whether the node was paused and must take no new work yet; loads that were
     /// reported before a pause are dropped.
     pub(super) fn is_quarantined(&self) -> bool {
@@ -114,6 +133,10 @@
             let settings = &self.shared.settings;
             *beliefs = Rc::new(Beliefs::new(view, settings, Some(&beliefs)));
             self.balancer.borrow_mut().retain(&beliefs.candidates);
+            let rates = self.retry_rates(&beliefs);
+            for budget in self.budgets.borrow_mut().values_mut() {
+                budget.set_rates(rates);
+            }
         }
         Rc::clone(&beliefs)
     }
@@ -138,9 +161,17 @@
         let _ = timeout(CATCH_UP_TIMEOUT, reached).await;
     }
 
+    fn retry_rates(&self, beliefs: &Beliefs) -> RetryRates {
+        let fleet = self.shared.settings.resends;
+        fleet.map_or_else(RetryRates::default, |fleet| {
+            fleet.part(beliefs.view.vms.vms.len())
+        })
+    }
+
     fn fresh_budget(&self) -> RetryBudget {
         if self.shared.settings.policies.budget {
-            return RetryBudget::new(Instant::now());
+            let rates = self.retry_rates(&self.beliefs.borrow());
+            return RetryBudget::new(rates, Instant::now());
         }
         RetryBudget::unlimited(Instant::now())
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,5 +26,5 @@
     daemon::{Arguments, run},
     error::NodeError,
     mutant::Mutant,
-    settings::{Limits, Policies, Settings, SettingsError},
+    settings::{Limits, Policies, Protocol, Settings, SettingsError},
 };
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -14,6 +14,8 @@
 pub(crate) struct Joining;
 /// The node takes work.
 pub(crate) struct Serving;
+/// The node still takes callers' calls while they learn that it stops.
+pub(crate) struct Leaving;
 /// The node finishes the work in hand and takes no more.
 pub(crate) struct Stopping;
 
@@ -63,3 +65,10 @@
         self.enter(Phase::Serving)
     }
 }
+
+impl Lifecycle<Serving> {
+    /// Enters the notice before the stop.
+    pub(crate) fn leaving(self) -> Lifecycle<Leaving> {
+        self.enter(Phase::Leaving)
+    }
+}
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -92,6 +92,7 @@
             relay: settings.policies.relay,
             delta: settings.policies.delta,
             digest: settings.policies.digest,
+            platform_is_current: settings.protocol.is_current(),
         };
         let mut rng = SmallRng::from_os_rng();
         let link_context = LinkContext {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,12 +4,14 @@
 mod error;
 mod limits;
 mod policies;
+mod protocol;
 #[cfg(test)]
 mod tests;
 
-pub use self::{error::SettingsError, limits::Limits, policies::Policies};
+pub use self::{error::SettingsError, limits::Limits, policies::Policies, protocol::Protocol};
 
 use std::{
+    collections::BTreeMap,
     fs,
     net::{IpAddr, SocketAddr},
     path::Path,
@@ -17,7 +19,9 @@
 
 use serde::Deserialize;
 use snafu::ResultExt;
-use wagtaillever_coordination::{DomainName, NoteError, RegionName, VmName, parse_yaml};
+use wagtaillever_coordination::{
+    DomainName, FleetRetryBudget, NoteError, RegionName, ServiceName, VmName, parse_yaml,
+};
 
 use crate::settings::error::ReadSnafu;
 
@@ -42,6 +46,22 @@
     /// Token that guards admin requests that change anything.
     #[serde(default)]
     pub token: Option<String>,
+    /// Address on which anyone may ask for readiness and metrics; only the admin interface
+    /// answers unless it is set.
+    #[serde(default)]
+    pub probes: Option<SocketAddr>,
+    /// How the platform publishes configuration, and how callers and upstreams speak.
+    #[serde(default)]
+    pub protocol: Protocol,
+    /// Service of the upstream on the VM, which upstreams are told of calls that begin here.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// Region of each failure domain, where the platform does not tell it.
+    #[serde(default)]
+    pub regions: BTreeMap<DomainName, RegionName>,
+    /// Resends that all nodes together may make; by default each node has a budget of its own.
+    #[serde(default)]
+    pub resends: Option<FleetRetryBudget>,
     /// Addresses of the platform's configuration service.
     #[serde(default)]
     pub platform: Vec<SocketAddr>,
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -5,7 +5,7 @@
 use log::LevelFilter;
 use wagtaillever_coordination::{MAX_NAME_BYTES, is_name};
 
-use super::Settings;
+use super::{Protocol, Settings};
 
 /// A field with a value that the node can't work with.
 #[derive(Debug)]
@@ -64,12 +64,14 @@
         )
     }
 
-    fn listeners(&self) -> [(&'static str, SocketAddr); 3] {
-        [
+    fn listeners(&self) -> Vec<(&'static str, SocketAddr)> {
+        let probes = self.probes.map(|probes| ("probes", probes));
+        let others = [
             ("callers", self.callers),
             ("peers", self.peers),
             ("admin", self.admin),
-        ]
+        ];
+        others.into_iter().chain(probes).collect()
     }
 
     fn check_token(&self) -> Result<(), Fault> {
@@ -88,6 +90,9 @@
     }
 
     fn check_sources(&self) -> Result<(), Fault> {
+        let has_store = self.protocol != Protocol::Store || !self.platform.is_empty();
+        let reason = "must name the store that the protocol reads";
+        ensure(has_store, "platform", reason)?;
         let is_alone = self.platform.is_empty() && self.seeds.is_empty();
         let reason = "platform or seeds must name an address, else the node learns nothing";
         ensure(!is_alone, "platform", reason)?;
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod handler;
 mod headers;
+mod health;
 mod keys;
 mod links;
 mod probe;
--- a/crates/node/src/sidecar/decide.rs
+++ b/crates/node/src/sidecar/decide.rs
@@ -1,6 +1,11 @@
 //! Decides on a request with an idempotency key, as the owner of the key.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use wagtaillever_coordination::{Claim, Ending, IdempotencyKey, RecordedAnswer, RequestId};
@@ -85,7 +90,7 @@
     }
     match refusal.reason {
         RefusalReason::Draining | RefusalReason::Unreachable => true,
-        RefusalReason::Overloaded => upstream.admission().borrow().is_cold(),
+        RefusalReason::Overloaded => upstream.admission().borrow().is_cold(Instant::now()),
         _ => false,
     }
 }
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -85,7 +85,7 @@
     let pauses = shared.pauses();
     let answer = tokio::select! {
         biased;
-        answer = forward(upstream, call, body) => answer,
+        answer = forward(upstream, call, body, shared.dialect()) => answer,
         () = writer.closed() => return Ok(Execution::Abandoned { written: true }),
     };
     match answer {
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -11,8 +11,7 @@
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use tokio::time::timeout_at;
-use uuid::Uuid;
-use wagtaillever_coordination::SampleResult;
+use wagtaillever_coordination::{Dialect, SampleResult};
 
 use crate::{
     sidecar::{
@@ -23,6 +22,9 @@
     wire::{Outcome, Refusal, RefusalReason},
 };
 
+/// Lowest status with which an upstream can state that it did not run a request.
+const MIN_FAILURE_STATUS: u16 = 400;
+
 /// Head of an answer whose body is still to be read.
 pub(super) struct Answer {
     /// Response as `awc` gives it.
@@ -47,6 +49,8 @@
         /// Time that the upstream asks to wait.
         after: Option<Duration>,
     },
+    /// Another upstream has the address and refused the request.
+    Misdirected,
     /// The connection broke after the request was written.
     Broken,
     /// The connection broke before the request was written.
@@ -77,21 +81,24 @@
         };
         let reason = match self {
             Self::Refused | Self::Unwritten => RefusalReason::Unreachable,
+            Self::Misdirected => RefusalReason::NoUpstream,
             Self::Shed { .. } => RefusalReason::Overloaded,
             Self::Broken | Self::Body { .. } => RefusalReason::Broken,
             Self::Deadline { .. } => RefusalReason::Deadline,
             Self::BadAnswer | Self::BadRequest => RefusalReason::BadAnswer,
         };
-        match self {
+        let mut refusal = match self {
             Self::Shed { after: Some(after) } => refuse::after(outcome, reason, *after),
             _ => refuse::with_outcome(outcome, reason),
-        }
+        };
+        refusal.is_arrived |= matches!(self, Self::Shed { .. });
+        refusal
     }
 
     /// Returns what the failure tells of the upstream.
     pub(super) fn sample(&self) -> SampleResult {
         match self {
-            Self::Refused => SampleResult::Refused,
+            Self::Refused | Self::Misdirected => SampleResult::Refused,
             Self::Shed { .. } => SampleResult::Shed,
             Self::Broken | Self::BadAnswer | Self::Deadline { .. } => SampleResult::Failed,
             Self::Unwritten | Self::Body { .. } | Self::BadRequest => SampleResult::Abandoned,
@@ -100,7 +107,11 @@
 
     fn may_have_run(&self) -> bool {
         match self {
-            Self::Refused | Self::Shed { .. } | Self::Unwritten | Self::BadRequest => false,
+            Self::Refused
+            | Self::Shed { .. }
+            | Self::Misdirected
+            | Self::Unwritten
+            | Self::BadRequest => false,
             Self::Body { written } | Self::Deadline { written } => *written,
             Self::Broken | Self::BadAnswer => true,
         }
@@ -122,32 +133,45 @@
     upstream: &LocalUpstream,
     call: &Call,
     body: &RequestBody,
+    dialect: &Dialect,
 ) -> Result<Answer, Failure> {
     let trace = Rc::new(Trace::default());
-    let request = request(upstream, call)?;
+    let request = request(upstream, call, dialect)?;
     let sent = Rc::clone(&trace).scope(send(request, call, body));
     let Ok(result) = timeout_at(call.deadline.into(), sent).await else {
         let written = trace.is_written();
         return Err(Failure::Deadline { written });
     };
     let response = result.map_err(|err| classify(&err, &trace))?;
-    accept(response, call, trace)
+    accept(response, call, trace, dialect)
 }
 
-fn request(upstream: &LocalUpstream, call: &Call) -> Result<ClientRequest, Failure> {
+fn request(
+    upstream: &LocalUpstream,
+    call: &Call,
+    dialect: &Dialect,
+) -> Result<ClientRequest, Failure> {
     let head = &call.head;
     let method = Method::from_bytes(head.method.as_bytes()).map_err(|_| Failure::BadRequest)?;
     let url = format!("http://{}{}", upstream.spec().address, head.target);
     let mut request = upstream.client().request(method, url).no_decompress();
-    for pair in headers::for_upstream(&head.headers) {
+    for pair in headers::for_upstream(&head.headers, dialect) {
         request = request.append_header(pair);
     }
     let left_ms = u64::try_from(call.left().as_millis()).unwrap_or(u64::MAX);
-    Ok(request
-        .insert_header(("x-call-id", Uuid::from_u128(head.call).to_string()))
-        .insert_header(("x-hops", head.hops.to_string()))
-        .insert_header(("x-deadline-ms", left_ms.to_string()))
-        .insert_header(("x-note", head.sequence.to_string())))
+    request = request
+        .insert_header((dialect.call_id, head.call.as_str()))
+        .insert_header((dialect.deadline_ms, left_ms.to_string()));
+    if let Some(name) = dialect.hops {
+        request = request.insert_header((name, head.hops.to_string()));
+    }
+    if let Some(name) = dialect.note {
+        request = request.insert_header((name, head.sequence.to_string()));
+    }
+    if let Some(name) = dialect.expected {
+        request = request.insert_header((name, upstream.spec().name.as_str()));
+    }
+    Ok(request)
 }
 
 async fn send(
@@ -193,7 +217,12 @@
     }
 }
 
-fn accept(response: ClientResponse, call: &Call, trace: Rc<Trace>) -> Result<Answer, Failure> {
+fn accept(
+    response: ClientResponse,
+    call: &Call,
+    trace: Rc<Trace>,
+    dialect: &Dialect,
+) -> Result<Answer, Failure> {
     let status = response.status();
     let length = content_length(&response);
     let expected = body_length(&response, &call.head.method);
@@ -201,15 +230,20 @@
         trace.spoil();
         return Err(Failure::BadAnswer);
     }
-    if belongs_to_other(&response, call) {
+    if belongs_to_other(&response, call, dialect) {
         trace.spoil();
         return Err(Failure::BadAnswer);
     }
-    if status == StatusCode::SERVICE_UNAVAILABLE && header_is(&response, "x-shed", "1") {
+    if dialect.misdirected == Some(status.as_u16()) {
+        return Err(Failure::Misdirected);
+    }
+    if status.as_u16() >= MIN_FAILURE_STATUS && header_is(&response, dialect.not_run, "1") {
         let after = retry_after(&response);
         return Err(Failure::Shed { after });
     }
-    let start = response.headers().get("x-start");
+    let start = dialect
+        .process
+        .and_then(|name| response.headers().get(name));
     let start = start.map(|start| start.as_bytes().to_vec());
     Ok(Answer {
         response,
@@ -241,11 +275,13 @@
 }
 
 /// Returns whether the upstream states that the answer is to another call.
-fn belongs_to_other(response: &ClientResponse, call: &Call) -> bool {
-    let echoed = response.headers().get("x-call-id");
-    let echoed = echoed.and_then(|echoed| echoed.to_str().ok());
-    let echoed = echoed.and_then(|echoed| Uuid::try_parse(echoed).ok());
-    echoed.is_some_and(|echoed| echoed.as_u128() != call.head.call)
+fn belongs_to_other(response: &ClientResponse, call: &Call, dialect: &Dialect) -> bool {
+    let echoed = response.headers().get(dialect.call_id);
+    echoed.is_some_and(|echoed| {
+        !echoed
+            .as_bytes()
+            .eq_ignore_ascii_case(call.head.call.as_bytes())
+    })
 }
 
 fn retry_after(response: &ClientResponse) -> Option<Duration> {
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -90,7 +90,9 @@
     ) -> Result<Execution, Refusal> {
         let call = Call::new(head)?;
         self.check_node(&call)?;
-        self.catch_up(&call).await?;
+        if self.find(&call).is_err() || call.key.is_some() {
+            self.catch_up(&call).await?;
+        }
         if let Some(key) = call.key_to_decide() {
             return decide(&self.shared, &call, key, body, writer).await;
         }
@@ -108,7 +110,8 @@
 
     fn check_node(&self, call: &Call) -> Result<(), Refusal> {
         let phase = self.shared.context().view().load().phase;
-        if self.shared.is_stopping() || phase == Phase::Stopping {
+        let is_leaving = matches!(phase, Phase::Leaving | Phase::Stopping);
+        if self.shared.is_stopping() || is_leaving {
             return Err(did_not_run(RefusalReason::Draining));
         }
         if phase != Phase::Serving || self.shared.is_stalled() {
@@ -121,6 +124,7 @@
     }
 
     fn find(&self, call: &Call) -> Result<Rc<LocalUpstream>, Refusal> {
+        self.shared.refresh();
         let upstream = self.shared.upstreams().get(&call.head.upstream);
         upstream
             .filter(|upstream| {
--- a/crates/node/src/sidecar/headers.rs
+++ b/crates/node/src/sidecar/headers.rs
@@ -1,6 +1,7 @@
 //! Headers that are passed on between callers and upstreams.
 
 use awc::http::header::{HeaderMap, HeaderName, HeaderValue};
+use wagtaillever_coordination::Dialect;
 
 /// Headers that concern one connection only, or that the node sets itself.
 const NOT_PASSED: &[&str] = &[
@@ -17,16 +18,18 @@
     "upgrade",
 ];
 
-/// Headers that the node sets on each request to an upstream.
-const SET_BY_NODE: &[&str] = &["x-call-id", "x-hops", "x-deadline-ms", "x-note"];
-
 /// Returns the headers of a request as an upstream gets them.
-pub(super) fn for_upstream(
-    headers: &[(String, Vec<u8>)],
-) -> impl Iterator<Item = (HeaderName, HeaderValue)> + '_ {
+pub(super) fn for_upstream<'a>(
+    headers: &'a [(String, Vec<u8>)],
+    dialect: &Dialect,
+) -> impl Iterator<Item = (HeaderName, HeaderValue)> + use<'a> {
+    let always = [dialect.call_id, dialect.deadline_ms];
+    let some = [dialect.hops, dialect.note, dialect.expected];
+    let some = some.into_iter().flatten();
+    let set_by_node: Vec<&'static str> = always.into_iter().chain(some).collect();
     headers
         .iter()
-        .filter(|(name, _)| is_passed(name) && !is_one_of(name, SET_BY_NODE))
+        .filter(move |(name, _)| is_passed(name) && !is_one_of(name, &set_by_node))
         .filter_map(|(name, value)| {
             let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
             let value = HeaderValue::from_bytes(value).ok()?;
--- /dev/null
+++ b/crates/node/src/sidecar/health.rs
@@ -0,0 +1,72 @@
+//! Asks an upstream how long it stays cold.
+
+use std::{rc::Rc, time::Duration};
+
+use awc::{Client, Connector};
+use log::{debug, info};
+use tokio::time::sleep;
+
+use crate::sidecar::upstream::LocalUpstream;
+
+/// Longest time for one answer. An upstream that is full may never answer.
+const TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause after a question without a usable answer.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Questions after which the upstream counts as gone for now.
+const MAX_ASKED: u32 = 20;
+
+/// Asks an upstream until it tells how long it stays cold, unless it is being asked already.
+pub(super) fn ask(upstream: &Rc<LocalUpstream>) {
+    let Some(path) = upstream.health_path() else {
+        return;
+    };
+    if !upstream.begin_health_check() {
+        return;
+    }
+    let upstream = Rc::clone(upstream);
+    actix_rt::spawn(async move {
+        for _ in 0..MAX_ASKED {
+            if let Some(cold) = ask_once(&upstream, &path).await {
+                let name = upstream.spec().name.clone();
+                info!(upstream:% = name, cold_ms = cold.as_millis() as u64; "upstream tells how long it stays cold");
+                upstream.cold_for(cold);
+                break;
+            }
+            sleep(PAUSE).await;
+        }
+        upstream.end_health_check();
+    });
+}
+
+/// Returns how long the upstream stays cold; `None` when it doesn't answer in time, is not
+/// healthy or is another one.
+async fn ask_once(upstream: &LocalUpstream, path: &str) -> Option<Duration> {
+    let spec = upstream.spec();
+    let connector = Connector::new().timeout(TIMEOUT);
+    let client = Client::builder().connector(connector).timeout(TIMEOUT);
+    let url = format!("http://{}{path}", spec.address);
+    metrics::counter!("upstream_health_checks_total").increment(1);
+    let answer = client.finish().get(url).force_close().send().await;
+    let answer = match answer {
+        Ok(answer) if answer.status() == 200 => answer,
+        Ok(answer) => {
+            debug!(upstream:% = spec.name, status = answer.status().as_u16(); "upstream is not healthy");
+            return None;
+        }
+        Err(err) => {
+            debug!(upstream:% = spec.name; "upstream does not tell its health: {err}");
+            return None;
+        }
+    };
+    let header = |name: Option<&str>| {
+        let value = answer.headers().get(name?)?;
+        value.to_str().ok()
+    };
+    let dialect = upstream.dialect();
+    if header(dialect.answered_by).is_some_and(|name| name != spec.name.as_str()) {
+        return None;
+    }
+    let cold_ms = header(dialect.cold_ms).and_then(|text| text.trim().parse::<f64>().ok());
+    let cold_ms = cold_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
+    Some(Duration::from_secs_f64(cold_ms.unwrap_or(0.0) / 1000.0))
+}
--- a/crates/node/src/sidecar/refuse.rs
+++ b/crates/node/src/sidecar/refuse.rs
@@ -33,6 +33,7 @@
 pub(super) fn after(outcome: Outcome, reason: RefusalReason, after: Duration) -> Refusal {
     Refusal {
         outcome,
+        is_arrived: outcome != Outcome::DidNotRun,
         reason,
         after_ms: u64::try_from(after.as_millis()).unwrap_or(u64::MAX),
     }
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -1,22 +1,26 @@
 //! State that all calls of the sidecar share.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use tokio::{sync::Notify, time::timeout};
-use wagtaillever_coordination::Sequence;
+use wagtaillever_coordination::{Dialect, VmState};
 
 use crate::{
     invariant::must_hold,
     kernel::Context,
     mutant::{self, Mutant},
     peers::PeersHandle,
-    sidecar::{fence::Fences, keys::Keys, links::Links, suspects::Suspects, upstreams::Upstreams},
+    sidecar::{
+        fence::Fences, keys::Keys, links::Links, suspects::Suspects, upstream::LocalUpstream,
+        upstreams::Upstreams,
+    },
     stall::Stall,
+    view::View,
 };
 
 /// State that all calls of the sidecar share.
@@ -28,7 +32,9 @@
     links: Links,
     fences: Rc<Fences>,
     stall: Option<Stall>,
-    applied: Cell<Sequence>,
+    applied: RefCell<Option<Arc<View>>>,
+    leaving: Cell<bool>,
+    drained: Cell<bool>,
     active: Cell<usize>,
     stopping: Cell<bool>,
     idle: Notify,
@@ -38,7 +44,7 @@
     /// Returns the state of a sidecar without calls.
     pub(super) fn new(context: Context) -> Self {
         let settings = Arc::clone(context.settings());
-        let upstreams = Upstreams::new(&settings, context.timeline().clone());
+        let upstreams = Upstreams::new(Arc::clone(&settings), context.timeline().clone());
         let peers = context.registry().find::<PeersHandle>("peers").ok();
         let timeline = context.timeline().clone();
         let suspects = Suspects::new(timeline, settings.policies.poison, peers);
@@ -51,7 +57,9 @@
             links: Links::new(settings.address),
             fences: Rc::default(),
             stall,
-            applied: Cell::default(),
+            applied: RefCell::default(),
+            leaving: Cell::default(),
+            drained: Cell::default(),
             active: Cell::default(),
             stopping: Cell::default(),
             idle: Notify::new(),
@@ -73,12 +81,17 @@
         &self.suspects
     }
 
-    /// Returns whether the VM or its failure domain must get no new work.
+    /// Returns the headers of the deployment.
+    pub(super) fn dialect(&self) -> &'static Dialect {
+        self.context.settings().protocol.dialect()
+    }
+
+    /// Returns whether the VM or its failure domain must get no new work, by an order or because
+    /// the platform lists the VM as leaving.
     pub(super) fn is_drained(&self) -> bool {
-        let settings = self.context.settings();
-        let view = self.context.view().load();
-        let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
-        is_drained && !mutant::is_on(Mutant::IgnoreDrains)
+        self.refresh();
+        let is_drained = self.drained.get() && !mutant::is_on(Mutant::IgnoreDrains);
+        is_drained || self.leaving.get() && !mutant::is_on(Mutant::IgnoreLeaving)
     }
 
     /// Lets waiting requests start that have waited long enough, and settles crashes.
@@ -127,19 +140,38 @@
         self.stopping.get()
     }
 
-    /// Takes in the newest configuration, if it is not yet taken in.
+    /// Applies the newest view, unless it was applied before.
     pub(super) fn refresh(&self) {
-        let config = &self.context.view().load().config;
-        if config.sequence > self.applied.replace(config.sequence) {
-            self.upstreams.update(config, Instant::now());
-            self.keys.update(config);
+        let view = self.context.view().load();
+        let old = self.applied.replace(Some(Arc::clone(&view)));
+        if old.as_ref().is_some_and(|old| Arc::ptr_eq(old, &view)) {
+            return;
+        }
+        let settings = self.context.settings();
+        let listed = view.vms.get(&settings.vm);
+        let state = listed.map_or(VmState::Live, |entry| entry.state);
+        self.leaving.set(state == VmState::Leaving);
+        let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
+        let was_drained = self.drained.replace(is_drained);
+        self.update_upstreams(&view);
+        if was_drained && !is_drained {
+            // Upstreams that were out of service may have become cold meanwhile.
+            self.upstreams.all().iter().for_each(LocalUpstream::doubt);
+        }
+        if old.is_none_or(|old| old.config.sequence != view.config.sequence) {
+            self.keys.update(&view.config);
         }
     }
 
     /// Drops what was withdrawn long enough ago.
     pub(super) fn sweep(&self) {
-        let config = &self.context.view().load().config;
-        self.upstreams.update(config, Instant::now());
+        self.update_upstreams(&self.context.view().load());
+    }
+
+    fn update_upstreams(&self, view: &View) {
+        let listed = view.vms.get(&self.context.settings().vm);
+        let listed = listed.map(|entry| &**entry);
+        self.upstreams.update(&view.config, listed, Instant::now());
     }
 
     /// Counts a call until the guard is dropped.
--- a/crates/node/src/sidecar/tests/bed.rs
+++ b/crates/node/src/sidecar/tests/bed.rs
@@ -124,7 +124,7 @@
 /// Returns the head of a `GET /` to upstream `u`.
 pub(super) fn get() -> CallHead {
     CallHead {
-        call: 7,
+        call: "7".into(),
         attempt: 1,
         sequence: 1,
         route: "r".into(),
@@ -196,7 +196,7 @@
     slots: u32,
     upstreams: &[(&str, &str, SocketAddr)],
 ) -> Arc<Config> {
-    let service = ServiceSpec { name: "s".into() };
+    let service = ServiceSpec::named("s".into());
     let mut config = Config {
         sequence: Sequence(sequence),
         ..Config::default()
@@ -210,6 +210,7 @@
             address,
             slots,
             connections: 20,
+            start: None,
         };
         let name = upstream.name.clone();
         config.upstreams.insert(name, Arc::new(upstream));
@@ -230,6 +231,7 @@
             region: settings.region.clone(),
             address: settings.peers,
             state: VmState::Live,
+            upstreams: Vec::new(),
         })
     };
     let vms = Arc::new(VmList {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -12,16 +12,17 @@
 use log::info;
 use tokio::sync::oneshot;
 use wagtaillever_coordination::{
-    Admission, AdmissionSettings, CrashDetector, InFlight, QueueTicket, Sample, SampleResult,
-    Upstream,
+    Admission, AdmissionSettings, CrashDetector, Dialect, InFlight, QueueTicket, Sample,
+    SampleResult, Service, Upstream,
 };
 
 use crate::{
     mutant::{self, Mutant},
-    settings::Policies,
+    settings::{Policies, Settings},
     sidecar::{
         admit::{Permit, Verdict, turn_parts},
         connector::TracedConnector,
+        health,
     },
     timeline::{EventKind, Timeline},
     wire::Load,
@@ -35,7 +36,9 @@
 /// An upstream of this VM with its connections and admission.
 pub(super) struct LocalUpstream {
     spec: RefCell<Arc<Upstream>>,
+    service: RefCell<Option<Arc<Service>>>,
     client: RefCell<Client>,
+    dialect: &'static Dialect,
     policies: Policies,
     timeline: Timeline,
     admission: RefCell<Admission>,
@@ -44,6 +47,7 @@
     process: RefCell<Option<Vec<u8>>>,
     told: Cell<(u32, bool)>,
     probes: Cell<u32>,
+    is_asked: Cell<bool>,
 }
 
 struct Waiter {
@@ -53,12 +57,25 @@
 
 impl LocalUpstream {
     /// Returns the state of an upstream that was never contacted.
-    pub(super) fn new(spec: Arc<Upstream>, policies: &Policies, timeline: Timeline) -> Self {
-        let admission = Admission::new(admission_settings(&spec, policies), Instant::now());
-        let told = Cell::new((admission.limit(), admission.is_cold()));
+    pub(super) fn new(
+        spec: Arc<Upstream>,
+        service: Option<Arc<Service>>,
+        settings: &Settings,
+        timeline: Timeline,
+    ) -> Self {
+        let policies = &settings.policies;
+        let now = Instant::now();
+        let bounds = admission_settings(&spec, service.as_deref(), policies);
+        let mut admission = Admission::new(bounds, now);
+        if let Some(start) = spec.start {
+            admission.cold_for(Duration::from_millis(start.cold_ms), now);
+        }
+        let told = Cell::new((admission.limit(), admission.is_cold(now)));
         Self {
             client: RefCell::new(client(&spec)),
             spec: RefCell::new(spec),
+            service: RefCell::new(service),
+            dialect: settings.protocol.dialect(),
             policies: policies.clone(),
             timeline,
             admission: RefCell::new(admission),
@@ -67,6 +84,7 @@
             process: RefCell::default(),
             told,
             probes: Cell::default(),
+            is_asked: Cell::default(),
         }
     }
 
@@ -75,17 +93,76 @@
         Arc::clone(&self.spec.borrow())
     }
 
-    /// Takes in what a note changed, at the same address.
-    pub(super) fn reconfigure(self: &Rc<Self>, spec: &Arc<Upstream>) {
+    /// Applies what the configuration changed, at the same address.
+    pub(super) fn reconfigure(
+        self: &Rc<Self>,
+        spec: &Arc<Upstream>,
+        service: Option<&Arc<Service>>,
+    ) {
         let old = self.spec.replace(Arc::clone(spec));
+        let old_service = self.service.replace(service.cloned());
+        if old == *spec && old_service.as_ref() == service {
+            return;
+        }
         if old.connections != spec.connections {
             self.client.replace(client(spec));
         }
-        let settings = admission_settings(spec, &self.policies);
+        let settings = admission_settings(spec, service.map(|it| &**it), &self.policies);
         self.admission.borrow_mut().reconfigure(settings);
         self.pump();
     }
 
+    /// Asks the upstream how long it stays cold, if it can tell: a process of this node that has
+    /// just started doesn't know for how long the upstream has run.
+    pub(super) fn begin(self: &Rc<Self>) {
+        if self.spec().start.is_some() {
+            health::ask(self);
+        }
+    }
+
+    /// Treats the upstream as cold until it tells otherwise.
+    pub(super) fn doubt(self: &Rc<Self>) {
+        let cold_ms = self
+            .service
+            .borrow()
+            .as_ref()
+            .map_or(0, |service| service.cold_ms);
+        if self.health_path().is_none() || cold_ms == 0 {
+            return;
+        }
+        self.cold_for(Duration::from_millis(cold_ms));
+        health::ask(self);
+    }
+
+    /// Takes note of how long the upstream stays cold.
+    pub(super) fn cold_for(self: &Rc<Self>, time: Duration) {
+        self.admission.borrow_mut().cold_for(time, Instant::now());
+        self.tell();
+        self.pump();
+    }
+
+    /// Returns the path under which the upstream tells its health, where the platform lists it.
+    pub(super) fn health_path(&self) -> Option<String> {
+        self.spec().start?;
+        let service = self.service.borrow();
+        service.as_ref().and_then(|service| service.health.clone())
+    }
+
+    /// Returns whether nothing else asks for the upstream's health; then the caller does.
+    pub(super) fn begin_health_check(&self) -> bool {
+        !self.is_asked.replace(true)
+    }
+
+    /// Notes that the question for the upstream's health is over.
+    pub(super) fn end_health_check(&self) {
+        self.is_asked.set(false);
+    }
+
+    /// Returns the headers of the deployment.
+    pub(super) fn dialect(&self) -> &'static Dialect {
+        self.dialect
+    }
+
     /// Returns the client that holds the connections to the upstream.
     pub(super) fn client(&self) -> Client {
         self.client.borrow().clone()
@@ -150,6 +227,7 @@
         drop(admission);
         if sample.result == SampleResult::Refused {
             self.crashes.borrow_mut().sign(now);
+            self.doubt();
         }
         self.tell();
         self.pump();
@@ -176,7 +254,7 @@
     }
 
     /// Takes note of the process that answered; a changed one has restarted.
-    pub(super) fn answered_by(&self, process: Option<&[u8]>) {
+    pub(super) fn answered_by(self: &Rc<Self>, process: Option<&[u8]>) {
         let Some(process) = process else {
             return;
         };
@@ -191,20 +269,22 @@
     }
 
     /// Takes note of a connection that broke with a request in flight.
-    pub(super) fn broke(&self, run: InFlight) {
+    pub(super) fn broke(self: &Rc<Self>, run: InFlight) {
         let now = Instant::now();
-        let mut crashes = self.crashes.borrow_mut();
-        crashes.broke(run, now);
-        if crashes.is_signed() {
+        self.crashes.borrow_mut().broke(run, now);
+        let is_signed = self.crashes.borrow().is_signed();
+        if is_signed {
             self.admission.borrow_mut().restarted(now);
+            self.doubt();
         }
     }
 
     /// Takes note of a sign of a restart.
-    pub(super) fn restarted(&self) {
+    pub(super) fn restarted(self: &Rc<Self>) {
         let now = Instant::now();
         self.crashes.borrow_mut().sign(now);
         self.admission.borrow_mut().restarted(now);
+        self.doubt();
         self.tell();
     }
 
@@ -232,7 +312,7 @@
     /// Records a changed state of the admission.
     fn tell(&self) {
         let admission = self.admission.borrow();
-        let state = (admission.limit(), admission.is_cold());
+        let state = (admission.limit(), admission.is_cold(Instant::now()));
         let before = self.told.replace(state);
         if before == state {
             return;
@@ -262,8 +342,15 @@
     }
 }
 
-fn admission_settings(spec: &Upstream, policies: &Policies) -> AdmissionSettings {
+fn admission_settings(
+    spec: &Upstream,
+    service: Option<&Service>,
+    policies: &Policies,
+) -> AdmissionSettings {
+    let is_told = spec.start.is_some();
+    let cold_per_second = service.and_then(|service| service.cold_per_second);
     AdmissionSettings {
+        cold_per_second: cold_per_second.filter(|_| is_told),
         slots: spec.slots.min(spec.connections),
         adaptive: policies.adaptive,
         limit: policies.limit && !mutant::is_on(Mutant::NoRamp),
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -8,21 +8,16 @@
     time::{Duration, Instant},
 };
 
-use wagtaillever_coordination::{Config, Upstream, UpstreamName, VmName};
+use wagtaillever_coordination::{Config, Service, Upstream, UpstreamName, VmEntry};
 
-use crate::{
-    settings::{Policies, Settings},
-    sidecar::upstream::LocalUpstream,
-    timeline::Timeline,
-};
+use crate::{settings::Settings, sidecar::upstream::LocalUpstream, timeline::Timeline};
 
 /// Time for which a withdrawn upstream still serves ingresses that are behind.
 const LINGER: Duration = Duration::from_secs(5);
 
 /// The upstreams of this VM by name.
 pub(super) struct Upstreams {
-    vm: VmName,
-    policies: Policies,
+    settings: Arc<Settings>,
     timeline: Timeline,
     entries: RefCell<BTreeMap<UpstreamName, Entry>>,
 }
@@ -34,10 +29,9 @@
 
 impl Upstreams {
     /// Returns an empty set of upstreams of a VM.
-    pub(super) fn new(settings: &Settings, timeline: Timeline) -> Self {
+    pub(super) fn new(settings: Arc<Settings>, timeline: Timeline) -> Self {
         Self {
-            vm: settings.vm.clone(),
-            policies: settings.policies.clone(),
+            settings,
             timeline,
             entries: RefCell::default(),
         }
@@ -49,42 +43,53 @@
         entries.get(name).map(|entry| Rc::clone(&entry.upstream))
     }
 
-    /// Takes in a configuration.
-    pub(super) fn update(&self, config: &Config, now: Instant) {
+    /// Applies a configuration and the platform's entry of this VM.
+    pub(super) fn update(&self, config: &Config, listed: Option<&VmEntry>, now: Instant) {
+        let noted = config.upstreams.values();
+        let noted = noted.filter(|spec| spec.vm == self.settings.vm).cloned();
+        let listed = listed.into_iter().flat_map(VmEntry::listed);
+        let specs: BTreeMap<_, _> = noted
+            .chain(listed)
+            .map(|spec| (spec.name.clone(), spec))
+            .collect();
         let mut entries = self.entries.borrow_mut();
         for (name, entry) in entries.iter_mut() {
-            if !self.is_here(config.upstreams.get(name)) {
+            if !specs.contains_key(name) {
                 entry.gone_at.get_or_insert(now + LINGER);
             }
         }
         entries.retain(|_, entry| entry.gone_at.is_none_or(|gone_at| now < gone_at));
-        for spec in config.upstreams.values() {
-            if !self.is_here(Some(spec)) {
-                continue;
-            }
-            self.take_in(&mut entries, spec);
+        for spec in specs.values() {
+            let service = config.services.get(&spec.service);
+            self.apply(&mut entries, spec, service);
         }
     }
 
-    /// Takes in one upstream; a changed address is another upstream, which is cold.
-    fn take_in(&self, entries: &mut BTreeMap<UpstreamName, Entry>, spec: &Arc<Upstream>) {
+    /// Applies one upstream; one at another address or with another start is cold.
+    fn apply(
+        &self,
+        entries: &mut BTreeMap<UpstreamName, Entry>,
+        spec: &Arc<Upstream>,
+        service: Option<&Arc<Service>>,
+    ) {
         if let Some(known) = entries.get_mut(&spec.name) {
             let old = known.upstream.spec();
-            if old.address == spec.address {
+            if old.address == spec.address && !is_restarted(&old, spec) {
                 known.gone_at = None;
-                if old != *spec {
-                    known.upstream.reconfigure(spec);
-                }
+                known.upstream.reconfigure(spec, service);
                 return;
             }
         }
         let timeline = self.timeline.clone();
-        let upstream = LocalUpstream::new(Arc::clone(spec), &self.policies, timeline);
+        let spec = Arc::clone(spec);
+        let upstream = LocalUpstream::new(spec, service.cloned(), &self.settings, timeline);
+        let upstream = Rc::new(upstream);
+        upstream.begin();
         let entry = Entry {
-            upstream: Rc::new(upstream),
+            upstream,
             gone_at: None,
         };
-        entries.insert(spec.name.clone(), entry);
+        entries.insert(entry.upstream.spec().name.clone(), entry);
     }
 
     /// Returns all upstreams that serve.
@@ -93,8 +98,10 @@
         let upstreams = entries.values().map(|entry| Rc::clone(&entry.upstream));
         upstreams.collect()
     }
+}
 
-    fn is_here(&self, spec: Option<&Arc<Upstream>>) -> bool {
-        spec.is_some_and(|spec| spec.vm == self.vm)
-    }
+/// Returns whether the platform tells of a start of the upstream that was not known before.
+fn is_restarted(old: &Upstream, new: &Upstream) -> bool {
+    let started = |spec: &Upstream| spec.start.map(|start| start.started);
+    started(old) != started(new)
 }
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -3,15 +3,18 @@
 mod client;
 mod error;
 mod reader;
+mod store_reader;
 mod value;
 
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{FutureExt, LocalBoxFuture};
 use tokio_util::sync::CancellationToken;
+use wagtaillever_platform::{Places, Store};
 
-use self::{client::PlatformClient, reader::Reader};
+use self::{client::PlatformClient, reader::Reader, store_reader::StoreReader};
 use crate::{
     kernel::{Context, Service, StartError},
     peers::PeersHandle,
+    settings::{Protocol, Settings},
 };
 
 /// Service that reads and watches the platform's configuration service.
@@ -29,14 +32,24 @@
         Box::pin(async move {
             let peers: PeersHandle = context.registry().find("peers")?;
             let settings = context.settings();
-            let client = PlatformClient::new(settings.address, settings.platform.clone());
-            let reader = Reader::new(client, peers);
+            let reader = match settings.protocol {
+                Protocol::Notes => {
+                    let client = PlatformClient::new(settings.address, settings.platform.clone());
+                    Reader::new(client, peers).run().boxed_local()
+                }
+                Protocol::Store => {
+                    let view = context.view().clone();
+                    let store =
+                        Store::new(settings.address, settings.platform[0], places(settings));
+                    StoreReader::new(store, peers, view).run().boxed_local()
+                }
+            };
             let token = context.token();
             let cancelled = token.clone();
             actix_rt::spawn(async move {
                 tokio::select! {
                     () = cancelled.cancelled() => {}
-                    () = reader.run() => {}
+                    () = reader => {}
                 }
             });
             self.token = Some(token);
@@ -52,3 +65,12 @@
         })
     }
 }
+
+/// Returns what the settings tell of the places of upstreams.
+fn places(settings: &Settings) -> Places {
+    Places {
+        peer_port: settings.peers.port(),
+        regions: settings.regions.clone(),
+        own_region: settings.region.clone(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/source/store_reader.rs
@@ -0,0 +1,237 @@
+//! Reads a store that holds the newest configuration in full, as long as the node is to do so.
+
+use std::time::{Duration, Instant};
+
+use log::{info, warn};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::{sync::watch, time::sleep};
+use wagtaillever_coordination::{
+    Backoff, ConfigStore, DrainAction, DrainOrder, DrainScope, PlatformMode, PlatformValue,
+    Registrations, StoreChange, StoreChanges, StoreFailure, StoreState, Unusable,
+};
+
+use crate::{peers::PeersHandle, view::ViewCell};
+
+/// Delays after failed readings.
+const RETRY: Backoff = Backoff {
+    first: Duration::from_millis(100),
+    limit: Duration::from_millis(800),
+};
+/// Longest wait of a watch. A reader whose watch has gone silent is noticed after it.
+const WATCH: Duration = Duration::from_secs(2);
+/// Pause after changes, so that a series of them costs few calls.
+const GATHER: Duration = Duration::from_millis(120);
+
+/// Reader of a store.
+pub(super) struct StoreReader<S> {
+    store: S,
+    peers: PeersHandle,
+    view: ViewCell,
+    mode: watch::Receiver<PlatformMode>,
+    registrations: Registrations,
+    rng: SmallRng,
+    failures: u32,
+}
+
+impl<S: ConfigStore> StoreReader<S> {
+    /// Returns a reader that feeds the peers service.
+    pub(super) fn new(store: S, peers: PeersHandle, view: ViewCell) -> Self {
+        Self {
+            store,
+            mode: peers.mode(),
+            peers,
+            view,
+            registrations: Registrations::default(),
+            rng: SmallRng::from_os_rng(),
+            failures: 0,
+        }
+    }
+
+    /// Reads until the node ends.
+    pub(super) async fn run(mut self) {
+        loop {
+            let mode = *self.mode.borrow_and_update();
+            let result = match mode {
+                PlatformMode::Off => {
+                    if self.mode.changed().await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                PlatformMode::Vms => self.read_list().await,
+                PlatformMode::Watch => self.follow().await,
+            };
+            match result {
+                Ok(()) => self.succeeded(),
+                Err(err) => self.pause_after(&err).await,
+            }
+        }
+    }
+
+    fn succeeded(&mut self) {
+        if self.failures > 0 {
+            info!(failures = self.failures; "the store answers again");
+        }
+        self.failures = 0;
+    }
+
+    async fn pause_after(&mut self, err: &S::Error) {
+        self.failures += 1;
+        metrics::counter!("platform_reads_total", "result" => "failed").increment(1);
+        if self.failures.is_power_of_two() {
+            warn!(failures = self.failures; "the store gave no usable answer: {err}");
+        }
+        let mut delay = RETRY.delay(self.failures, &mut self.rng);
+        if let StoreFailure::Busy { after } = S::failure(err) {
+            delay += after;
+        }
+        tokio::select! {
+            () = sleep(delay) => {}
+            _ = self.mode.changed() => self.mode.mark_unchanged(),
+        }
+    }
+
+    /// Reads the registrations alone, to learn of the other nodes.
+    async fn read_list(&mut self) -> Result<(), S::Error> {
+        let state = self.store.read_registrations().await?;
+        self.apply_state(state).await;
+        let _ = self.mode.changed().await;
+        self.mode.mark_unchanged();
+        Ok(())
+    }
+
+    /// Reads all, then follows the changes while the node is to read.
+    async fn follow(&mut self) -> Result<(), S::Error> {
+        self.resume();
+        let state = self.store.read().await?;
+        let mut after = state.revision;
+        self.apply_state(state).await;
+        self.peers.platform_word().await;
+        self.succeeded();
+        while *self.mode.borrow() == PlatformMode::Watch {
+            let wait = self.wait();
+            let changes = self.store.watch(after, wait).await?;
+            after = after.max(changes.revision);
+            let is_changed = !changes.changes.is_empty();
+            self.apply_changes(changes).await;
+            self.peers.platform_word().await;
+            self.succeeded();
+            if is_changed {
+                sleep(GATHER).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts from what other readers last told.
+    fn resume(&mut self) {
+        let silence = self.peers.status().platform_age_ms;
+        let silence = Duration::from_millis(silence.unwrap_or(0));
+        let list = &self.view.load().vms;
+        self.registrations = Registrations::resume(list, silence, Instant::now());
+    }
+
+    /// Returns how long the next watch waits.
+    fn wait(&self) -> Duration {
+        let Some(until) = self.registrations.hold_until() else {
+            return WATCH;
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        left.clamp(Duration::from_millis(1), WATCH)
+    }
+
+    async fn apply_state(&mut self, state: StoreState) {
+        let now = Instant::now();
+        self.registrations.heard(now);
+        self.registrations
+            .replace(state.registrations, state.revision, now);
+        state.unusable.iter().for_each(report);
+        let mut values: Vec<_> = state.config.map(PlatformValue::Base).into_iter().collect();
+        let mut orders: Vec<_> = state
+            .drained
+            .into_iter()
+            .map(|(domain, revision)| order(DrainScope::Domain(domain), true, revision))
+            .collect();
+        let known = self.view.load();
+        let ended = known.drains.iter().filter(|known| {
+            let is_drained = known.action == DrainAction::Drain;
+            is_drained && !orders.iter().any(|order| order.scope == known.scope)
+        });
+        let ended: Vec<_> = ended
+            .map(|known| order(known.scope, false, state.revision))
+            .collect();
+        orders.extend(ended);
+        if !orders.is_empty() {
+            values.push(PlatformValue::Drains(orders));
+        }
+        self.pass_on(values, now).await;
+    }
+
+    async fn apply_changes(&mut self, changes: StoreChanges) {
+        let now = Instant::now();
+        self.registrations.heard(now);
+        let mut config = None;
+        let mut orders = Vec::new();
+        for change in changes.changes {
+            match change {
+                StoreChange::Config(newer) => config = Some(newer),
+                StoreChange::Registration {
+                    name,
+                    registration,
+                    revision,
+                } => self.registrations.apply(&name, registration, revision, now),
+                StoreChange::Drain {
+                    domain,
+                    is_drained,
+                    revision,
+                } => orders.push(order(DrainScope::Domain(domain), is_drained, revision)),
+                StoreChange::Unusable(unusable) => {
+                    report(&unusable);
+                    if let Some(name) = &unusable.upstream {
+                        self.registrations.apply(name, None, unusable.revision, now);
+                    }
+                }
+            }
+        }
+        let mut values: Vec<_> = config.map(PlatformValue::Base).into_iter().collect();
+        if !orders.is_empty() {
+            values.push(PlatformValue::Drains(orders));
+        }
+        self.pass_on(values, now).await;
+    }
+
+    async fn pass_on(&mut self, mut values: Vec<PlatformValue>, now: Instant) {
+        if let Some(list) = self.registrations.changed_list(now) {
+            info!(number = list.number, vms = list.vms.len(); "the list of VMs changed");
+            values.push(PlatformValue::Vms(list));
+        }
+        metrics::counter!("platform_reads_total", "result" => "answered").increment(1);
+        if !values.is_empty() {
+            self.peers.platform(values).await;
+        }
+    }
+}
+
+fn order(scope: DrainScope, is_drained: bool, number: u64) -> DrainOrder {
+    let action = if is_drained {
+        DrainAction::Drain
+    } else {
+        DrainAction::Restore
+    };
+    DrainOrder {
+        number,
+        scope,
+        action,
+    }
+}
+
+fn report(unusable: &Unusable) {
+    let Unusable {
+        key,
+        revision,
+        reason,
+        ..
+    } = unusable;
+    warn!(key = key.as_str(), revision; "a value of the store can't be used: {reason}");
+    metrics::counter!("store_values_unusable_total").increment(1);
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -32,17 +32,25 @@
     Joining,
     /// The node takes work.
     Serving,
+    /// The node still takes callers' calls while they learn that it stops.
+    Leaving,
     /// The node finishes the work in hand.
     Stopping,
 }
 
 impl Phase {
+    /// Returns whether callers' calls are taken.
+    pub(crate) fn takes_calls(self) -> bool {
+        matches!(self, Self::Serving | Self::Leaving)
+    }
+
     /// Returns the name of the phase.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Starting => "starting",
             Self::Joining => "joining",
             Self::Serving => "serving",
+            Self::Leaving => "leaving",
             Self::Stopping => "stopping",
         }
     }
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct CallHead {
     /// Identity of the call over all its attempts and hops.
-    pub(crate) call: u128,
+    pub(crate) call: String,
     /// Number of the attempt, counted from 1.
     pub(crate) attempt: u32,
     /// Sequence of the configuration that routed the call.
@@ -86,6 +86,8 @@
 pub(crate) struct Refusal {
     /// Whether the request ran.
     pub(crate) outcome: Outcome,
+    /// Whether it reached an upstream, also if that one refused it.
+    pub(crate) is_arrived: bool,
     /// Cause.
     pub(crate) reason: RefusalReason,
     /// Time after which a resend makes sense, in milliseconds.
--- a/crates/node/tests/distribution/fleet.rs
+++ b/crates/node/tests/distribution/fleet.rs
@@ -58,6 +58,7 @@
                     region: "test".into(),
                     address: peers,
                     state: Default::default(),
+                    upstreams: Vec::new(),
                 }));
                 nodes.push(Node {
                     settings,
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -27,10 +27,11 @@
     Check,
 }
 
-/// Directory of the schemas.
-const SCHEMAS: &str = "schema";
-/// File of the border types.
-const OUTPUT: &str = "crates/coordination/src/border/generated.rs";
+/// Directories of schemas and the files of the border types that follow from them.
+const TARGETS: [(&str, &str); 2] = [
+    ("schema", "crates/coordination/src/border/generated.rs"),
+    ("platform/schema", "platform/src/generated.rs"),
+];
 
 fn main() -> ExitCode {
     match run(&Task::parse()) {
@@ -46,26 +47,32 @@
 }
 
 fn run(task: &Task) -> Result<String, TaskError> {
-    let schemas = Schemas::read(&root().join(SCHEMAS))?;
+    let messages = TARGETS.map(|(schemas, output)| run_target(task, schemas, output));
+    let messages = messages.into_iter().collect::<Result<Vec<_>, _>>()?;
+    Ok(messages.join("\n"))
+}
+
+fn run_target(task: &Task, schemas: &str, output: &str) -> Result<String, TaskError> {
+    let schemas = Schemas::read(&root().join(schemas))?;
     let code = generator::generate(&schemas)?;
-    let path = root().join(OUTPUT);
+    let path = root().join(output);
     match task {
-        Task::Generate => write(&path, &code),
-        Task::Check => check(&path, &code),
+        Task::Generate => write(&path, &code)?,
+        Task::Check => check(&path, &code)?,
     }
+    Ok(format!("{output} is current"))
 }
 
-fn write(path: &Path, code: &str) -> Result<String, TaskError> {
-    fs::write(path, code).context(WriteSnafu { path })?;
-    Ok(format!("wrote {OUTPUT}"))
+fn write(path: &Path, code: &str) -> Result<(), TaskError> {
+    fs::write(path, code).context(WriteSnafu { path })
 }
 
-fn check(path: &Path, code: &str) -> Result<String, TaskError> {
+fn check(path: &Path, code: &str) -> Result<(), TaskError> {
     let committed = fs::read_to_string(path).context(ReadSnafu { path })?;
     if committed != code {
         return Err(TaskError::Stale { path: path.into() });
     }
-    Ok(format!("{OUTPUT} is current"))
+    Ok(())
 }
 
 fn root() -> PathBuf {
