--- a/crates/bench/src/layout.rs
+++ b/crates/bench/src/layout.rs
@@ -6,8 +6,8 @@
 };
 
 use wagtaillever_coordination::{
-    Changes, DomainName, RegionName, ReleaseNote, RouteSpec, Sequence, ServiceName, ServiceSpec,
-    UpstreamName, UpstreamSpec, VmEntry, VmList, VmName, VmState,
+    Changes, DomainName, RegionName, ReleaseNote, RouteSpec, Sequence, ServiceSpec, UpstreamName,
+    UpstreamSpec, VmEntry, VmList, VmName, VmState,
 };
 
 use crate::{deployment::Deployment, ports::PortBlock};
--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -90,20 +90,16 @@
         registrations
     }
 
-    /// Notes that the platform answered; to be called before what it said is applied.
-    pub fn heard(&mut self, now: Instant) {
-        let silent = self.heard.map(|at| now.saturating_duration_since(at));
+    /// Notes that the platform answered now to a call that was made at `asked`; to be called before
+    /// what it said is applied. A watch that waits is no silence.
+    pub fn heard(&mut self, asked: Instant, now: Instant) {
+        let silent = self.heard.map(|at| asked.saturating_duration_since(at));
         if silent.is_some_and(|silent| silent >= OUTAGE) {
             self.hold_until = Some(now + LAPSED_HOLD);
         }
         self.heard = Some(now);
     }
 
-    /// Notes that the platform is still waiting for something to tell, so it is not silent.
-    pub fn waited(&mut self, now: Instant) {
-        self.heard = Some(now);
-    }
-
     /// Applies one change: a new registration, or `None` where it is gone.
     pub fn apply(
         &mut self,
--- a/crates/coordination/src/registrations/tests.rs
+++ b/crates/coordination/src/registrations/tests.rs
@@ -44,9 +44,16 @@
         self
     }
 
-    fn heard(mut self) -> Self {
+    fn heard(self) -> Self {
+        self.heard_after_ms(0)
+    }
+
+    /// The platform answers a call that waited.
+    fn heard_after_ms(mut self, waited: u64) -> Self {
+        let asked = self.now();
+        self.at += Duration::from_millis(waited);
         let now = self.now();
-        self.registrations.heard(now);
+        self.registrations.heard(asked, now);
         self
     }
 
@@ -121,12 +128,12 @@
         .heard()
         .read(&[])
         .lists(&[(A, VmState::Live, &["a"]), (B, VmState::Live, &["b"])])
-        .after_ms(1_000)
+        .after_ms(900)
         .heard()
         .put(registration("a", A, 1))
         .after_ms(900)
         .heard()
-        .after_ms(400)
+        .after_ms(500)
         .heard()
         .lists(&[(A, VmState::Live, &["a"])]);
 }
@@ -177,3 +184,14 @@
     let second = case.registrations.changed_list(now).unwrap();
     assert!(second.number > first.number);
 }
+
+#[test]
+fn a_watch_that_waited_for_a_change_is_no_outage() {
+    case()
+        .heard()
+        .put(registration("a", A, 1))
+        .after_ms(10)
+        .heard_after_ms(2_000)
+        .remove("a")
+        .lists(&[]);
+}
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -3,7 +3,8 @@
 use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
 
 use clap::Parser;
-use log::error;
+use log::{error, info, warn};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
     admin::Admin,
@@ -59,7 +60,7 @@
         println!("{}: settings are valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    match actix::System::new().block_on(run_node(Arc::new(settings))) {
+    match actix::System::new().block_on(run_node(Arc::new(settings), arguments.settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             error!("{err}");
@@ -68,7 +69,7 @@
     }
 }
 
-async fn run_node(settings: Arc<Settings>) -> Result<(), NodeError> {
+async fn run_node(settings: Arc<Settings>, path: PathBuf) -> Result<(), NodeError> {
     let context = Context::new(settings);
     #[cfg(feature = "mutants")]
     crate::mutant::switch_on(&context.settings().mutants);
@@ -84,6 +85,7 @@
         .add(Ingress::default());
     let lifecycle = Lifecycle::starting(&context);
     let stop = context.stop_requested();
+    actix_rt::spawn(check_on_hangup(path, context.clone()));
     kernel.start().await?;
     live(&context, lifecycle, stop).await?;
     if mutant::is_on(Mutant::AbruptStop) {
@@ -93,6 +95,25 @@
     Ok(())
 }
 
+/// Checks the settings file at each SIGHUP. Its changes take effect at the next start; a file that
+/// can't be used is told of before it is needed.
+async fn check_on_hangup(path: PathBuf, context: Context) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(err) => {
+            warn!("SIGHUP can't be handled: {err}");
+            return;
+        }
+    };
+    while hangups.recv().await.is_some() {
+        match Settings::load(&path) {
+            Ok(settings) if settings == **context.settings() => info!("settings are unchanged"),
+            Ok(_) => info!("settings have changed; they take effect at the next start"),
+            Err(err) => warn!("settings can't be used: {err}"),
+        }
+    }
+}
+
 /// Joins, serves and enters the stop when it is asked for.
 async fn live(
     context: &Context,
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -31,6 +31,9 @@
     wire::{CallHead, CallStage, Outcome, Refusal, RefusalReason, ReplyHead},
 };
 
+/// Time of a call that its sidecar does not get, so that its refusal of a call that did not run
+/// is here before the call's time is over: a way between failure domains and some processor time.
+const WAY_BACK: Duration = Duration::from_millis(12);
 /// Shortest attempt whose running out of time says something of the upstream.
 const MIN_BLAME: Duration = Duration::from_secs(1);
 
@@ -244,7 +247,8 @@
 
     fn head(&self, place: &Place) -> CallHead {
         let request = &self.request;
-        let left_ms = u64::try_from(request.left().as_millis()).unwrap_or(u64::MAX);
+        let left = request.left().saturating_sub(WAY_BACK);
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let stage = match request.kind() {
             RequestKind::Keyed => CallStage::Decide,
             RequestKind::Idempotent | RequestKind::Plain => CallStage::Plain,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -26,7 +26,7 @@
 use crate::settings::error::ReadSnafu;
 
 /// Settings of a node.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// VM on which the node runs.
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 
 /// Limits of a node.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Bodies in flight through the node, in bytes.
--- a/crates/node/src/settings/policies.rs
+++ b/crates/node/src/settings/policies.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Policies of a node; operators leave them as they are.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Policies {
     /// Only relays watch the platform; otherwise every node does.
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -109,6 +109,10 @@
         }
         let settings = admission_settings(spec, service.map(|it| &**it), &self.policies);
         self.admission.borrow_mut().reconfigure(settings);
+        let told_cold = spec.start.map_or(0, |start| start.cold_ms);
+        if told_cold > 0 && old.start != spec.start {
+            self.cold_for(Duration::from_millis(told_cold));
+        }
         self.pump();
     }
 
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -93,8 +93,9 @@
 
     /// Reads the registrations alone, to learn of the other nodes.
     async fn read_list(&mut self) -> Result<(), S::Error> {
+        let asked = Instant::now();
         let state = self.store.read_registrations().await?;
-        self.apply_state(state).await;
+        self.apply_state(state, asked).await;
         let _ = self.mode.changed().await;
         self.mode.mark_unchanged();
         Ok(())
@@ -103,17 +104,19 @@
     /// Reads all, then follows the changes while the node is to read.
     async fn follow(&mut self) -> Result<(), S::Error> {
         self.resume();
+        let asked = Instant::now();
         let state = self.store.read().await?;
         let mut after = state.revision;
-        self.apply_state(state).await;
+        self.apply_state(state, asked).await;
         self.peers.platform_word().await;
         self.succeeded();
         while *self.mode.borrow() == PlatformMode::Watch {
             let wait = self.wait();
+            let asked = Instant::now();
             let changes = self.store.watch(after, wait).await?;
             after = after.max(changes.revision);
             let is_changed = !changes.changes.is_empty();
-            self.apply_changes(changes).await;
+            self.apply_changes(changes, asked).await;
             self.peers.platform_word().await;
             self.succeeded();
             if is_changed {
@@ -140,9 +143,9 @@
         left.clamp(Duration::from_millis(1), WATCH)
     }
 
-    async fn apply_state(&mut self, state: StoreState) {
+    async fn apply_state(&mut self, state: StoreState, asked: Instant) {
         let now = Instant::now();
-        self.registrations.heard(now);
+        self.registrations.heard(asked, now);
         self.registrations
             .replace(state.registrations, state.revision, now);
         state.unusable.iter().for_each(report);
@@ -167,9 +170,9 @@
         self.pass_on(values, now).await;
     }
 
-    async fn apply_changes(&mut self, changes: StoreChanges) {
+    async fn apply_changes(&mut self, changes: StoreChanges, asked: Instant) {
         let now = Instant::now();
-        self.registrations.heard(now);
+        self.registrations.heard(asked, now);
         let mut config = None;
         let mut orders = Vec::new();
         for change in changes.changes {
