Keep the slots that an upstream tells, whatever fails

Cause: answers that were lost or spoilt lowered the adaptive limit of upstreams that had room, by a fifth each 200 ms, so a service with a capacity of twice its load refused a fifth of it. Ruled out: processor time (0.04 of 0.2 cores), cold rates.

--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -433,3 +433,27 @@
     }
     assert!(within(300) > 100, "warm again: {}", within(300));
 }
+
+/// Load pattern: an upstream loses the answers of half its requests, though it has room.
+#[test]
+fn failures_take_no_slots_from_an_upstream_whose_slots_are_told() {
+    let mut bed = Bed::new(AdmissionSettings {
+        adaptive: false,
+        ramp: false,
+        ..settings()
+    });
+    for step in 0..200 {
+        let sample = Sample {
+            started: bed.now,
+            latency: ms(90),
+            result: if step % 2 == 0 {
+                SampleResult::Failed
+            } else {
+                SampleResult::Answered
+            },
+        };
+        bed.now += ms(20);
+        bed.admission.observe(sample, bed.now);
+        assert_eq!(bed.admission.limit(), SLOTS);
+    }
+}
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -75,7 +75,7 @@
     config
         .routes
         .values()
-        .filter(|route| takes(route, method, &path) && wanted.starts_with(&segments(&route.path)))
+        .filter(|route| takes(route, method, path) && wanted.starts_with(&segments(&route.path)))
         .max_by_key(|route| segments(&route.path).len())
 }
 
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -90,7 +90,7 @@
     ) -> Result<Execution, Refusal> {
         let call = Call::new(head)?;
         self.check_node(&call)?;
-        if self.find(&call).is_err() || call.key.is_some() {
+        if !self.is_listed(&call) {
             self.catch_up(&call).await?;
         }
         if let Some(key) = call.key_to_decide() {
@@ -123,6 +123,13 @@
         Ok(())
     }
 
+    /// Returns whether the platform itself lists the upstream here, so that the configuration that
+    /// routed the call tells nothing more of it.
+    fn is_listed(&self, call: &Call) -> bool {
+        let found = self.find(call);
+        found.is_ok_and(|upstream| upstream.spec().start.is_some())
+    }
+
     fn find(&self, call: &Call) -> Result<Rc<LocalUpstream>, Refusal> {
         self.shared.refresh();
         let upstream = self.shared.upstreams().get(&call.head.upstream);
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -356,7 +356,8 @@
     AdmissionSettings {
         cold_per_second: cold_per_second.filter(|_| is_told),
         slots: spec.slots.min(spec.connections),
-        adaptive: policies.adaptive,
+        // An upstream that tells its slots keeps them: failures need not come from load.
+        adaptive: policies.adaptive && !is_told,
         limit: policies.limit && !mutant::is_on(Mutant::NoRamp),
         ramp: policies.ramp && !mutant::is_on(Mutant::NoRamp),
     }
