Let requests wait by rank, and take lost answers for no crash

Now a crash needs a sign where the platform tells of starts; requests wait by rank: those that can be in time first, then by priority, then the sooner wanted; and no longer than they can still be in time. Ruled out: processor time (0.05 of 0.2 cores in the busiest process).

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod queue;
 mod ramp;
+mod rank;
 #[cfg(test)]
 mod tests;
 
@@ -14,23 +15,26 @@
     adaptive::AdaptiveLimit,
     alone::{AloneQueue, MAX_ALONE},
     cold::ColdRate,
-    queue::FairQueue,
     ramp::Ramp,
+    rank::{RankTimes, RankedQueue, mean},
 };
 
+pub use self::rank::Rank;
+
 /// Admission to one upstream.
 ///
 /// The limit is the lowest of the upstream's slots, of what latency and
 /// failures show (adaptive limit) and of what a cold start bears (ramp). What
-/// exceeds it waits in a bounded queue that is fair between callers, or is
-/// refused at once when it can't be served before its deadline.
+/// exceeds it waits in a bounded queue, by rank and fair between callers, or is
+/// refused at once when it can't be served in time.
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: AdmissionSettings,
     adaptive: AdaptiveLimit,
     ramp: Ramp,
     cold: ColdRate,
-    queue: FairQueue,
+    queue: RankedQueue,
+    times: RankTimes,
     alone: AloneQueue,
     active: u32,
     starts: u64,
@@ -62,6 +66,12 @@
     pub caller: u64,
     /// Time by which the answer must be there.
     pub deadline: Instant,
+    /// Time by which the caller wants the answer, if the route states it.
+    pub target: Option<Instant>,
+    /// Time at which a waiting request is refused; set by the admission.
+    pub patience: Option<Instant>,
+    /// Rank among the requests that wait.
+    pub rank: Rank,
     /// Whether nothing else should run beside it, because it may crash the upstream.
     pub alone: bool,
 }
@@ -123,6 +133,8 @@
     pub latency: Duration,
     /// How it ended.
     pub result: SampleResult,
+    /// Rank with which it was admitted.
+    pub rank: Rank,
 }
 
 /// How a request ended, as far as it tells of the upstream.
@@ -148,8 +160,9 @@
 const MAX_QUEUED: usize = 1024;
 /// Shortest time after which a refused request is worth a resend.
 const MIN_AFTER: Duration = Duration::from_millis(10);
-/// Share of the newest sample in the mean latency and the mean time that a slot is held.
-const MEAN_SHARE: f64 = 0.1;
+/// Share of the time that a request can wait and still be in time for which it is let wait: the
+/// time that it takes itself varies.
+const WAIT_SHARE: f64 = 0.7;
 /// Sheds among the last eight results that stand for a restart.
 const SHED_BURST: u32 = 4;
 
@@ -162,7 +175,8 @@
             adaptive: AdaptiveLimit::new(settings.slots),
             ramp: Ramp::default(),
             cold: ColdRate::new(settings.cold_per_second),
-            queue: FairQueue::default(),
+            queue: RankedQueue::default(),
+            times: RankTimes::default(),
             alone: AloneQueue::default(),
             active: 0,
             starts: 0,
@@ -175,7 +189,7 @@
     }
 
     /// Decides on a request that arrives.
-    pub fn arrive(&mut self, ask: Ask, now: Instant) -> Arrival {
+    pub fn arrive(&mut self, mut ask: Ask, now: Instant) -> Arrival {
         if !self.settings.limit {
             self.count_start(now);
             return Arrival::Start;
@@ -190,22 +204,44 @@
             self.start(now);
             return Arrival::Start;
         }
-        let wait = self.wait_behind(self.queue.len(), now);
-        if now + wait + self.latency > ask.deadline {
+        let wait = self.wait_of(ask.rank, now);
+        let latency = self.latency_of(ask.rank);
+        if now + wait + latency > ask.deadline {
             return Arrival::Refuse(reject(RejectionCause::Late, wait));
         }
-        if self.queue.len() >= self.queue_bound() && !self.queue.make_room(ask.caller) {
+        if !self.has_place(&ask, wait, latency, now) {
             return Arrival::Refuse(reject(RejectionCause::Full, wait));
         }
+        ask.patience = Some(patience(&ask, latency, now));
         Arrival::Wait(self.queue.push(ask))
     }
 
+    /// Returns whether one more request may wait. One whose caller wants the answer by a time may
+    /// wait as long as it can still be in time; the others share a bounded queue.
+    fn has_place(&mut self, ask: &Ask, wait: Duration, latency: Duration, now: Instant) -> bool {
+        if self.queue.len() >= MAX_QUEUED {
+            return false;
+        }
+        let is_known = !self.held.is_zero();
+        match ask.target.filter(|_| is_known && !ask.rank.is_late) {
+            Some(target) => {
+                let slack = target.saturating_duration_since(now);
+                wait <= slack.saturating_sub(latency).mul_f64(WAIT_SHARE)
+            }
+            None if is_known && ask.target.is_some() => wait <= QUEUE_TARGET,
+            None => self.queue.len() < self.queue_bound() || self.queue.make_room(ask),
+        }
+    }
+
     /// Returns the next waiting request that has its turn; to be called until it is `None`.
     pub fn next(&mut self, now: Instant) -> Option<Turn> {
-        let wait = self.wait_behind(self.queue.len(), now);
+        let wait = self.wait_of(Rank::LAST, now);
         if let Some(ticket) = self.queue.take_evicted() {
             return Some(Turn::Refuse(ticket, reject(RejectionCause::Full, wait)));
         }
+        if let Some(ticket) = self.queue.pop_expired(now) {
+            return Some(Turn::Refuse(ticket, reject(RejectionCause::Late, wait)));
+        }
         if let Some(after) = self.ramp.down_for(now) {
             let (ticket, _) = self.alone.pop(now).or_else(|| self.queue.pop())?;
             return Some(Turn::Refuse(ticket, reject(RejectionCause::Down, after)));
@@ -217,7 +253,7 @@
             return None;
         }
         let (ticket, ask) = self.queue.pop()?;
-        if now + self.latency > ask.deadline {
+        if now + self.latency_of(ask.rank) > ask.deadline {
             return Some(Turn::Refuse(ticket, reject(RejectionCause::Late, wait)));
         }
         self.start(now);
@@ -235,6 +271,7 @@
         match sample.result {
             SampleResult::Answered => {
                 self.latency = mean(self.latency, sample.latency);
+                self.times.answered(sample.rank, sample.latency);
                 self.adaptive.answered(sample.latency, self.active, now);
                 self.ramp
                     .answered(sample.started, sample.latency, self.settings.slots, now);
@@ -264,12 +301,13 @@
     /// # Panics
     ///
     /// Panics when more slots are given back than were taken.
-    pub fn release(&mut self, held: Duration, alone: bool) {
+    pub fn release(&mut self, held: Duration, alone: bool, rank: Rank) {
         if alone {
             self.alone.finish();
         }
         self.active = self.active.checked_sub(1).expect("a slot was taken");
         self.held = mean(self.held, held);
+        self.times.released(rank, held);
     }
 
     /// Takes note of a sign that the upstream has restarted and is cold.
@@ -390,13 +428,28 @@
         );
     }
 
-    /// Returns the time that a request waits behind a number of others, about.
-    fn wait_behind(&self, ahead: usize, now: Instant) -> Duration {
-        let cold = self.cold.wait_behind(ahead, now);
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+    /// Returns the time that a request of a rank waits behind the others, about.
+    fn wait_of(&self, rank: Rank, now: Instant) -> Duration {
         let over = self.active.saturating_sub(self.limit());
-        let rounds = f64::from(ahead.saturating_add(over)) / f64::from(self.limit());
-        self.held.mul_f64(rounds).max(cold)
+        let mut ahead = 0;
+        let mut work = self.held * over;
+        for (rank, waiting) in self.queue.up_to(rank) {
+            ahead += waiting;
+            let held = self.times.of(rank).held;
+            let held = if held.is_zero() { self.held } else { held };
+            work += held * u32::try_from(waiting).unwrap_or(u32::MAX);
+        }
+        let wait = work / self.limit();
+        wait.max(self.cold.wait_behind(ahead, now))
+    }
+
+    /// Returns the time that a request of a rank takes, about.
+    fn latency_of(&self, rank: Rank) -> Duration {
+        let latency = self.times.of(rank).latency;
+        if latency.is_zero() {
+            return self.latency;
+        }
+        latency
     }
 
     fn queue_bound(&self) -> usize {
@@ -411,12 +464,14 @@
     }
 }
 
-/// Returns a moving mean with one more sample; zero stands for no sample yet.
-fn mean(mean: Duration, sample: Duration) -> Duration {
-    if mean.is_zero() {
-        return sample;
+/// Returns until when a request waits: as long as it can be answered at all, or, if its answer is
+/// late in any case, for a short time.
+fn patience(ask: &Ask, latency: Duration, now: Instant) -> Instant {
+    let last = ask.deadline.checked_sub(latency).unwrap_or(now);
+    if ask.rank.is_late {
+        return last.min(now + QUEUE_TARGET * 2);
     }
-    mean.mul_f64(1.0 - MEAN_SHARE) + sample.mul_f64(MEAN_SHARE)
+    last
 }
 
 fn reject(cause: RejectionCause, after: Duration) -> Rejection {
--- a/crates/coordination/src/admission/queue.rs
+++ b/crates/coordination/src/admission/queue.rs
@@ -1,6 +1,9 @@
 //! Bounded queue that is fair between callers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Instant,
+};
 
 use crate::admission::{Ask, QueueTicket};
 
@@ -9,9 +12,7 @@
 pub(super) struct FairQueue {
     callers: BTreeMap<u64, VecDeque<(QueueTicket, Ask)>>,
     turns: VecDeque<u64>,
-    evicted: VecDeque<QueueTicket>,
     len: usize,
-    last: u64,
 }
 
 impl FairQueue {
@@ -25,22 +26,14 @@
         self.len == 0
     }
 
-    /// Returns a ticket that was not issued before.
-    pub(super) fn issue(&mut self) -> QueueTicket {
-        self.last += 1;
-        QueueTicket(self.last)
-    }
-
     /// Adds a request behind those of its caller.
-    pub(super) fn push(&mut self, ask: Ask) -> QueueTicket {
-        let ticket = self.issue();
+    pub(super) fn push(&mut self, ticket: QueueTicket, ask: Ask) {
         let waiting = self.callers.entry(ask.caller).or_default();
         if waiting.is_empty() {
             self.turns.push_back(ask.caller);
         }
         waiting.push_back((ticket, ask));
         self.len += 1;
-        ticket
     }
 
     /// Takes the oldest request of the caller whose turn it is.
@@ -57,42 +50,38 @@
         Some(taken)
     }
 
-    /// Evicts the newest request of the caller with the most, if that caller
-    /// has clearly more than the one that asks; returns whether it did.
-    pub(super) fn make_room(&mut self, caller: u64) -> bool {
+    /// Evicts the newest request of the caller with the most, if that caller has clearly more than
+    /// the one that asks.
+    pub(super) fn evict(&mut self, caller: u64) -> Option<QueueTicket> {
         let own = self.callers.get(&caller).map_or(0, VecDeque::len);
         let most = self.callers.iter().max_by_key(|(_, waiting)| waiting.len());
-        let Some((&other, waiting)) = most else {
-            return false;
-        };
-        if waiting.len() <= own + 1 {
-            return false;
-        }
-        let newest = waiting.back().map(|&(ticket, _)| ticket);
-        let Some(ticket) = newest else {
-            return false;
-        };
+        let (&other, waiting) = most.filter(|(_, waiting)| waiting.len() > own + 1)?;
+        let (ticket, _) = *waiting.back()?;
         self.take_out(other, ticket);
-        self.evicted.push_back(ticket);
-        true
+        Some(ticket)
     }
 
-    /// Returns an evicted request that was not yet told.
-    pub(super) fn take_evicted(&mut self) -> Option<QueueTicket> {
-        self.evicted.pop_front()
+    /// Returns the oldest request of a caller whose patience is over, if there is one.
+    pub(super) fn expired(&self, now: Instant) -> Option<QueueTicket> {
+        let oldest = self.callers.values().filter_map(VecDeque::front);
+        let mut expired = oldest.filter(|(_, ask)| ask.patience.is_some_and(|until| until <= now));
+        expired.next().map(|&(ticket, _)| ticket)
     }
 
-    /// Takes a request out; returns whether it was there.
-    pub(super) fn remove(&mut self, ticket: QueueTicket) -> bool {
-        let is_here =
-            |waiting: &VecDeque<(QueueTicket, Ask)>| waiting.iter().any(|&(t, _)| t == ticket);
-        let found = self.callers.iter().find(|(_, waiting)| is_here(waiting));
-        let Some((&caller, _)) = found else {
-            self.evicted.retain(|&evicted| evicted != ticket);
-            return false;
-        };
-        self.take_out(caller, ticket);
-        true
+    /// Returns whether a request waits here.
+    pub(super) fn has(&self, ticket: QueueTicket) -> bool {
+        self.callers.values().any(|waiting| has(waiting, ticket))
+    }
+
+    /// Takes a request out.
+    pub(super) fn remove(&mut self, ticket: QueueTicket) {
+        let found = self
+            .callers
+            .iter()
+            .find(|(_, waiting)| has(waiting, ticket));
+        if let Some((&caller, _)) = found {
+            self.take_out(caller, ticket);
+        }
     }
 
     fn take_out(&mut self, caller: u64, ticket: QueueTicket) {
@@ -107,3 +96,7 @@
         }
     }
 }
+
+fn has(waiting: &VecDeque<(QueueTicket, Ask)>, ticket: QueueTicket) -> bool {
+    waiting.iter().any(|&(other, _)| other == ticket)
+}
--- a/crates/coordination/src/admission/tests/load.rs
+++ b/crates/coordination/src/admission/tests/load.rs
@@ -31,11 +31,12 @@
                 };
                 bed.now = at;
                 good += u32::from(at <= deadline && at > begin + self.total / 2);
-                bed.admission.release(at - started, false);
+                bed.admission.release(at - started, false, Rank::default());
                 let sample = Sample {
                     started,
                     latency: at - started,
                     result: SampleResult::Answered,
+                    rank: Rank::default(),
                 };
                 bed.admission.observe(sample, at);
             } else {
--- /dev/null
+++ b/crates/coordination/src/caller_age/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+struct Case {
+    ages: CallerAges,
+    now: Instant,
+}
+
+fn case() -> Case {
+    Case {
+        ages: CallerAges::default(),
+        now: Instant::now(),
+    }
+}
+
+impl Case {
+    #[track_caller]
+    fn left(mut self, left_ms: u64, age_ms: u64) -> Self {
+        let age = self
+            .ages
+            .age(&"r".into(), Duration::from_millis(left_ms), self.now);
+        assert_eq!(age, Duration::from_millis(age_ms));
+        self
+    }
+
+    fn after_s(mut self, seconds: u64) -> Self {
+        self.now += Duration::from_secs(seconds);
+        self
+    }
+}
+
+#[test]
+fn a_request_with_less_time_left_was_sent_before() {
+    case().left(2_000, 0).left(1_300, 700).left(2_000, 0);
+}
+
+#[test]
+fn a_longer_wait_that_is_not_seen_again_is_forgotten() {
+    case()
+        .left(9_000, 0)
+        .after_s(11)
+        .left(2_000, 7_000)
+        .after_s(11)
+        .left(2_000, 0)
+        .left(1_500, 500);
+}
--- a/crates/coordination/src/crash.rs
+++ b/crates/coordination/src/crash.rs
@@ -13,6 +13,7 @@
 /// Collects broken connections until signs of a restart explain them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
+    needs_sign: bool,
     broken: VecDeque<(Instant, InFlight)>,
     sign: Option<Instant>,
 }
@@ -25,12 +26,23 @@
 const TOGETHER: usize = 2;
 
 impl CrashDetector {
+    /// Returns a detector. One that needs a sign does not take connections that break together
+    /// for a crash: there are upstreams that lose answers and go on.
+    #[must_use]
+    pub fn new(needs_sign: bool) -> Self {
+        Self {
+            needs_sign,
+            ..Self::default()
+        }
+    }
+
     /// Takes in a connection that broke after its request was written.
     pub fn broke(&mut self, run: InFlight, now: Instant) {
         self.broken.push_back((now, run));
         self.forget(now);
         let recent = |&&(at, _): &&(Instant, InFlight)| now - at <= SETTLE;
-        if self.broken.iter().filter(recent).count() >= TOGETHER {
+        let is_sign = self.broken.iter().filter(recent).count() >= TOGETHER;
+        if is_sign && !self.needs_sign {
             self.sign(now);
         }
     }
--- a/crates/coordination/src/crash/tests.rs
+++ b/crates/coordination/src/crash/tests.rs
@@ -51,3 +51,17 @@
     detector.broke(run(1), now + ms(300));
     assert_eq!(detector.settle(now + ms(500)), None);
 }
+
+/// Load pattern: an upstream loses the answers of half its requests by resets and goes on.
+#[test]
+fn lost_answers_are_no_crash_where_a_sign_is_needed() {
+    let now = Instant::now();
+    let mut detector = CrashDetector::new(true);
+    for step in 0..20 {
+        detector.broke(run(step), now + ms(step));
+    }
+    assert!(!detector.is_signed());
+    assert_eq!(detector.settle(now + ms(200)), None);
+    detector.sign(now + ms(300));
+    assert!(detector.settle(now + ms(400)).is_some());
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 mod base;
 mod border;
 mod budget;
+mod caller_age;
 mod candidates;
 mod config;
 mod crash;
@@ -46,14 +47,15 @@
 
 pub use crate::{
     admission::{
-        Admission, AdmissionSettings, Arrival, Ask, QueueTicket, Rejection, RejectionCause, Sample,
-        SampleResult, StartMark, Turn,
+        Admission, AdmissionSettings, Arrival, Ask, QueueTicket, Rank, Rejection, RejectionCause,
+        Sample, SampleResult, StartMark, Turn,
     },
     backoff::Backoff,
     balancer::{Balancer, BalancerPolicy, NoChoice, ReportedLoad, Ticket, Wish},
     base::{Base, BaseIndex, Publication},
     border::parse_yaml,
     budget::{PLATFORM_READS_S, ReadBudget},
+    caller_age::CallerAges,
     candidates::{Candidate, Candidates},
     config::{Config, Route, Service, Upstream},
     crash::CrashDetector,
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -45,6 +45,7 @@
     attempts: Attempts,
     tried: Vec<UpstreamName>,
     fingerprint: u64,
+    age: Duration,
 }
 
 /// Where an attempt goes.
@@ -58,6 +59,7 @@
     /// Returns a call before its first attempt.
     pub(super) fn new(worker: &Rc<Worker>, request: CallerRequest, body: RequestBody) -> Self {
         Self {
+            age: worker.age(&request),
             worker: Rc::clone(worker),
             attempts: Attempts::new(request.kind(), attempt_limit(&request)),
             request,
@@ -247,6 +249,7 @@
 
     fn head(&self, place: &Place) -> CallHead {
         let request = &self.request;
+        let waited = self.age + request.arrived.elapsed();
         let left = request.left().saturating_sub(WAY_BACK);
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let stage = match request.kind() {
@@ -266,6 +269,9 @@
             headers: request.headers.clone(),
             length: request.length,
             left_ms,
+            priority: request.route.priority,
+            target_ms: request.route.target_ms.map(saturated),
+            waited_ms: saturated(waited.as_millis()),
             hops: request.hops,
             idempotent: request.idempotent,
             key: request.key.as_ref().map(|key| key.as_str().to_string()),
@@ -340,3 +346,7 @@
     let stated = request.route.attempts;
     stated.map_or_else(AttemptLimit::default, AttemptLimit::of_route)
 }
+
+fn saturated(millis: impl TryInto<u32>) -> u32 {
+    millis.try_into().unwrap_or(u32::MAX)
+}
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -62,6 +62,8 @@
     pub(super) arrived: Instant,
     /// Time by which the caller must have an answer.
     pub(super) deadline: Instant,
+    /// Time for which the caller waits, if it tells.
+    pub(super) patience: Option<Duration>,
     /// Hops that the call has taken, this one included.
     pub(super) hops: u8,
     /// Whether the request may run more than once.
@@ -101,6 +103,7 @@
             headers: passed_on(headers, words),
             length: length(headers),
             arrived,
+            patience: patience(headers, dialect),
             deadline: arrived + time_left(headers, &route, dialect),
             hops,
             idempotent,
@@ -281,11 +284,15 @@
 /// is answered a little earlier, so that it still has the answer when it gives up.
 fn time_left(headers: &HeaderMap, route: &Route, dialect: &Dialect) -> Duration {
     let limit = Duration::from_millis(route.timeout_ms);
-    let asked = text(headers, dialect.deadline_ms).and_then(|text| text.parse().ok());
-    let asked = asked.map(Duration::from_millis);
+    let asked = patience(headers, dialect);
     asked.map_or(limit, |asked| limit.min(asked - way_back(asked)))
 }
 
+fn patience(headers: &HeaderMap, dialect: &Dialect) -> Option<Duration> {
+    let asked = text(headers, dialect.deadline_ms).and_then(|text| text.parse().ok());
+    asked.map(Duration::from_millis)
+}
+
 /// Returns the time that is set aside for the way back to a caller.
 fn way_back(asked: Duration) -> Duration {
     (asked / WAY_BACK_SHARE).min(MAX_WAY_BACK)
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -12,8 +12,8 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    Balancer, BalancerPolicy, CallShares, RetryBudget, RetryRates, Route, Sequence, ServiceName,
-    Splitter,
+    Balancer, BalancerPolicy, CallShares, CallerAges, RetryBudget, RetryRates, Route, Sequence,
+    ServiceName, Splitter,
 };
 
 use crate::{
@@ -22,7 +22,7 @@
         channel::CALL_WINDOW_BYTES,
         pool::{self, Pool},
         record::Recorder,
-        request::Words,
+        request::{CallerRequest, Words},
     },
     settings::Settings,
     stall::Stall,
@@ -67,6 +67,7 @@
     stalls: Cell<u64>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     splitter: RefCell<Splitter>,
+    ages: RefCell<CallerAges>,
     beliefs: RefCell<Rc<Beliefs>>,
 }
 
@@ -89,6 +90,7 @@
             stalls: Cell::new(shared.stall.generation()),
             budgets: RefCell::default(),
             splitter: RefCell::default(),
+            ages: RefCell::default(),
             beliefs: RefCell::new(Rc::new(beliefs)),
             shared,
         });
@@ -114,6 +116,15 @@
         self.splitter.borrow_mut().next(route, &mut *rng)
     }
 
+    /// Returns how long the caller of a request has waited before it sent it.
+    pub(super) fn age(&self, request: &CallerRequest) -> Duration {
+        let Some(left) = request.patience else {
+            return Duration::ZERO;
+        };
+        let mut ages = self.ages.borrow_mut();
+        ages.age(&request.route.name, left, request.arrived)
+    }
+
     /// Returns whether the node was paused and must take no new work yet; loads that were
     /// reported before a pause are dropped.
     pub(super) fn is_quarantined(&self) -> bool {
--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -4,7 +4,7 @@
 
 use tokio::{sync::oneshot, time::timeout_at};
 use wagtaillever_coordination::{
-    Arrival, Ask, InFlight, QueueTicket, Rejection, RejectionCause, Sample, SampleResult,
+    Arrival, Ask, InFlight, QueueTicket, Rank, Rejection, RejectionCause, Sample, SampleResult,
     StartMark, Turn,
 };
 
@@ -20,6 +20,7 @@
 pub(super) struct Permit {
     upstream: Rc<LocalUpstream>,
     fingerprint: u64,
+    rank: Rank,
     alone: bool,
     mark: StartMark,
     started: Instant,
@@ -29,10 +30,16 @@
 
 impl Permit {
     /// Returns the permit of a request that the admission has just started.
-    pub(super) fn new(upstream: &Rc<LocalUpstream>, alone: bool, mark: StartMark) -> Self {
+    pub(super) fn new(
+        upstream: &Rc<LocalUpstream>,
+        rank: Rank,
+        alone: bool,
+        mark: StartMark,
+    ) -> Self {
         Self {
             upstream: Rc::clone(upstream),
             fingerprint: 0,
+            rank,
             alone,
             mark,
             started: Instant::now(),
@@ -69,6 +76,7 @@
             started: self.started,
             latency: answered.saturating_duration_since(self.started),
             result: self.result.get(),
+            rank: self.rank,
         };
         let held = now.saturating_duration_since(self.started);
         self.upstream.give_back(sample, held, self.alone, now);
@@ -100,7 +108,7 @@
     let now = Instant::now();
     let arrival = upstream.admission().borrow_mut().arrive(ask, now);
     let verdict = match arrival {
-        Arrival::Start => Ok(upstream.permit(ask.alone)),
+        Arrival::Start => Ok(upstream.permit(ask.rank, ask.alone)),
         Arrival::Refuse(rejection) => Err(rejection),
         Arrival::Wait(ticket) => wait(upstream, ticket, ask).await?,
     };
@@ -115,7 +123,7 @@
     ask: Ask,
 ) -> Result<Verdict, Refusal> {
     let (sender, receiver) = oneshot::channel();
-    upstream.enqueue(ticket, sender, ask.alone);
+    upstream.enqueue(ticket, sender, ask);
     let _waiting = Waiting {
         upstream: Rc::clone(upstream),
         ticket,
--- a/crates/node/src/sidecar/call.rs
+++ b/crates/node/src/sidecar/call.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use wagtaillever_coordination::{IdempotencyKey, Sequence, ServiceName};
+use wagtaillever_coordination::{IdempotencyKey, Rank, Sequence, ServiceName};
 
 use crate::wire::{CallHead, CallStage, Refusal, RefusalReason};
 
@@ -15,6 +15,8 @@
 pub(super) struct Call {
     /// Head as the ingress sent it.
     pub(super) head: CallHead,
+    /// Time at which the call arrived.
+    arrived: Instant,
     /// Time by which the whole answer must be written.
     pub(super) deadline: Instant,
     /// Service of the upstream.
@@ -36,8 +38,10 @@
         let left = Duration::from_millis(head.left_ms).min(MAX_LEFT);
         let key = head.key.as_deref().map(IdempotencyKey::parse).transpose();
         let key = key.map_err(|_| did_not_run(RefusalReason::BadKey))?;
+        let arrived = Instant::now();
         Ok(Rc::new(Self {
-            deadline: Instant::now() + left,
+            arrived,
+            deadline: arrived + left,
             service: ServiceName::from(head.service.as_str()),
             key,
             head,
@@ -62,6 +66,23 @@
         caller.map_or(&[], |(_, value)| value)
     }
 
+    /// Returns when the caller wants the answer, if its route states it.
+    pub(super) fn target(&self) -> Option<Instant> {
+        let target = Duration::from_millis(self.head.target_ms?.into());
+        let waited = Duration::from_millis(self.head.waited_ms.into());
+        Some(self.arrived + target.saturating_sub(waited))
+    }
+
+    /// Returns the rank of the call among those that wait.
+    pub(super) fn rank(&self) -> Rank {
+        let target_ms = self.head.target_ms.unwrap_or(u32::MAX);
+        Rank {
+            is_late: self.head.waited_ms >= target_ms,
+            priority: self.head.priority,
+            target_ms,
+        }
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -124,6 +124,9 @@
     let ask = Ask {
         caller: xxh3_64(call.caller()),
         deadline: call.deadline,
+        target: call.target(),
+        patience: None,
+        rank: call.rank(),
         alone: suspicion == Suspicion::Suspect,
     };
     admit(upstream, ask, fingerprint).await
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -12,7 +12,7 @@
 use log::info;
 use tokio::sync::oneshot;
 use wagtaillever_coordination::{
-    Admission, AdmissionSettings, CrashDetector, Dialect, InFlight, QueueTicket, Sample,
+    Admission, AdmissionSettings, Ask, CrashDetector, Dialect, InFlight, QueueTicket, Rank, Sample,
     SampleResult, Service, Upstream,
 };
 
@@ -52,6 +52,7 @@
 
 struct Waiter {
     sender: oneshot::Sender<Verdict>,
+    rank: Rank,
     alone: bool,
 }
 
@@ -65,6 +66,7 @@
     ) -> Self {
         let policies = &settings.policies;
         let now = Instant::now();
+        let is_told = spec.start.is_some();
         let bounds = admission_settings(&spec, service.as_deref(), policies);
         let mut admission = Admission::new(bounds, now);
         if let Some(start) = spec.start {
@@ -80,7 +82,7 @@
             timeline,
             admission: RefCell::new(admission),
             waiting: RefCell::default(),
-            crashes: RefCell::default(),
+            crashes: RefCell::new(CrashDetector::new(is_told)),
             process: RefCell::default(),
             told,
             probes: Cell::default(),
@@ -188,23 +190,22 @@
     }
 
     /// Returns the permit of the request that was started last.
-    pub(super) fn permit(self: &Rc<Self>, alone: bool) -> Permit {
+    pub(super) fn permit(self: &Rc<Self>, rank: Rank, alone: bool) -> Permit {
         let admission = self.admission.borrow();
         let is_over = admission.active() > self.spec.borrow().slots;
         if is_over {
             metrics::counter!("invariant_broken_total", "name" => "over_limit").increment(1);
         }
-        Permit::new(self, alone, admission.mark())
+        Permit::new(self, rank, alone, admission.mark())
     }
 
     /// Registers a waiting request.
-    pub(super) fn enqueue(
-        &self,
-        ticket: QueueTicket,
-        sender: oneshot::Sender<Verdict>,
-        alone: bool,
-    ) {
-        let waiter = Waiter { sender, alone };
+    pub(super) fn enqueue(&self, ticket: QueueTicket, sender: oneshot::Sender<Verdict>, ask: Ask) {
+        let waiter = Waiter {
+            sender,
+            rank: ask.rank,
+            alone: ask.alone,
+        };
         self.waiting.borrow_mut().insert(ticket, waiter);
     }
 
@@ -226,7 +227,7 @@
         now: Instant,
     ) {
         let mut admission = self.admission.borrow_mut();
-        admission.release(held, alone);
+        admission.release(held, alone, sample.rank);
         admission.observe(sample, now);
         drop(admission);
         if sample.result == SampleResult::Refused {
@@ -246,10 +247,12 @@
             };
             let (ticket, rejection) = turn_parts(turn);
             let waiter = self.waiting.borrow_mut().remove(&ticket);
-            let alone = waiter.as_ref().is_some_and(|waiter| waiter.alone);
+            let (rank, alone) = waiter
+                .as_ref()
+                .map_or_else(Default::default, |waiter| (waiter.rank, waiter.alone));
             let verdict = match rejection {
                 Some(rejection) => Err(rejection),
-                None => Ok(self.permit(alone)),
+                None => Ok(self.permit(rank, alone)),
             };
             if let Some(waiter) = waiter {
                 drop(waiter.sender.send(verdict));
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -33,6 +33,12 @@
     pub(crate) length: Option<u64>,
     /// Time that is left until the deadline, in milliseconds.
     pub(crate) left_ms: u64,
+    /// Priority of the route; 0 goes first.
+    pub(crate) priority: u8,
+    /// Time in milliseconds within which callers of the route want the answer, if it states one.
+    pub(crate) target_ms: Option<u32>,
+    /// Time in milliseconds that the caller has waited, earlier sendings included.
+    pub(crate) waited_ms: u32,
     /// Hops that the call has taken.
     pub(crate) hops: u8,
     /// Whether the request may run more than once.
