Send calls where a good answer comes soonest, the own failure domain first while it is in time

Cause: the choice knew the load of upstreams but not how fast and well they answer, so a slow or grey one got its share of slots; and a full own domain spilled over though its answers were in time. Sidecars report the time until a good answer relative to the time wanted, failures counted as attempts.

--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -20,10 +20,18 @@
     name::{DomainName, UpstreamName},
 };
 
-/// Share of its limit from which on a failure domain's own upstreams spill over to others.
-const SPILL_SCORE: f64 = 0.7;
-/// Advantage of the own failure domain once it spills over.
-const OWN_ADVANTAGE: f64 = 0.1;
+/// Share of its limit from which on a failure domain's own upstreams spill over to others, while it
+/// is not known how fast they answer.
+const SPILL_LOAD: f64 = 0.7;
+/// Share of the time wanted within which an upstream of the own failure domain must be expected to
+/// answer to get the call in any case: bytes between failure domains are dear, and latency varies.
+const IN_TIME: f64 = 0.6;
+/// Factor by which the best upstream of the own failure domain may else be slower than the best of
+/// another one and still get the call.
+const OWN_ADVANTAGE: f64 = 1.3;
+/// Factor by which the time until an answer rises on an upstream that is full, which is about what
+/// a request then waits for a slot and for the others.
+const FULL_FACTOR: f64 = 2.0;
 /// Time after which also a call that must not run twice may probe an ejected upstream.
 const PROBE_PATIENCE: Duration = Duration::from_secs(1);
 /// Time after which a caller is told to come back when nothing better is known.
@@ -233,11 +241,12 @@
         let mut ejected = Vec::new();
         let mut resting = Vec::new();
         let fresh = Tracked::new(0);
+        let lowest = self.lowest_cost(candidates);
         let allowed = candidates.iter();
         for candidate in allowed.filter(|c| !wish.excluded.contains(&c.upstream.name)) {
             let name = &candidate.upstream.name;
             let tracked = self.upstreams.get(name).unwrap_or(&fresh);
-            let scored = self.score(candidate, tracked, now);
+            let scored = score(candidate, tracked, lowest, now);
             match tracked.health.standing(now) {
                 Standing::Healthy | Standing::Suspect if tracked.is_resting(now) => {
                     resting.push(scored);
@@ -279,13 +288,12 @@
         options.usable.extend(spared.map(|(.., scored)| scored));
     }
 
-    fn score<'a>(&self, candidate: &'a Candidate, tracked: &Tracked, now: Instant) -> Scored<'a> {
-        let is_suspect = tracked.health.standing(now) == Standing::Suspect;
-        Scored {
-            candidate,
-            weight: tracked.limit(),
-            score: tracked.score(now) + if is_suspect { SUSPECT_PENALTY } else { 0.0 },
-        }
+    fn lowest_cost(&self, candidates: &[Candidate]) -> f64 {
+        let tracked = candidates
+            .iter()
+            .filter_map(|candidate| self.upstreams.get(&candidate.upstream.name));
+        let costs = tracked.filter_map(Tracked::reported_cost);
+        costs.fold(f64::INFINITY, f64::min)
     }
 
     fn by_load<'a>(&self, usable: &[Scored<'a>], rng: &mut impl Rng) -> Option<Scored<'a>> {
@@ -293,12 +301,16 @@
             .iter()
             .partition(|scored| scored.candidate.upstream.domain == self.domain);
         let own = better_of_two(&own, rng);
-        if let Some(own) = own.filter(|own| own.score < SPILL_SCORE) {
-            return Some(own);
-        }
         let other = better_of_two(&other, rng);
         match (own, other) {
-            (Some(own), Some(other)) if other.score + OWN_ADVANTAGE < own.score => Some(other),
+            (Some(own), Some(other)) => {
+                let is_near = own.score <= other.score * OWN_ADVANTAGE;
+                Some(if own.is_in_time() || is_near {
+                    own
+                } else {
+                    other
+                })
+            }
             (own, other) => own.or(other),
         }
     }
@@ -312,16 +324,49 @@
     }
 }
 
+/// Reported cost of an answer that comes just in time.
+const COST_UNIT: f64 = 1000.0;
 /// Shortest time after which a caller is told to come back.
 const MIN_AFTER: Duration = Duration::from_millis(10);
-/// What failures add to the score of a suspect.
-const SUSPECT_PENALTY: f64 = 0.5;
+/// Factor by which failures raise the score of a suspect.
+const SUSPECT_FACTOR: f64 = 1.5;
 
 #[derive(Clone, Copy, Debug)]
 struct Scored<'a> {
     candidate: &'a Candidate,
     weight: f64,
+    /// Share of the limit that is in use.
+    load: f64,
+    /// Time until an answer, relative to that of the best upstream without load.
     score: f64,
+    /// Time until an answer, relative to the time wanted, if it is known.
+    expected: Option<f64>,
+}
+
+impl Scored<'_> {
+    /// Returns whether the upstream is expected to answer in time.
+    fn is_in_time(&self) -> bool {
+        match self.expected {
+            Some(expected) => expected <= IN_TIME,
+            None => self.load < SPILL_LOAD,
+        }
+    }
+}
+
+fn score<'a>(candidate: &'a Candidate, tracked: &Tracked, lowest: f64, now: Instant) -> Scored<'a> {
+    let is_suspect = tracked.health.standing(now) == Standing::Suspect;
+    let cost = tracked.cost(lowest, now);
+    let load = tracked.score(now);
+    let suspicion = if is_suspect { SUSPECT_FACTOR } else { 1.0 };
+    let slowdown = suspicion * (1.0 + FULL_FACTOR * load * load);
+    let is_known = tracked.reported_cost().is_some();
+    Scored {
+        candidate,
+        weight: tracked.limit() / cost,
+        load,
+        score: cost * slowdown,
+        expected: is_known.then(|| lowest * cost * slowdown / COST_UNIT),
+    }
 }
 
 #[derive(Default)]
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -59,11 +59,16 @@
     }
 
     fn report(&mut self, upstream: &str, active: u32, limit: u32) {
+        self.report_cost(upstream, active, limit, 0);
+    }
+
+    fn report_cost(&mut self, upstream: &str, active: u32, limit: u32, cost: u32) {
         let ticket = self.balancer.direct(&upstream.into());
         let load = ReportedLoad {
             active,
             limit,
             queued: 0,
+            cost,
         };
         self.balancer.report(&ticket, load, self.now);
         self.balancer.release(&ticket, self.now);
@@ -199,6 +204,31 @@
     assert_eq!(scene.balancer.outstanding(&"a1".into()), 0);
 }
 
+/// Load pattern: one of a service's upstreams turns slow, or grey, while the others have room.
+#[test]
+fn a_slow_upstream_gets_little_while_others_have_room() {
+    let mut scene = Scene::new(&[("a1", "a"), ("a2", "a"), ("b1", "b")], ALL, 1);
+    scene.report_cost("a1", 4, 12, 1_200);
+    scene.report_cost("a2", 4, 12, 300);
+    scene.report_cost("b1", 4, 12, 300);
+    let slow = scene.spread(1_000).get("a1").copied().unwrap_or(0);
+    assert!(slow < 20, "{slow} of 1000");
+    scene.report_cost("a2", 20, 12, 300);
+    scene.report_cost("b1", 20, 12, 300);
+    let slow = scene.spread(1_000).get("a1").copied().unwrap_or(0);
+    assert!(slow > 100, "{slow} of 1000: the others are full");
+}
+
+#[test]
+fn calls_leave_a_failure_domain_whose_upstreams_are_slow() {
+    let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], ALL, 1);
+    scene.report_cost("a1", 2, 12, 1_200);
+    scene.report_cost("b1", 2, 12, 300);
+    assert_eq!(scene.spread(100).get("a1"), None);
+    scene.now += Duration::from_secs(10);
+    assert!(scene.spread(100).contains_key("a1"), "old reports fade");
+}
+
 proptest! {
     #[test]
     fn at_least_half_of_a_service_that_can_be_reached_gets_work(
--- a/crates/coordination/src/balancer/tracked.rs
+++ b/crates/coordination/src/balancer/tracked.rs
@@ -7,6 +7,9 @@
 /// Time in which the weight of a reported load falls to a third.
 const LOAD_DECAY: Duration = Duration::from_millis(300);
 
+/// Time in which the weight of a reported cost falls to a third.
+const COST_DECAY: Duration = Duration::from_secs(3);
+
 /// Load that a sidecar reports with a reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -16,6 +19,8 @@
     pub limit: u32,
     /// Requests that wait.
     pub queued: u32,
+    /// Time until a good answer relative to the time wanted, in thousandths; 0 if unknown.
+    pub cost: u32,
 }
 
 /// What an ingress knows of one upstream.
@@ -31,6 +36,7 @@
     pub(crate) rest: Option<Instant>,
     limit: u32,
     others: Option<(u32, Instant)>,
+    cost: Option<(f64, Instant)>,
 }
 
 impl Tracked {
@@ -42,6 +48,7 @@
             rest: None,
             limit: 1,
             others: None,
+            cost: None,
         }
     }
 
@@ -49,12 +56,32 @@
     pub(crate) fn report(&mut self, load: ReportedLoad, now: Instant) {
         let total = load.active.saturating_add(load.queued);
         self.limit = load.limit.max(1);
+        if load.cost > 0 {
+            self.cost = Some((f64::from(load.cost), now));
+        }
         self.others = Some((total.saturating_sub(self.outstanding), now));
     }
 
     pub(crate) fn forget_load(&mut self) {
         self.limit = 1;
         self.others = None;
+        self.cost = None;
+    }
+
+    /// Returns the cost relative to the lowest one of the service; an old report fades, so that an
+    /// upstream that was slow is tried again.
+    pub(crate) fn cost(&self, lowest: f64, now: Instant) -> f64 {
+        let Some((cost, at)) = self.cost else {
+            return 1.0;
+        };
+        let age = now.saturating_duration_since(at);
+        let excess = (cost / lowest - 1.0).max(0.0);
+        1.0 + excess * (-age.div_duration_f64(COST_DECAY)).exp()
+    }
+
+    /// Returns the cost that was reported last.
+    pub(crate) fn reported_cost(&self) -> Option<f64> {
+        self.cost.map(|(cost, _)| cost)
     }
 
     pub(crate) fn is_resting(&self, now: Instant) -> bool {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -31,6 +31,7 @@
 mod note;
 mod overlay;
 mod poison;
+mod quality;
 mod registrations;
 mod replica;
 mod report;
@@ -81,6 +82,7 @@
     },
     overlay::{Overlay, parents},
     poison::{InFlight, Poison, PoisonReport, Suspicion},
+    quality::Quality,
     registrations::{Registration, Registrations},
     replica::{
         Identity, LinkId, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy,
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -157,5 +157,6 @@
         active: load.active,
         limit: load.limit,
         queued: load.queued,
+        cost: load.cost,
     }
 }
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -80,6 +80,7 @@
     active: 0,
     limit: 8,
     queued: 0,
+    cost: 0,
 };
 
 pub(super) fn answer_head(length: Option<u64>) -> ReplyHead {
--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -25,6 +25,7 @@
     mark: StartMark,
     started: Instant,
     answered: Cell<Option<Instant>>,
+    is_good: Cell<bool>,
     result: Cell<SampleResult>,
 }
 
@@ -44,12 +45,14 @@
             mark,
             started: Instant::now(),
             answered: Cell::new(None),
+            is_good: Cell::new(false),
             result: Cell::new(SampleResult::Abandoned),
         }
     }
 
-    /// Notes that the head of the answer is there.
-    pub(super) fn answered(&self) {
+    /// Notes that the head of the answer is there, and whether it is no failure of the upstream.
+    pub(super) fn answered(&self, is_good: bool) {
+        self.is_good.set(is_good);
         self.answered.set(Some(Instant::now()));
         self.result.set(SampleResult::Answered);
     }
@@ -79,7 +82,9 @@
             rank: self.rank,
         };
         let held = now.saturating_duration_since(self.started);
-        self.upstream.give_back(sample, held, self.alone, now);
+        let is_good = self.is_good.get();
+        self.upstream
+            .give_back(sample, held, self.alone, is_good, now);
     }
 }
 
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -90,7 +90,7 @@
     };
     match answer {
         Ok(answer) => {
-            permit.answered();
+            permit.answered(!answer.response.status().is_server_error());
             upstream.answered_by(answer.start.as_deref());
             Ok(reply(shared, upstream, call, answer, permit, writer, recorder).await)
         }
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -12,8 +12,8 @@
 use log::info;
 use tokio::sync::oneshot;
 use wagtaillever_coordination::{
-    Admission, AdmissionSettings, Ask, CrashDetector, Dialect, InFlight, QueueTicket, Rank, Sample,
-    SampleResult, Service, Upstream,
+    Admission, AdmissionSettings, Ask, CrashDetector, Dialect, InFlight, Quality, QueueTicket,
+    Rank, Sample, SampleResult, Service, Upstream,
 };
 
 use crate::{
@@ -42,6 +42,7 @@
     policies: Policies,
     timeline: Timeline,
     admission: RefCell<Admission>,
+    quality: RefCell<Quality>,
     waiting: RefCell<BTreeMap<QueueTicket, Waiter>>,
     crashes: RefCell<CrashDetector>,
     process: RefCell<Option<Vec<u8>>>,
@@ -81,6 +82,7 @@
             policies: policies.clone(),
             timeline,
             admission: RefCell::new(admission),
+            quality: RefCell::default(),
             waiting: RefCell::default(),
             crashes: RefCell::new(CrashDetector::new(is_told)),
             process: RefCell::default(),
@@ -186,6 +188,7 @@
             active: admission.active(),
             limit: admission.limit(),
             queued: u32::try_from(admission.queued()).unwrap_or(u32::MAX),
+            cost: self.quality.borrow().cost(),
         }
     }
 
@@ -224,12 +227,14 @@
         sample: Sample,
         held: Duration,
         alone: bool,
+        is_good: bool,
         now: Instant,
     ) {
         let mut admission = self.admission.borrow_mut();
         admission.release(held, alone, sample.rank);
         admission.observe(sample, now);
         drop(admission);
+        self.judge(&sample, is_good);
         if sample.result == SampleResult::Refused {
             self.crashes.borrow_mut().sign(now);
             self.doubt();
@@ -238,6 +243,21 @@
         self.pump();
     }
 
+    fn judge(&self, sample: &Sample, is_good: bool) {
+        let mut quality = self.quality.borrow_mut();
+        match sample.result {
+            SampleResult::Answered => {
+                let target = match sample.rank.target_ms {
+                    u32::MAX => Duration::ZERO,
+                    target_ms => Duration::from_millis(target_ms.into()),
+                };
+                quality.answered(sample.latency, target, is_good);
+            }
+            SampleResult::Shed | SampleResult::Failed => quality.failed(),
+            SampleResult::Refused | SampleResult::Abandoned => {}
+        }
+    }
+
     /// Gives all waiting requests their turn that can have it.
     pub(super) fn pump(self: &Rc<Self>) {
         loop {
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -155,4 +155,6 @@
     pub(crate) limit: u32,
     /// Requests that wait.
     pub(crate) queued: u32,
+    /// Time until a good answer relative to the time wanted, in thousandths; 0 if unknown.
+    pub(crate) cost: u32,
 }
