Write a line for each call, failed attempt and refusal, bounded and from a thread of its own

Lines go to standard output; a full pipe drops lines and counts them, and each kind is bound to 250 lines a second.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -60,12 +60,15 @@
         println!("{}: settings are valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    match actix::System::new().block_on(run_node(Arc::new(settings), arguments.settings)) {
+    let ended = actix::System::new().block_on(run_node(Arc::new(settings), arguments.settings));
+    if let Err(err) = &ended {
+        error!("{err}");
+        eprintln!("error: {err}");
+    }
+    logging::flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            error!("{err}");
-            ExitCode::from(EXIT_FAILED)
-        }
+        Err(_) => ExitCode::from(EXIT_FAILED),
     }
 }
 
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -134,5 +134,6 @@
         RefusalReason::Poison => "poison",
         RefusalReason::TooManyHops => "too-many-hops",
         RefusalReason::BadAnswer => "bad-answer",
+        RefusalReason::NoRoute => "no-route",
     }
 }
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -20,6 +20,7 @@
         body::{CallerGone, RequestBody},
         feedback::{Feedback, feedback},
         fingerprint::fingerprint,
+        record::CallFacts,
         refusal::{NO_UPSTREAM_AFTER_MS, bad_answer, no_choice, not_run, soonest},
         reply_body::{no_body, reply_body},
         request::CallerRequest,
@@ -92,7 +93,10 @@
             }
             let end = feedback.end.unwrap_or(AttemptEnd::Undecided);
             self.attempts.record(end);
-            let refusal = soonest(last, feedback.refusal.unwrap_or_else(bad_answer));
+            let refusal = feedback.refusal.unwrap_or_else(bad_answer);
+            let recorder = &self.worker.recorder;
+            recorder.attempt_failed(&self.facts(), &place.upstream, end, &refusal);
+            let refusal = soonest(last, refusal);
             drop(place);
             if !self.prepare_next(end).await {
                 return self.refuse(refusal);
@@ -214,6 +218,19 @@
         }
     }
 
+    fn facts(&self) -> CallFacts<'_> {
+        let request = &self.request;
+        CallFacts {
+            call: &request.call,
+            route: &request.route.name,
+            service: &request.service,
+            attempts: self.attempts.made(),
+            arrived: request.arrived,
+            age: self.age,
+            list: self.worker.beliefs().view.vms.number,
+        }
+    }
+
     /// Decides on another attempt and waits until it is due.
     async fn prepare_next(&mut self, end: AttemptEnd) -> bool {
         let is_resendable = self.body.is_resendable();
@@ -297,10 +314,12 @@
             return self.refuse(bad_answer());
         };
         answer::add_call(&mut builder, &self.request.call, dialect);
-        let service = &self.request.service;
-        let attempts = self.attempts.made() + 1;
+        let facts = CallFacts {
+            attempts: self.attempts.made() + 1,
+            ..self.facts()
+        };
         let recorder = &self.worker.recorder;
-        recorder.answered(service, attempts, self.request.arrived);
+        recorder.answered(&facts, &place.upstream, *status);
         if self.request.method == "HEAD" {
             return builder.body(no_body(length));
         }
@@ -326,13 +345,10 @@
             "false_did_not_run",
             !is_not_run || self.attempts.is_not_run(),
         );
-        let service = &self.request.service;
-        let recorder = &self.worker.recorder;
-        let call = &self.request.call;
-        recorder.refused(service, self.attempts.made(), call, &refusal);
+        self.worker.recorder.refused(&self.facts(), &refusal);
         let dialect = self.worker.words().dialect;
         let mut builder = answer::refused(&refusal, dialect);
-        answer::add_call(&mut builder, call, dialect);
+        answer::add_call(&mut builder, &self.request.call, dialect);
         builder.finish()
     }
 }
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -40,22 +40,37 @@
     let worker = Rc::clone(&worker);
     let words = worker.words();
     let dialect = words.dialect;
+    let turn_away = |reason: RefusalReason| {
+        let call = request.headers().get(dialect.call_id);
+        let call = call.and_then(|call| call.to_str().ok()).unwrap_or_default();
+        let reason = answer::reason_text(reason);
+        worker.recorder.turned_away(call, reason);
+    };
     if !worker.beliefs().view.phase.takes_calls() {
+        turn_away(RefusalReason::NotReady);
         let mut answer = refuse(dialect, RefusalReason::NotReady, NOT_READY_AFTER_MS);
         return answer.force_close().finish();
     }
     if worker.is_quarantined() {
+        turn_away(RefusalReason::NotReady);
         return refuse(dialect, RefusalReason::NotReady, NOT_READY_AFTER_MS).finish();
     }
     let Some(permit) = Permit::take(&worker, caller_name(&request)) else {
+        turn_away(RefusalReason::Overloaded);
         return refuse(dialect, RefusalReason::Overloaded, OVERLOADED_AFTER_MS).finish();
     };
     let choose = |route: &Route| worker.choose_service(route);
     let routes = Rc::clone(&worker.beliefs().routes);
     let read = match CallerRequest::read(&request, &routes, words, choose, arrived) {
         Ok(read) => read,
-        Err(ReadError::NoRoute) => return answer::no_route().finish(),
-        Err(ReadError::Rule(reason)) => return refuse(dialect, reason, 0).finish(),
+        Err(ReadError::NoRoute) => {
+            turn_away(RefusalReason::NoRoute);
+            return answer::no_route().finish();
+        }
+        Err(ReadError::Rule(reason)) => {
+            turn_away(reason);
+            return refuse(dialect, reason, 0).finish();
+        }
     };
     let body = RequestBody::new(payload, read.length);
     let mut response = Dispatch::new(&worker, read, body).run(permit).await;
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -2,6 +2,8 @@
 
 use std::marker::PhantomData;
 
+use log::info;
+
 use crate::{
     kernel::Context,
     timeline::{EventKind, Timeline},
@@ -28,6 +30,7 @@
 
 impl<S> Lifecycle<S> {
     fn enter<T>(self, phase: Phase) -> Lifecycle<T> {
+        info!(phase = phase.as_str(); "the node enters a phase");
         self.view.set_phase(phase);
         self.timeline.record(EventKind::PhaseEntered { phase });
         Lifecycle {
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -1,22 +1,35 @@
 //! Log lines with the VM, the failure domain and the note in force as key-values.
 
+mod line_budget;
+mod pipe;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::{line_budget::LineBudget, pipe::flush};
+
 use std::io::{self, Write};
 
+use env_logger::Target;
 use log::{
     Record,
     kv::{Error, Key, Value, VisitSource},
 };
 
-use crate::{settings::Settings, view::ViewCell};
+use crate::{logging::pipe::Pipe, settings::Settings, view::ViewCell};
 
 /// Starts the log of the process; a second start changes nothing.
 pub(crate) fn start(settings: &Settings, view: ViewCell) {
     let identity = format!("vm={} domain={}", settings.vm, settings.domain);
+    let target = match Pipe::start() {
+        Ok(pipe) => Target::Pipe(Box::new(pipe)),
+        Err(err) => {
+            eprintln!("the log is written at once, as its thread can't be started: {err}");
+            Target::Stdout
+        }
+    };
     let logger = env_logger::Builder::new()
         .parse_filters(&settings.log)
+        .target(target)
         .format(move |out, record| {
             let time = out.timestamp_millis();
             let note = view.sequence().0;
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -206,10 +206,14 @@
     fn tell(&mut self, event: ReplicaEvent) {
         match event {
             ReplicaEvent::Fold(event) => self.tell_fold(event),
-            ReplicaEvent::Vms(list) => self.view.set_vms(list),
+            ReplicaEvent::Vms(list) => {
+                info!(list = list.number, vms = list.vms.len(); "list of VMs is in force");
+                self.view.set_vms(list);
+            }
             ReplicaEvent::Order(order) => {
                 self.view
                     .set_drains(Arc::new(self.replica.drains().clone()));
+                info!(order = order.number, scope:? = order.scope, action:? = order.action; "order is in force");
                 self.timeline.record(EventKind::OrderApplied { order });
             }
             ReplicaEvent::Report(report) => self.handle.tell(report),
@@ -219,8 +223,14 @@
             }
             ReplicaEvent::Unreachable(vm) => debug!("VM {vm} can't be reached"),
             ReplicaEvent::Platform(mode) => self.tell_mode(mode),
-            ReplicaEvent::PlatformLost => self.timeline.record(EventKind::PlatformLost),
-            ReplicaEvent::PlatformFound => self.timeline.record(EventKind::PlatformFound),
+            ReplicaEvent::PlatformLost => {
+                warn!("no node in reach hears the platform");
+                self.timeline.record(EventKind::PlatformLost);
+            }
+            ReplicaEvent::PlatformFound => {
+                info!("a node in reach hears the platform");
+                self.timeline.record(EventKind::PlatformFound);
+            }
             ReplicaEvent::Joined(rule) => self.tell_joined(rule),
             ReplicaEvent::Paused(gap) => {
                 warn!("greeting all neighbours again after a pause of {gap:?}");
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::future::LocalBoxFuture;
-use log::debug;
+use log::{debug, info};
 use tokio::time::timeout;
 
 use crate::{
@@ -60,21 +60,31 @@
 
     async fn serve(&self, head: CallHead, reader: FrameReader, mut writer: FrameWriter) {
         let name = head.upstream.clone();
+        let call = head.call.clone();
         let body = Rc::new(RefCell::new(Some(reader)));
         match self.run(head, &body, &mut writer).await {
             Ok(Execution::Whole) => {
                 let _ = writer.end();
             }
             Ok(Execution::Cut | Execution::Abandoned { .. }) => writer.reset(),
-            Err(refusal) => self.refuse(refusal, &name, writer).await,
+            Err(refusal) => self.refuse(refusal, &call, &name, writer).await,
         }
     }
 
-    async fn refuse(&self, refusal: Refusal, upstream: &str, mut writer: FrameWriter) {
-        let upstream = self.shared.upstreams().get(upstream);
+    async fn refuse(&self, refusal: Refusal, call: &str, name: &str, mut writer: FrameWriter) {
+        let upstream = self.shared.upstreams().get(name);
+        let load = upstream.map_or(Load::default(), |upstream| upstream.load());
+        if let Some(left_out) = self.shared.line() {
+            info!(
+                call, upstream = name, reason:? = refusal.reason, outcome:? = refusal.outcome,
+                after_ms = refusal.after_ms, active = load.active, limit = load.limit,
+                queued = load.queued, left_out;
+                "call gets no answer of the upstream here"
+            );
+        }
         let reply = ReplyHead::Refused {
             refusal,
-            load: upstream.map_or(Load::default(), |upstream| upstream.load()),
+            load,
             sequence: self.shared.sequence(),
         };
         if writer.frame(&reply).await.is_ok() {
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -13,6 +13,7 @@
 use crate::{
     invariant::must_hold,
     kernel::Context,
+    logging::LineBudget,
     mutant::{self, Mutant},
     peers::PeersHandle,
     sidecar::{
@@ -35,6 +36,7 @@
     applied: RefCell<Option<Arc<View>>>,
     leaving: Cell<bool>,
     drained: Cell<bool>,
+    lines: RefCell<LineBudget>,
     active: Cell<usize>,
     stopping: Cell<bool>,
     idle: Notify,
@@ -60,6 +62,7 @@
             applied: RefCell::default(),
             leaving: Cell::default(),
             drained: Cell::default(),
+            lines: RefCell::new(LineBudget::new(Instant::now())),
             active: Cell::default(),
             stopping: Cell::default(),
             idle: Notify::new(),
@@ -81,6 +84,11 @@
         &self.suspects
     }
 
+    /// Takes a line of the log on a call; `None` when there were too many.
+    pub(super) fn line(&self) -> Option<u64> {
+        self.lines.borrow_mut().take(Instant::now())
+    }
+
     /// Returns the headers of the deployment.
     pub(super) fn dialect(&self) -> &'static Dialect {
         self.context.settings().protocol.dialect()
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -144,6 +144,8 @@
     TooManyHops,
     /// The upstream's answer broke HTTP.
     BadAnswer,
+    /// No route takes the request.
+    NoRoute,
 }
 
 /// Load of a sidecar, a hint for the choice of upstreams.
--- a/crates/node/tests/daemon.rs
+++ b/crates/node/tests/daemon.rs
@@ -50,8 +50,8 @@
 
     /// Starts a node and waits until all its services run.
     fn start(&self) -> Child {
-        let mut node = daemon(&self.path()).stderr(Stdio::piped()).spawn().unwrap();
-        let log = BufReader::new(node.stderr.take().unwrap());
+        let mut node = daemon(&self.path()).stdout(Stdio::piped()).spawn().unwrap();
+        let log = BufReader::new(node.stdout.take().unwrap());
         let mut lines = log.lines().map_while(Result::ok);
         let started = lines.any(|line| line.contains("service ingress started"));
         assert!(started, "the node ended before its services ran");
