--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -19,6 +19,8 @@
 };
 /// Longest wait of a watch. A reader whose watch has gone silent is noticed after it.
 const WATCH: Duration = Duration::from_secs(2);
+/// Pause between two readings of the registrations by a node that knows no other node yet.
+const LIST_EVERY: Duration = Duration::from_millis(500);
 /// Pause after changes, so that a series of them costs few calls.
 const GATHER: Duration = Duration::from_millis(120);
 
@@ -96,8 +98,11 @@
         let asked = Instant::now();
         let state = self.store.read_registrations().await?;
         self.apply_state(state, asked).await;
-        let _ = self.mode.changed().await;
-        self.mode.mark_unchanged();
+        // An early reading may find no registration yet.
+        tokio::select! {
+            () = sleep(LIST_EVERY) => {}
+            _ = self.mode.changed() => self.mode.mark_unchanged(),
+        }
         Ok(())
     }
 
