--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -22,7 +22,7 @@
 /// Pause between two readings of the registrations by a node that knows no other node yet.
 const LIST_EVERY: Duration = Duration::from_millis(500);
 /// Pause after changes, so that a series of them costs few calls.
-const GATHER: Duration = Duration::from_millis(120);
+const GATHER: Duration = Duration::from_millis(400);
 
 /// Reader of a store.
 pub(super) struct StoreReader<S> {
