--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -346,6 +346,15 @@
         limit.max(1)
     }
 
+    /// Returns how many requests can be expected to run at once, also by the rate of a cold upstream.
+    #[must_use]
+    pub fn expected_limit(&self, now: Instant) -> u32 {
+        let limit = self.limit();
+        self.cold
+            .concurrency(self.latency, now)
+            .map_or(limit, |cold| cold.min(limit))
+    }
+
     /// Returns whether the upstream still gets less than it can bear when warm.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/coordination/src/admission/cold.rs
+++ b/crates/coordination/src/admission/cold.rs
@@ -69,6 +69,15 @@
         self.next_in(now) + SPAN.mul_f64(rounds)
     }
 
+    /// Returns how many requests of a latency run at once at the rate, while it holds.
+    pub(super) fn concurrency(&self, latency: Duration, now: Instant) -> Option<u32> {
+        let rate = self.per_second.filter(|_| self.is_cold(now))?;
+        let running = f64::from(rate) * latency.as_secs_f64();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let running = running.ceil() as u32;
+        Some(running.max(1))
+    }
+
     /// Notes that a request starts.
     pub(super) fn start(&mut self, now: Instant) {
         let Some(rate) = self.per_second else { return };
--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -353,16 +353,24 @@
     }
 }
 
+/// Returns the limit of an upstream that never reported: all slots where the platform lists it, as
+/// its sidecar knows whether it is cold; else it may have just started.
+fn first_limit(candidate: &Candidate) -> u32 {
+    let upstream = &candidate.upstream;
+    upstream.start.map_or(1, |_| upstream.slots.max(1))
+}
+
 fn score<'a>(candidate: &'a Candidate, tracked: &Tracked, lowest: f64, now: Instant) -> Scored<'a> {
     let is_suspect = tracked.health.standing(now) == Standing::Suspect;
     let cost = tracked.cost(lowest, now);
-    let load = tracked.score(now);
+    let limit = f64::from(tracked.limit().unwrap_or_else(|| first_limit(candidate)));
+    let load = tracked.in_use(now) / limit;
     let suspicion = if is_suspect { SUSPECT_FACTOR } else { 1.0 };
     let slowdown = suspicion * (1.0 + FULL_FACTOR * load * load);
     let is_known = tracked.reported_cost().is_some();
     Scored {
         candidate,
-        weight: tracked.limit() / cost,
+        weight: limit / cost,
         load,
         score: cost * slowdown,
         expected: is_known.then(|| lowest * cost * slowdown / COST_UNIT),
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -219,6 +219,25 @@
     assert!(slow > 100, "{slow} of 1000: the others are full");
 }
 
+/// Load pattern: many upstreams, and each ingress sends too few calls to know them all.
+#[test]
+fn listed_upstreams_get_equal_shares_before_they_report() {
+    let names = ["a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8"];
+    let upstreams = names.map(|name| (name, "a"));
+    let mut scene = Scene::new(&upstreams, ALL, 1);
+    for candidate in &mut scene.candidates {
+        let start = crate::note::UpstreamStart {
+            started: 1,
+            cold_ms: 0,
+        };
+        Arc::make_mut(&mut candidate.upstream).start = Some(start);
+    }
+    scene.report("a1", 0, 8);
+    for (name, count) in scene.spread(8_000) {
+        assert!((700..1_300).contains(&count), "{name}: {count} of 8000");
+    }
+}
+
 #[test]
 fn calls_leave_a_failure_domain_whose_upstreams_are_slow() {
     let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], ALL, 1);
--- a/crates/coordination/src/balancer/tracked.rs
+++ b/crates/coordination/src/balancer/tracked.rs
@@ -34,7 +34,7 @@
     pub(crate) health: Health,
     /// Time until which the upstream asked for no calls.
     pub(crate) rest: Option<Instant>,
-    limit: u32,
+    limit: Option<u32>,
     others: Option<(u32, Instant)>,
     cost: Option<(f64, Instant)>,
 }
@@ -46,7 +46,7 @@
             outstanding: 0,
             health: Health::default(),
             rest: None,
-            limit: 1,
+            limit: None,
             others: None,
             cost: None,
         }
@@ -55,7 +55,7 @@
     /// Takes in a report; what it counts of own calls is known better here.
     pub(crate) fn report(&mut self, load: ReportedLoad, now: Instant) {
         let total = load.active.saturating_add(load.queued);
-        self.limit = load.limit.max(1);
+        self.limit = Some(load.limit.max(1));
         if load.cost > 0 {
             self.cost = Some((f64::from(load.cost), now));
         }
@@ -63,7 +63,7 @@
     }
 
     pub(crate) fn forget_load(&mut self) {
-        self.limit = 1;
+        self.limit = None;
         self.others = None;
         self.cost = None;
     }
@@ -88,17 +88,17 @@
         self.rest.is_some_and(|until| now < until)
     }
 
-    /// Returns the limit; an upstream that never reported counts as one that just started.
-    pub(crate) fn limit(&self) -> f64 {
-        f64::from(self.limit)
+    /// Returns the limit that was reported last.
+    pub(crate) fn limit(&self) -> Option<u32> {
+        self.limit
     }
 
-    /// Returns the share of the limit that is in use.
-    pub(crate) fn score(&self, now: Instant) -> f64 {
+    /// Returns the requests that run or wait, as far as is known.
+    pub(crate) fn in_use(&self, now: Instant) -> f64 {
         let others = self.others.map_or(0.0, |(others, at)| {
             let age = now.saturating_duration_since(at);
             f64::from(others) * (-age.div_duration_f64(LOAD_DECAY)).exp()
         });
-        (f64::from(self.outstanding) + others) / self.limit()
+        f64::from(self.outstanding) + others
     }
 }
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -186,7 +186,7 @@
         let admission = self.admission.borrow();
         Load {
             active: admission.active(),
-            limit: admission.limit(),
+            limit: admission.expected_limit(Instant::now()),
             queued: u32::try_from(admission.queued()).unwrap_or(u32::MAX),
             cost: self.quality.borrow().cost(),
         }
