Compress configurations between nodes, judge upstreams by the whole answer, serve others until the stop

Inner nodes pushed some 100 KB of JSON to eight others at each configuration of a storm, over links of 20 Mbit/s, and each readiness check worked out a digest of the configuration. Ruled out: the readers (0.5 s a round) and held registrations (no outage there). Now a configuration travels deflated, made once for all neighbours; readiness needs no digest; an upstream that the platform no longer lists gets nothing more from its sidecar; upstreams are judged by the time until their callers have the whole answer, as links can be the narrow part; a node that leaves serves others until its notice is over.

--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -94,7 +94,7 @@
     pub age_ms: u32,
 }
 
-/// Part of the JSON text of a configuration.
+/// Part of the compressed JSON text of a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotPart {
     /// Sequence of the configuration.
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod platform;
 mod receive;
+mod snapshot;
 mod spread;
 mod summary;
 
@@ -26,7 +27,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::{dial::Dials, link::Link, platform::Readers};
+use self::{dial::Dials, link::Link, platform::Readers, snapshot::SnapshotText};
 use crate::{
     config::Config,
     drain::{DrainList, DrainOrder},
@@ -62,6 +63,7 @@
     drains: DrainList,
     drains_hash: u64,
     config_hash: u32,
+    snapshot: SnapshotText,
     reports: ReportStore,
     fleet: FleetTable,
     links: BTreeMap<LinkId, Link>,
@@ -98,6 +100,7 @@
             is_unlisted: false,
             drains_hash: drains_hash(&drains),
             config_hash: config_hash(&Config::default()),
+            snapshot: SnapshotText::default(),
             drains,
             reports: ReportStore::default(),
             fleet: FleetTable::default(),
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -4,9 +4,8 @@
 
 use rand::Rng;
 
-use super::{LinkId, Output, Replica, ReplicaEvent, link::Peer};
+use super::{LinkId, Output, Replica, ReplicaEvent, link::Peer, snapshot};
 use crate::{
-    config::Config,
     message::{Digest, Have, Hello, Message, SnapshotPart},
     sequence::Sequence,
 };
@@ -224,11 +223,11 @@
             return;
         }
         let text: Vec<u8> = parts.iter().flat_map(|p| p.bytes.iter().copied()).collect();
-        match serde_json::from_slice::<Config>(&text) {
+        match snapshot::expand(&text) {
             Ok(config) => self.install(config, Some(id), now),
             Err(err) => {
                 let vm = self.peer_vm(id);
-                let reason = err.to_string().into();
+                let reason = err.into();
                 self.outputs
                     .extend(vm.map(|vm| Output::Event(ReplicaEvent::SnapshotRefused(vm, reason))));
             }
--- a/crates/coordination/src/replica/spread.rs
+++ b/crates/coordination/src/replica/spread.rs
@@ -156,9 +156,7 @@
 
     fn send_snapshot(&mut self, id: LinkId) {
         let sequence = self.fold.sequence();
-        let Ok(text) = serde_json::to_vec(&**self.fold.config()) else {
-            return;
-        };
+        let text = self.snapshot.of(self.fold.config());
         let chunks: Vec<Arc<[u8]>> = text.chunks(PART_BYTES).map(Arc::from).collect();
         let parts = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
         for (index, bytes) in (0..).zip(chunks) {
--- a/crates/node/src/admin/queries.rs
+++ b/crates/node/src/admin/queries.rs
@@ -1,6 +1,7 @@
 //! Actor on the main thread that answers the admin interface's threads.
 
 use actix::{Actor, Handler, Message, MessageResult, ResponseFuture};
+use serde::Serialize;
 use wagtaillever_coordination::{DrainOrder, NoteReport, Sequence, StatusReport, Verdict};
 
 use crate::{admin::report, kernel::Context, peers::PeersHandle};
@@ -42,6 +43,24 @@
 #[rtype(result = "StatusReport")]
 pub(crate) struct GetStatus;
 
+/// Asks whether the node takes work.
+#[derive(Message)]
+#[rtype(result = "Readiness")]
+pub(crate) struct GetReadiness;
+
+/// Whether the node takes work.
+#[derive(Serialize)]
+pub(crate) struct Readiness {
+    /// Whether it does.
+    pub(crate) ready: bool,
+    /// Phase of its life cycle.
+    pub(crate) phase: &'static str,
+    /// Sequence in force.
+    pub(crate) note: Sequence,
+    /// Why it takes no work.
+    pub(crate) reason: Option<&'static str>,
+}
+
 /// Asks what became of a note.
 #[derive(Message)]
 #[rtype(result = "NoteReport")]
@@ -66,6 +85,22 @@
     }
 }
 
+impl Handler<GetReadiness> for Queries {
+    type Result = MessageResult<GetReadiness>;
+
+    fn handle(&mut self, _: GetReadiness, _: &mut Self::Context) -> Self::Result {
+        let view = self.context.view().load();
+        let peers = self.peers().map(|peers| peers.status());
+        let reason = report::waiting(view.phase, &peers.unwrap_or_default());
+        MessageResult(Readiness {
+            ready: reason.is_none(),
+            phase: view.phase.as_str(),
+            note: view.config.sequence,
+            reason,
+        })
+    }
+}
+
 impl Handler<GetNote> for Queries {
     type Result = ResponseFuture<NoteReport>;
 
--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -11,7 +11,7 @@
 use crate::{
     admin::{
         exporter::Exporter,
-        queries::{GetNote, GetStatus, GiveOrder, Queries},
+        queries::{GetNote, GetReadiness, GetStatus, GiveOrder, Queries},
         token::{Denial, Guard},
     },
     timeline::{Timeline, Timestamp},
@@ -52,25 +52,11 @@
     HttpResponse::Ok().body("ok\n")
 }
 
-#[derive(Serialize)]
-struct Readiness {
-    ready: bool,
-    phase: String,
-    note: Sequence,
-    reason: Option<String>,
-}
-
 #[get("/ready")]
 async fn ready(shared: Data<Shared>) -> impl Responder {
-    let Ok(report) = shared.queries.send(GetStatus).await else {
+    let Ok(readiness) = shared.queries.send(GetReadiness).await else {
         return stopping();
     };
-    let readiness = Readiness {
-        ready: report.waiting.is_none(),
-        phase: report.phase,
-        note: report.note,
-        reason: report.waiting,
-    };
     if readiness.ready {
         return HttpResponse::Ok().json(readiness);
     }
--- a/crates/node/src/ingress/channel.rs
+++ b/crates/node/src/ingress/channel.rs
@@ -12,7 +12,8 @@
 
 use crate::transport::{Connection, TransportError, connect_windowed};
 
-/// Flow-control window of one call in bytes, which bounds what a slow caller holds back.
+/// Flow-control window of one call in bytes, which bounds what a slow caller holds back and what
+/// several large answers put before a short one on a small link.
 pub(super) const CALL_WINDOW_BYTES: u32 = 16 << 10;
 /// Longest time until the first answer on a new connection.
 const FIRST_PONG_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -19,7 +19,6 @@
 use crate::{
     ingress::{
         beliefs::Beliefs,
-        channel::CALL_WINDOW_BYTES,
         pool::{self, Pool},
         record::Recorder,
         request::{CallerRequest, Words},
@@ -79,7 +78,7 @@
             balance: settings.policies.balance,
             ejection: settings.policies.ejection,
         };
-        let calls = settings.limits.body_bytes / CALL_WINDOW_BYTES as usize;
+        let calls = settings.limits.body_bytes / CALL_BYTES;
         let beliefs = Beliefs::new(shared.view.load(), settings, None);
         let worker = Rc::new(Self {
             pool: Rc::new(Pool::new(settings.address, shared.token.clone())),
@@ -188,5 +187,7 @@
     }
 }
 
+/// Bytes that one call may hold: its kept body, which is larger than what a stream holds back.
+const CALL_BYTES: usize = 64 << 10;
 /// Calls in flight that a node allows however small its limits are.
 const MIN_CALLS: usize = 8;
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -120,11 +120,10 @@
 
     fn check_node(&self, call: &Call) -> Result<(), Refusal> {
         let phase = self.shared.context().view().load().phase;
-        let is_leaving = matches!(phase, Phase::Leaving | Phase::Stopping);
-        if self.shared.is_stopping() || is_leaving {
+        if self.shared.is_stopping() || phase == Phase::Stopping {
             return Err(did_not_run(RefusalReason::Draining));
         }
-        if phase != Phase::Serving || self.shared.is_stalled() {
+        if !phase.takes_calls() || self.shared.is_stalled() {
             return Err(did_not_run(RefusalReason::NotReady));
         }
         if call.left().is_zero() {
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -4,3 +4,4 @@
 mod bed;
 mod forwarding;
 mod keys;
+mod listed;
--- /dev/null
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -0,0 +1,152 @@
+//! Upstreams that the platform itself lists.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use assert_matches::assert_matches;
+use wagtaillever_coordination::{ListedUpstream, VmEntry, VmList, VmState};
+
+use super::bed::{Bed, Reply, config_of, get, raw_upstream};
+use crate::{
+    view::Phase,
+    wire::{Outcome, Refusal, RefusalReason},
+};
+
+/// A sidecar whose upstream `u` stands in the platform's list.
+struct Scene {
+    bed: Bed,
+    address: SocketAddr,
+    number: u64,
+}
+
+impl Scene {
+    async fn start(answer: &'static [u8]) -> Self {
+        let address = raw_upstream(answer).await;
+        let bed = Bed::node("vm-1", "protocol: store\n", config_of(1, 4, &[])).await;
+        let mut scene = Self {
+            bed,
+            address,
+            number: 0,
+        };
+        scene.list(VmState::Live, true);
+        scene
+    }
+
+    fn list(&mut self, state: VmState, is_there: bool) {
+        self.number += 1;
+        let upstream = ListedUpstream {
+            name: "u".into(),
+            service: "s".into(),
+            address: self.address,
+            slots: 4,
+            started: 1,
+            cold_ms: 0,
+        };
+        let entry = VmEntry {
+            vm: "vm-1".into(),
+            domain: "modica".into(),
+            region: "sicily".into(),
+            address: self.bed.context.settings().peers,
+            state,
+            upstreams: is_there.then_some(upstream).into_iter().collect(),
+        };
+        let list = VmList {
+            number: self.number,
+            vms: vec![Arc::new(entry)],
+        };
+        self.bed.context.view().set_vms(Arc::new(list));
+    }
+
+    async fn is_refused(&self, expected: RefusalReason) {
+        let reply = self.bed.call(get(), b"").await;
+        let Reply::Refused(Refusal {
+            outcome,
+            reason,
+            is_arrived,
+            ..
+        }) = reply
+        else {
+            panic!("{reply:?}");
+        };
+        assert_eq!((outcome, reason), (Outcome::DidNotRun, expected));
+        assert!(!is_arrived || expected == RefusalReason::Overloaded);
+    }
+
+    async fn is_served(&self) {
+        assert_matches!(self.bed.call(get(), b"").await, Reply::Whole { .. });
+    }
+}
+
+const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: 7\r\ncontent-length: 5\r\n\r\nhello";
+
+#[actix_rt::test]
+async fn a_listed_upstream_serves_until_it_is_gone() {
+    let mut scene = Scene::start(HELLO).await;
+    scene.is_served().await;
+    scene.list(VmState::Live, false);
+    scene.is_refused(RefusalReason::NoUpstream).await;
+}
+
+#[actix_rt::test]
+async fn a_vm_that_is_listed_as_leaving_takes_no_new_work() {
+    let mut scene = Scene::start(HELLO).await;
+    scene.is_served().await;
+    scene.list(VmState::Leaving, true);
+    scene.is_refused(RefusalReason::Draining).await;
+}
+
+#[actix_rt::test]
+async fn a_newer_configuration_elsewhere_does_not_keep_calls_from_a_listed_upstream() {
+    let scene = Scene::start(HELLO).await;
+    let newer = crate::wire::CallHead {
+        sequence: 9,
+        ..get()
+    };
+    assert_matches!(scene.bed.call(newer, b"").await, Reply::Whole { .. });
+}
+
+#[actix_rt::test]
+async fn a_node_that_leaves_serves_until_it_stops() {
+    let scene = Scene::start(HELLO).await;
+    scene.bed.context.view().set_phase(Phase::Leaving);
+    scene.is_served().await;
+    scene.bed.context.view().set_phase(Phase::Stopping);
+    scene.is_refused(RefusalReason::Draining).await;
+}
+
+#[actix_rt::test]
+async fn an_answer_to_another_request_is_not_passed_on() {
+    const OTHER: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: 8\r\ncontent-length: 5\r\n\r\nhello";
+    let scene = Scene::start(OTHER).await;
+    let reply = scene.bed.call(get(), b"").await;
+    assert_matches!(
+        reply,
+        Reply::Refused(Refusal {
+            outcome: Outcome::Unknown,
+            reason: RefusalReason::BadAnswer,
+            ..
+        })
+    );
+}
+
+#[actix_rt::test]
+async fn a_refusal_of_the_upstream_proves_that_nothing_ran_and_counts_as_arrived() {
+    const FULL: &[u8] = b"HTTP/1.1 503 Full\r\nrequest-id: 7\r\nnot-executed: 1\r\n\
+        content-length: 0\r\n\r\n";
+    let scene = Scene::start(FULL).await;
+    let reply = scene.bed.call(get(), b"").await;
+    assert_matches!(
+        reply,
+        Reply::Refused(Refusal {
+            outcome: Outcome::DidNotRun,
+            is_arrived: true,
+            ..
+        })
+    );
+}
+
+#[actix_rt::test]
+async fn another_upstream_at_the_address_proves_that_nothing_ran() {
+    const OTHER: &[u8] = b"HTTP/1.1 421 Other\r\nrequest-id: 7\r\ncontent-length: 0\r\n\r\n";
+    let scene = Scene::start(OTHER).await;
+    scene.is_refused(RefusalReason::NoUpstream).await;
+}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -234,7 +234,7 @@
         admission.release(held, alone, sample.rank);
         admission.observe(sample, now);
         drop(admission);
-        self.judge(&sample, is_good);
+        self.judge(&sample, held, is_good);
         if sample.result == SampleResult::Refused {
             self.crashes.borrow_mut().sign(now);
             self.doubt();
@@ -243,7 +243,9 @@
         self.pump();
     }
 
-    fn judge(&self, sample: &Sample, is_good: bool) {
+    /// Learns how well the upstream answers. The time counts until the caller has the whole answer,
+    /// as a small link can take longer than the upstream.
+    fn judge(&self, sample: &Sample, held: Duration, is_good: bool) {
         let mut quality = self.quality.borrow_mut();
         match sample.result {
             SampleResult::Answered => {
@@ -251,7 +253,7 @@
                     u32::MAX => Duration::ZERO,
                     target_ms => Duration::from_millis(target_ms.into()),
                 };
-                quality.answered(sample.latency, target, is_good);
+                quality.answered(held, target, is_good);
             }
             SampleResult::Shed | SampleResult::Failed => quality.failed(),
             SampleResult::Refused | SampleResult::Abandoned => {}
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -37,10 +37,14 @@
         }
     }
 
-    /// Returns an upstream that is in force or was withdrawn a moment ago.
+    /// Returns an upstream that is in force or that a note withdrew a moment ago. One that the
+    /// platform no longer lists gets nothing more: it may be about to end, and others know it.
     pub(super) fn get(&self, name: &str) -> Option<Rc<LocalUpstream>> {
         let entries = self.entries.borrow();
-        entries.get(name).map(|entry| Rc::clone(&entry.upstream))
+        let entry = entries.get(name)?;
+        let is_listed = entry.upstream.spec().start.is_some();
+        let is_gone = entry.gone_at.is_some() && is_listed;
+        (!is_gone).then(|| Rc::clone(&entry.upstream))
     }
 
     /// Applies a configuration and the platform's entry of this VM.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -32,14 +32,14 @@
     Joining,
     /// The node takes work.
     Serving,
-    /// The node still takes callers' calls while they learn that it stops.
+    /// The node still takes calls while callers learn that it stops.
     Leaving,
     /// The node finishes the work in hand.
     Stopping,
 }
 
 impl Phase {
-    /// Returns whether callers' calls are taken.
+    /// Returns whether calls are taken.
     pub(crate) fn takes_calls(self) -> bool {
         matches!(self, Self::Serving | Self::Leaving)
     }
