--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -48,7 +48,7 @@
 
 /// What a call asks of the choice.
 #[derive(Clone, Copy, Debug)]
-pub struct Wish<'a> {
+pub struct Constraints<'a> {
     /// Upstreams that were tried before.
     pub excluded: &'a [UpstreamName],
     /// Whether the request may run more than once, so that it can serve as a probe.
@@ -110,11 +110,11 @@
     pub fn choose<'a>(
         &mut self,
         candidates: &'a [Candidate],
-        wish: Wish<'_>,
+        constraints: Constraints<'_>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Result<(&'a Candidate, Ticket), NoChoice> {
-        let options = self.options(candidates, wish, now);
+        let options = self.options(candidates, constraints, now);
         if let Some(probe) = options.probe {
             return Ok(self.take(probe, true, now));
         }
@@ -234,7 +234,7 @@
     fn options<'a>(
         &self,
         candidates: &'a [Candidate],
-        wish: Wish<'_>,
+        constraints: Constraints<'_>,
         now: Instant,
     ) -> Options<'a> {
         let mut options = Options::default();
@@ -243,7 +243,7 @@
         let fresh = Tracked::new(0);
         let lowest = self.lowest_cost(candidates);
         let allowed = candidates.iter();
-        for candidate in allowed.filter(|c| !wish.excluded.contains(&c.upstream.name)) {
+        for candidate in allowed.filter(|c| !constraints.excluded.contains(&c.upstream.name)) {
             let name = &candidate.upstream.name;
             let tracked = self.upstreams.get(name).unwrap_or(&fresh);
             let scored = score(candidate, tracked, lowest, now);
@@ -252,7 +252,7 @@
                     resting.push(scored);
                 }
                 Standing::Healthy | Standing::Suspect => options.usable.push(scored),
-                Standing::Due { since } if wish.idempotent || since >= PROBE_PATIENCE => {
+                Standing::Due { since } if constraints.idempotent || since >= PROBE_PATIENCE => {
                     options.probe = Some(scored);
                 }
                 Standing::Due { .. } => ejected.push((Duration::ZERO, false, scored)),
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -33,13 +33,13 @@
         excluded: &[UpstreamName],
         idempotent: bool,
     ) -> Result<Ticket, NoChoice> {
-        let wish = Wish {
+        let constraints = Constraints {
             excluded,
             idempotent,
         };
         let chosen = self
             .balancer
-            .choose(&self.candidates, wish, self.now, &mut self.rng);
+            .choose(&self.candidates, constraints, self.now, &mut self.rng);
         chosen.map(|(_, ticket)| ticket)
     }
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -52,7 +52,7 @@
         Sample, SampleResult, StartMark, Turn,
     },
     backoff::Backoff,
-    balancer::{Balancer, BalancerPolicy, NoChoice, ReportedLoad, Ticket, Wish},
+    balancer::{Balancer, BalancerPolicy, Constraints, NoChoice, ReportedLoad, Ticket},
     base::{Base, BaseIndex, Publication},
     border::parse_yaml,
     budget::{PLATFORM_READS_S, ReadBudget},
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod feedback;
 mod fingerprint;
+mod guards;
 mod handler;
 mod keepalive;
 mod pool;
@@ -16,7 +17,6 @@
 mod reply_body;
 mod request;
 mod server;
-mod visit;
 mod worker;
 
 #[cfg(test)]
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -9,8 +9,8 @@
 use actix_web::HttpResponse;
 use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
-    AttemptEnd, AttemptLimit, Attempts, Evidence, Next, RequestKind, Route, Sequence, UpstreamName,
-    Wish, key_owner,
+    AttemptEnd, AttemptLimit, Attempts, Constraints, Evidence, Next, RequestKind, Route, Sequence,
+    UpstreamName, key_owner,
 };
 
 use crate::{
@@ -20,11 +20,11 @@
         body::{CallerGone, RequestBody},
         feedback::{Feedback, feedback},
         fingerprint::fingerprint,
+        guards::{CallGuard, Permit},
         record::CallFacts,
         refusal::{NO_UPSTREAM_AFTER_MS, bad_answer, no_choice, not_run, soonest},
         reply_body::{no_body, reply_body},
         request::CallerRequest,
-        visit::{Permit, Visit},
         worker::Worker,
     },
     invariant::must_hold,
@@ -53,7 +53,7 @@
 struct Place {
     upstream: UpstreamName,
     address: SocketAddr,
-    visit: Visit,
+    visit: CallGuard,
 }
 
 impl Dispatch {
@@ -144,7 +144,7 @@
         Ok(Place {
             upstream: owner.name.clone(),
             address,
-            visit: Visit::new(&self.worker, ticket),
+            visit: CallGuard::new(&self.worker, ticket),
         })
     }
 
@@ -157,14 +157,14 @@
         } else {
             beliefs.candidates.of(&self.request.service)
         };
-        let wish = Wish {
+        let constraints = Constraints {
             excluded: &self.tried,
             idempotent: self.request.idempotent,
         };
         let now = Instant::now();
         let mut balancer = self.worker.balancer.borrow_mut();
         let mut rng = self.worker.rng.borrow_mut();
-        let chosen = balancer.choose(candidates, wish, now, &mut *rng);
+        let chosen = balancer.choose(candidates, constraints, now, &mut *rng);
         let (candidate, ticket) = chosen.map_err(no_choice)?;
         if ticket.is_probe() {
             self.worker.recorder.probed(&candidate.upstream.name);
@@ -172,7 +172,7 @@
         Ok(Place {
             upstream: candidate.upstream.name.clone(),
             address: candidate.address,
-            visit: Visit::new(&self.worker, ticket),
+            visit: CallGuard::new(&self.worker, ticket),
         })
     }
 
@@ -193,13 +193,13 @@
             feedback.evidence = Some(Evidence::Answered);
             feedback.load = None;
         }
-        self.teach(&place, &feedback);
+        self.inform_balancer(&place, &feedback);
         self.tried.push(place.upstream.clone());
         (sent, place, feedback)
     }
 
     /// Passes on to the balancer what the attempt shows.
-    fn teach(&self, place: &Place, feedback: &Feedback) {
+    fn inform_balancer(&self, place: &Place, feedback: &Feedback) {
         let ticket = place.visit.ticket();
         let now = Instant::now();
         let mut balancer = self.worker.balancer.borrow_mut();
--- a/crates/node/src/ingress/visit.rs
+++ b/crates/node/src/ingress/guards.rs
@@ -35,12 +35,12 @@
 }
 
 /// One call at one upstream, counted until drop.
-pub(super) struct Visit {
+pub(super) struct CallGuard {
     worker: Rc<Worker>,
     ticket: Ticket,
 }
 
-impl Visit {
+impl CallGuard {
     /// Returns the guard of a ticket.
     pub(super) fn new(worker: &Rc<Worker>, ticket: Ticket) -> Self {
         Self {
@@ -55,7 +55,7 @@
     }
 }
 
-impl Drop for Visit {
+impl Drop for CallGuard {
     fn drop(&mut self) {
         let mut balancer = self.worker.balancer.borrow_mut();
         balancer.release(&self.ticket, Instant::now());
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -16,7 +16,7 @@
     ingress::{
         attempt::{Reply, drive},
         channel::Channel,
-        visit::{Permit, Visit},
+        guards::{CallGuard, Permit},
     },
     mutant::{self, Mutant},
     transport::FrameReader,
@@ -41,7 +41,7 @@
     upload: Option<LocalBoxFuture<'static, ()>>,
     left: Option<u64>,
     idle: Duration,
-    _guards: (Visit, Permit, Rc<Channel>),
+    _guards: (CallGuard, Permit, Rc<Channel>),
 }
 
 /// Returns the body of a reply; the guards are held until its end.
@@ -49,7 +49,7 @@
     reply: Reply,
     length: Option<u64>,
     idle: Duration,
-    visit: Visit,
+    visit: CallGuard,
     permit: Permit,
 ) -> BoxBody {
     let body = ReplyBody {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -135,7 +135,7 @@
             .borrow()
             .as_ref()
             .map_or(0, |service| service.cold_ms);
-        if self.health_path().is_none() || cold_ms == 0 {
+        if self.spec().start.is_none() || cold_ms == 0 {
             return;
         }
         self.cold_for(Duration::from_millis(cold_ms));
