--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -187,3 +187,52 @@
     refuse("log: 'info,,'", "9", "\"\" is no filter");
     refuse("log: 'node = debug'", "9", "is no filter");
 }
+
+#[test]
+fn a_store_needs_an_address() {
+    Case::new()
+        .set("platform: []")
+        .set("seeds: [127.0.0.1:7009]")
+        .set("protocol: store")
+        .refuse("8", "must name the store");
+    Case::new().set("protocol: store").accept();
+    refuse("protocol: tape", "9", "unknown variant");
+}
+
+#[test]
+fn probes_have_an_address_of_their_own() {
+    refuse("probes: 127.0.0.1:7003", "9", "is taken by admin");
+    let settings = Case::new().set("probes: 127.0.0.1:7004").accept();
+    assert_eq!(settings.probes, Some("127.0.0.1:7004".parse().unwrap()));
+}
+
+#[test]
+fn the_template_of_the_prepared_machines_gives_valid_settings() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/node.yaml");
+    let mut text = std::fs::read_to_string(path).unwrap();
+    let fields = [
+        ("ip", "10.1.0.41"),
+        ("zone", "ragusa"),
+        ("region", "sicily"),
+        ("service", "huvo11a"),
+        ("listen.outbound", "10.1.0.41:8629"),
+        ("listen.ready", "10.1.0.41:8625"),
+        ("provider.address", "10.200.1.7:8627"),
+        (
+            "zones|json",
+            "{\"ragusa\":\"sicily\",\"modica\":\"sicily\"}",
+        ),
+        ("bounds.retry_budget_ratio", "0.2"),
+        ("bounds.budget_min_retries", "60"),
+        ("bounds.budget_window_s", "10"),
+    ];
+    for (field, value) in fields {
+        text = text.replace(&format!("{{{{{field}}}}}"), value);
+    }
+    assert!(!text.contains("{{"), "a field is not filled in: {text}");
+    let settings = Case { text }.accept();
+    assert_eq!(settings.protocol, super::Protocol::Store);
+    assert_eq!(settings.regions.len(), 2);
+    let stop_ms = settings.limits.notice_ms + settings.limits.stop_ms;
+    assert!(stop_ms < 6_000, "the platform kills after 6 s");
+}
