Take an upstream for cold when a node starts beside it, until it tells otherwise

Found by reading: a fresh node trusted the list's cold time and asked the upstream at once, but only if its configuration was already known, and served at full rate until the answer. An upstream that had just turned cold could get more than it bears. The test fails without the change (three requests in a second at a rate of one).

--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use assert_matches::assert_matches;
-use wagtaillever_coordination::{ListedUpstream, VmEntry, VmList, VmState};
+use wagtaillever_coordination::{Config, ListedUpstream, Service, VmEntry, VmList, VmState};
 
 use super::bed::{Bed, Reply, config_of, get, raw_upstream};
 use crate::{
@@ -20,8 +20,14 @@
 
 impl Scene {
     async fn start(answer: &'static [u8]) -> Self {
+        Self::with_service(answer, Service::named("s".into())).await
+    }
+
+    async fn with_service(answer: &'static [u8], service: Service) -> Self {
         let address = raw_upstream(answer).await;
-        let bed = Bed::node("vm-1", "protocol: store\n", config_of(1, 4, &[])).await;
+        let mut config = Config::clone(&config_of(1, 4, &[]));
+        config.services.insert("s".into(), Arc::new(service));
+        let bed = Bed::node("vm-1", "protocol: store\n", Arc::new(config)).await;
         let mut scene = Self {
             bed,
             address,
@@ -150,3 +156,30 @@
     let scene = Scene::start(OTHER).await;
     scene.is_refused(RefusalReason::NoUpstream).await;
 }
+
+/// Load pattern: a node starts beside an upstream that has just turned cold and does not answer on
+/// its health, while the list still says that it is warm.
+#[actix_rt::test]
+async fn an_upstream_is_cold_to_a_fresh_node_until_it_tells_otherwise() {
+    const FULL: &[u8] = b"HTTP/1.1 503 Full\r\nrequest-id: 7\r\nnot-executed: 1\r\n\
+        content-length: 0\r\n\r\n";
+    let service = Service {
+        health: Some("/health".into()),
+        cold_per_second: Some(1),
+        cold_ms: 60_000,
+        ..Service::named("s".into())
+    };
+    let scene = Scene::with_service(FULL, service).await;
+    let mut arrived = Vec::new();
+    for _ in 0..3 {
+        let call = crate::wire::CallHead {
+            left_ms: 100,
+            ..get()
+        };
+        match scene.bed.call(call, b"").await {
+            Reply::Refused(refusal) => arrived.push(refusal.is_arrived),
+            reply => panic!("{reply:?}"),
+        }
+    }
+    assert_eq!(arrived, [true, false, false]);
+}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -113,6 +113,9 @@
         }
         let settings = admission_settings(spec, service.map(|it| &**it), &self.policies);
         self.admission.borrow_mut().reconfigure(settings);
+        if old_service.is_none() && service.is_some() {
+            self.doubt();
+        }
         let told_cold = spec.start.map_or(0, |start| start.cold_ms);
         if told_cold > 0 && old.start != spec.start {
             self.cold_for(Duration::from_millis(told_cold));
@@ -120,15 +123,8 @@
         self.pump();
     }
 
-    /// Asks the upstream how long it stays cold, if it can tell: a process of this node that has
-    /// just started doesn't know for how long the upstream has run.
-    pub(super) fn begin(self: &Rc<Self>) {
-        if self.spec().start.is_some() {
-            health::ask(self);
-        }
-    }
-
-    /// Treats the upstream as cold until it tells otherwise.
+    /// Treats the upstream as cold until it tells otherwise, such as when this process has just
+    /// started and doesn't know for how long the upstream has run.
     pub(super) fn doubt(self: &Rc<Self>) {
         let cold_ms = self
             .service
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -88,7 +88,7 @@
         let spec = Arc::clone(spec);
         let upstream = LocalUpstream::new(spec, service.cloned(), &self.settings, timeline);
         let upstream = Rc::new(upstream);
-        upstream.begin();
+        upstream.doubt();
         let entry = Entry {
             upstream,
             gone_at: None,
