--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -16,7 +16,7 @@
 };
 
 /// Silence of the platform after which registrations may have lapsed through no fault of their
-/// upstreams.
+/// upstreams; some ten times what a slow answer takes.
 const OUTAGE: Duration = Duration::from_secs(1);
 /// Time after an outage for which a missing registration is kept. The platform's pages say that
 /// those of live upstreams are back within about two seconds.
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -53,7 +53,7 @@
 struct Place {
     upstream: UpstreamName,
     address: SocketAddr,
-    visit: CallGuard,
+    guard: CallGuard,
 }
 
 impl Dispatch {
@@ -144,7 +144,7 @@
         Ok(Place {
             upstream: owner.name.clone(),
             address,
-            visit: CallGuard::new(&self.worker, ticket),
+            guard: CallGuard::new(&self.worker, ticket),
         })
     }
 
@@ -172,7 +172,7 @@
         Ok(Place {
             upstream: candidate.upstream.name.clone(),
             address: candidate.address,
-            visit: CallGuard::new(&self.worker, ticket),
+            guard: CallGuard::new(&self.worker, ticket),
         })
     }
 
@@ -200,7 +200,7 @@
 
     /// Passes on to the balancer what the attempt shows.
     fn inform_balancer(&self, place: &Place, feedback: &Feedback) {
-        let ticket = place.visit.ticket();
+        let ticket = place.guard.ticket();
         let now = Instant::now();
         let mut balancer = self.worker.balancer.borrow_mut();
         if let Some(load) = feedback.load {
@@ -327,7 +327,7 @@
             return builder.finish();
         }
         let idle = Duration::from_millis(self.request.route.timeout_ms);
-        let body = reply_body(reply, length, idle, place.visit, permit);
+        let body = reply_body(reply, length, idle, place.guard, permit);
         builder.body(body)
     }
 
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -49,7 +49,7 @@
     reply: Reply,
     length: Option<u64>,
     idle: Duration,
-    visit: CallGuard,
+    guard: CallGuard,
     permit: Permit,
 ) -> BoxBody {
     let body = ReplyBody {
@@ -57,7 +57,7 @@
         upload: reply.upload,
         left: length,
         idle,
-        _guards: (visit, permit, reply.channel),
+        _guards: (guard, permit, reply.channel),
     };
     let length = length.filter(|_| !mutant::is_on(Mutant::ShortAnswers));
     let parts = stream::unfold(Some(body), next_part).boxed_local();
--- a/crates/node/src/sidecar/health.rs
+++ b/crates/node/src/sidecar/health.rs
@@ -10,9 +10,11 @@
 
 /// Longest time for one answer. An upstream that is full may never answer.
 const TIMEOUT: Duration = Duration::from_millis(400);
-/// Pause after a question without a usable answer.
+/// Pause after a question without a usable answer: each question has a price, and a cold start takes
+/// some seconds.
 const PAUSE: Duration = Duration::from_millis(400);
-/// Questions after which the upstream counts as gone for now.
+/// Questions after which the upstream counts as gone for now: some 16 s, in which a server that fell
+/// over is back.
 const MAX_ASKED: u32 = 20;
 
 /// Asks an upstream until it tells how long it stays cold, unless it is being asked already.
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -12,16 +12,19 @@
 
 use crate::{peers::PeersHandle, view::ViewCell};
 
-/// Delays after failed readings.
+/// Delays after failed readings; the longest is below the time in which a silent reader is replaced.
 const RETRY: Backoff = Backoff {
     first: Duration::from_millis(100),
     limit: Duration::from_millis(800),
 };
-/// Longest wait of a watch. A reader whose watch has gone silent is noticed after it.
+/// Longest wait of a watch: with the time for its answer well below the 6 s for which word of the
+/// platform counts as fresh, so that a watch that has gone silent is noticed in time.
 const WATCH: Duration = Duration::from_secs(2);
-/// Pause between two readings of the registrations by a node that knows no other node yet.
+/// Pause between two readings of the registrations by a node that knows no other node yet: a third of
+/// the time in which upstreams renew theirs.
 const LIST_EVERY: Duration = Duration::from_millis(500);
-/// Pause after changes, so that a series of them costs few calls.
+/// Pause after changes, so that a series of them costs few calls: a fifth of the two seconds in which
+/// the platform's pages want a change in force.
 const GATHER: Duration = Duration::from_millis(400);
 
 /// Reader of a store.
