--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -3,6 +3,7 @@
 mod adaptive;
 mod alone;
 mod cold;
+mod link;
 mod queue;
 mod ramp;
 mod rank;
@@ -15,6 +16,7 @@
     adaptive::AdaptiveLimit,
     alone::{AloneQueue, MAX_ALONE},
     cold::ColdRate,
+    link::LinkBacklog,
     ramp::Ramp,
     rank::{RankTimes, RankedQueue, mean},
 };
@@ -33,6 +35,7 @@
     adaptive: AdaptiveLimit,
     ramp: Ramp,
     cold: ColdRate,
+    link: LinkBacklog,
     queue: RankedQueue,
     times: RankTimes,
     alone: AloneQueue,
@@ -57,6 +60,8 @@
     /// Requests a second that a cold upstream bears, where its service states it; there is no
     /// ramp then.
     pub cold_per_second: Option<u32>,
+    /// Bytes a second that answers get on the link of the upstream's VM, where they are known.
+    pub link_rate: Option<u64>,
 }
 
 /// A request that asks to be run.
@@ -175,6 +180,7 @@
             adaptive: AdaptiveLimit::new(settings.slots),
             ramp: Ramp::default(),
             cold: ColdRate::new(settings.cold_per_second),
+            link: LinkBacklog::new(settings.link_rate),
             queue: RankedQueue::default(),
             times: RankTimes::default(),
             alone: AloneQueue::default(),
@@ -200,25 +206,26 @@
         if ask.alone {
             return self.arrive_alone(ask, now);
         }
-        if self.queue.is_empty() && self.has_room(now) && !self.alone.holds_others(now) {
+        let is_first = self.queue.is_empty() && self.has_link_room(ask.rank);
+        if is_first && self.has_room(now) && !self.alone.holds_others(now) {
             self.start(now);
             return Arrival::Start;
         }
         let wait = self.wait_of(ask.rank, now);
-        let latency = self.latency_of(ask.rank);
-        if now + wait + latency > ask.deadline {
+        let time = self.time_of(ask.rank);
+        if now + wait + time > ask.deadline {
             return Arrival::Refuse(reject(RejectionCause::Late, wait));
         }
-        if !self.has_place(&ask, wait, latency, now) {
+        if !self.has_place(&ask, wait, time, now) {
             return Arrival::Refuse(reject(RejectionCause::Full, wait));
         }
-        ask.patience = Some(patience(&ask, latency, now));
+        ask.patience = Some(patience(&ask, time, now));
         Arrival::Wait(self.queue.push(ask))
     }
 
     /// Returns whether one more request may wait. One whose caller wants the answer by a time may
     /// wait as long as it can still be in time; the others share a bounded queue.
-    fn has_place(&mut self, ask: &Ask, wait: Duration, latency: Duration, now: Instant) -> bool {
+    fn has_place(&mut self, ask: &Ask, wait: Duration, time: Duration, now: Instant) -> bool {
         if self.queue.len() >= MAX_QUEUED {
             return false;
         }
@@ -226,7 +233,7 @@
         match ask.target.filter(|_| is_known && !ask.rank.is_late) {
             Some(target) => {
                 let slack = target.saturating_duration_since(now);
-                wait <= slack.saturating_sub(latency).mul_f64(WAIT_SHARE)
+                wait <= slack.saturating_sub(time).mul_f64(WAIT_SHARE)
             }
             None if is_known && ask.target.is_some() => wait <= QUEUE_TARGET,
             None => self.queue.len() < self.queue_bound() || self.queue.make_room(ask),
@@ -252,8 +259,9 @@
         if !self.has_room(now) || self.alone.holds_others(now) {
             return None;
         }
-        let (ticket, ask) = self.queue.pop()?;
-        if now + self.latency_of(ask.rank) > ask.deadline {
+        let rank = self.queue.ranks().find(|rank| self.has_link_room(*rank))?;
+        let (ticket, ask) = self.queue.pop_rank(rank)?;
+        if now + self.time_of(ask.rank) > ask.deadline {
             return Some(Turn::Refuse(ticket, reject(RejectionCause::Late, wait)));
         }
         self.start(now);
@@ -310,6 +318,26 @@
         self.times.released(rank, held);
     }
 
+    /// Counts the answer to a request that was just started as one that is to cross the link;
+    /// returns the bytes that are expected of it.
+    pub fn expect_answer(&mut self, rank: Rank) -> u64 {
+        let bytes = self.times.of(rank).bytes;
+        self.link.add(bytes);
+        bytes
+    }
+
+    /// Corrects what is expected of an answer, when its length is told or when a part of it was
+    /// sent.
+    pub fn correct_answer(&mut self, before: u64, now: u64) {
+        self.link.remove(before);
+        self.link.add(now);
+    }
+
+    /// Learns the length of a whole answer in bytes.
+    pub fn learn_length(&mut self, rank: Rank, bytes: u64) {
+        self.times.sent(rank, bytes);
+    }
+
     /// Takes note of a sign that the upstream has restarted and is cold.
     pub fn restarted(&mut self, now: Instant) {
         let is_ramped = self.settings.ramp && self.settings.cold_per_second.is_none();
@@ -327,6 +355,7 @@
     pub fn reconfigure(&mut self, settings: AdmissionSettings) {
         self.settings = settings;
         self.cold.set_rate(settings.cold_per_second);
+        self.link.set_rate(settings.link_rate);
         self.adaptive.set_slots(settings.slots);
     }
 
@@ -437,19 +466,38 @@
         );
     }
 
+    /// Returns whether the link has room for one more answer to a request of a rank.
+    fn has_link_room(&self, rank: Rank) -> bool {
+        let bytes = self.times.of(rank).bytes;
+        self.link.has_room(bytes, self.latency_of(rank))
+    }
+
     /// Returns the time that a request of a rank waits behind the others, about.
     fn wait_of(&self, rank: Rank, now: Instant) -> Duration {
         let over = self.active.saturating_sub(self.limit());
         let mut ahead = 0;
+        let mut ahead_bytes = 0;
         let mut work = self.held * over;
         for (rank, waiting) in self.queue.up_to(rank) {
             ahead += waiting;
-            let held = self.times.of(rank).held;
-            let held = if held.is_zero() { self.held } else { held };
+            let times = self.times.of(rank);
+            let held = if times.held.is_zero() {
+                self.held
+            } else {
+                times.held
+            };
             work += held * u32::try_from(waiting).unwrap_or(u32::MAX);
+            ahead_bytes += times.bytes * waiting as u64;
         }
         let wait = work / self.limit();
-        wait.max(self.cold.wait_behind(ahead, now))
+        let bytes = self.times.of(rank).bytes;
+        let link = self.link.wait(bytes, ahead_bytes, self.latency_of(rank));
+        wait.max(self.cold.wait_behind(ahead, now)).max(link)
+    }
+
+    /// Returns the time from the start of a request of a rank until its whole answer is sent, about.
+    fn time_of(&self, rank: Rank) -> Duration {
+        self.latency_of(rank) + self.link.transfer(self.times.of(rank).bytes)
     }
 
     /// Returns the time that a request of a rank takes, about.
@@ -475,8 +523,8 @@
 
 /// Returns until when a request waits: as long as it can be answered at all, or, if its answer is
 /// late in any case, for a short time.
-fn patience(ask: &Ask, latency: Duration, now: Instant) -> Instant {
-    let last = ask.deadline.checked_sub(latency).unwrap_or(now);
+fn patience(ask: &Ask, time: Duration, now: Instant) -> Instant {
+    let last = ask.deadline.checked_sub(time).unwrap_or(now);
     if ask.rank.is_late {
         return last.min(now + QUEUE_TARGET * 2);
     }
--- a/crates/coordination/src/admission/rank.rs
+++ b/crates/coordination/src/admission/rank.rs
@@ -71,17 +71,28 @@
         ticket
     }
 
-    /// Takes the request that goes first.
-    pub(super) fn pop(&mut self) -> Option<(QueueTicket, Ask)> {
-        let mut entry = self.ranks.first_entry()?;
-        let taken = entry.get_mut().pop();
-        if entry.get().is_empty() {
-            entry.remove();
+    /// Iterates over the ranks of which requests wait, in the order in which they go.
+    pub(super) fn ranks(&self) -> impl Iterator<Item = Rank> + '_ {
+        self.ranks.keys().copied()
+    }
+
+    /// Takes the request of a rank that goes first.
+    pub(super) fn pop_rank(&mut self, rank: Rank) -> Option<(QueueTicket, Ask)> {
+        let queue = self.ranks.get_mut(&rank)?;
+        let taken = queue.pop();
+        if queue.is_empty() {
+            self.ranks.remove(&rank);
         }
         self.len -= usize::from(taken.is_some());
         taken
     }
 
+    /// Takes the request that goes first.
+    pub(super) fn pop(&mut self) -> Option<(QueueTicket, Ask)> {
+        let rank = self.ranks().next()?;
+        self.pop_rank(rank)
+    }
+
     /// Takes a request out that has waited until its patience was over, if there is one.
     pub(super) fn pop_expired(&mut self, now: Instant) -> Option<QueueTicket> {
         let queues = self.ranks.values();
@@ -136,6 +147,8 @@
     pub(super) latency: Duration,
     /// Time for which a slot is held.
     pub(super) held: Duration,
+    /// Bytes of an answer's body.
+    pub(super) bytes: u64,
 }
 
 /// Share of the newest sample in a mean.
@@ -160,6 +173,22 @@
         times.held = mean(times.held, held);
     }
 
+    /// Learns from an answer that was sent whole.
+    pub(super) fn sent(&mut self, rank: Rank, bytes: u64) {
+        let times = self.entry(rank);
+        if times.bytes == 0 {
+            times.bytes = bytes;
+            return;
+        }
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_precision_loss,
+            clippy::cast_sign_loss
+        )]
+        let mean = (times.bytes as f64 * (1.0 - MEAN_SHARE) + bytes as f64 * MEAN_SHARE) as u64;
+        times.bytes = mean;
+    }
+
     fn entry(&mut self, rank: Rank) -> &mut Times {
         let key = (rank.priority, rank.target_ms);
         self.times.entry(key).or_default()
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -1,4 +1,5 @@
 mod cold;
+mod link;
 mod load;
 mod rank;
 
@@ -17,6 +18,7 @@
         limit: true,
         ramp: true,
         cold_per_second: None,
+        link_rate: None,
     }
 }
 
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -105,7 +105,11 @@
         let above_zero = "must be above 0";
         ensure(limits.body_bytes > 0, "limits.body_bytes", above_zero)?;
         ensure(limits.stop_ms > 0, "limits.stop_ms", above_zero)?;
-        ensure(limits.skew_ms > 0, "limits.skew_ms", above_zero)
+        ensure(limits.skew_ms > 0, "limits.skew_ms", above_zero)?;
+        let is_rate = limits
+            .link_mbps
+            .is_none_or(|rate| rate.is_finite() && rate > 0.0);
+        ensure(is_rate, "limits.link_mbps", above_zero)
     }
 }
 
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -15,6 +15,24 @@
     pub notice_ms: u64,
     /// Largest difference in milliseconds between the clocks of callers and nodes.
     pub skew_ms: u64,
+    /// Megabits a second that the VM's link carries, where they are known; large answers then wait
+    /// for the link by rank.
+    pub link_mbps: Option<f64>,
+}
+
+/// Share of the link that answers may count on; the rest is for requests, heads and control.
+const ANSWER_SHARE: f64 = 0.9;
+/// Bytes a second in a megabit a second.
+const MEGABIT_BYTES: f64 = 125_000.0;
+
+impl Limits {
+    /// Returns the bytes a second that answers get on the VM's link, if they are known.
+    pub(crate) fn link_rate(&self) -> Option<u64> {
+        let rate = self.link_mbps? * MEGABIT_BYTES * ANSWER_SHARE;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let rate = rate as u64;
+        Some(rate.max(1))
+    }
 }
 
 impl Default for Limits {
@@ -24,6 +42,7 @@
             stop_ms: 30_000,
             notice_ms: 0,
             skew_ms: 2_000,
+            link_mbps: None,
         }
     }
 }
--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -24,6 +24,10 @@
     alone: bool,
     mark: StartMark,
     started: Instant,
+    /// Bytes of the answer that are still to cross the link, as far as they are known.
+    owed: Cell<u64>,
+    /// Bytes of the answer that were passed on.
+    passed: Cell<u64>,
     answered: Cell<Option<Instant>>,
     is_good: Cell<bool>,
     result: Cell<SampleResult>,
@@ -44,17 +48,42 @@
             alone,
             mark,
             started: Instant::now(),
+            owed: Cell::new(upstream.admission().borrow_mut().expect_answer(rank)),
+            passed: Cell::new(0),
             answered: Cell::new(None),
             is_good: Cell::new(false),
             result: Cell::new(SampleResult::Abandoned),
         }
     }
 
-    /// Notes that the head of the answer is there, and whether it is no failure of the upstream.
-    pub(super) fn answered(&self, is_good: bool) {
+    /// Notes that the head of the answer is there, whether it is no failure of the upstream, and
+    /// the length of its body in bytes, if it is known.
+    pub(super) fn answered(&self, is_good: bool, length: Option<u64>) {
         self.is_good.set(is_good);
         self.answered.set(Some(Instant::now()));
         self.result.set(SampleResult::Answered);
+        if let Some(length) = length {
+            self.owe(length);
+        }
+    }
+
+    /// Notes that a part of the answer was passed on.
+    pub(super) fn passed(&self, bytes: u64) {
+        self.passed.set(self.passed.get() + bytes);
+        self.owe(self.owed.get().saturating_sub(bytes));
+        self.upstream.pump_waiting();
+    }
+
+    /// Notes that the whole answer was passed on.
+    pub(super) fn completed(&self) {
+        let mut admission = self.upstream.admission().borrow_mut();
+        admission.learn_length(self.rank, self.passed.get());
+    }
+
+    fn owe(&self, bytes: u64) {
+        let before = self.owed.replace(bytes);
+        let mut admission = self.upstream.admission().borrow_mut();
+        admission.correct_answer(before, bytes);
     }
 
     /// Notes how the request failed.
@@ -73,6 +102,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.owe(0);
         let now = Instant::now();
         let answered = self.answered.get().unwrap_or(now);
         let sample = Sample {
--- a/crates/node/src/sidecar/answer.rs
+++ b/crates/node/src/sidecar/answer.rs
@@ -22,7 +22,8 @@
     Idle,
 }
 
-/// Streams the body of an answer to the ingress; `keep` sees each part before it is passed on.
+/// Streams the body of an answer to the ingress; `keep` sees each part before it is passed on, and
+/// `passed` is told its length in bytes afterwards.
 ///
 /// `idle` bounds the time without any progress, not that of the whole body.
 pub(super) async fn stream_body(
@@ -30,8 +31,9 @@
     idle: Duration,
     writer: &mut FrameWriter,
     keep: &mut impl FnMut(&Bytes),
+    passed: &mut impl FnMut(u64),
 ) -> BodyEnd {
-    let mut passed = 0;
+    let mut total = 0;
     loop {
         let next = timeout(idle, next_chunk(answer));
         let next = tokio::select! {
@@ -45,12 +47,13 @@
         let chunk = match next {
             Some(Ok(chunk)) => chunk,
             Some(Err(_)) => return BodyEnd::Cut,
-            None => return body_end(answer, passed),
+            None => return body_end(answer, total),
         };
-        passed += chunk.len() as u64;
+        let bytes = chunk.len() as u64;
+        total += bytes;
         keep(&chunk);
         match timeout(idle, writer.bytes(chunk)).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => passed(bytes),
             Ok(Err(_)) => return BodyEnd::CallerGone,
             Err(_) => return BodyEnd::Idle,
         }
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -90,7 +90,8 @@
     };
     match answer {
         Ok(answer) => {
-            permit.answered(!answer.response.status().is_server_error());
+            let is_good = !answer.response.status().is_server_error();
+            permit.answered(is_good, answer.expected);
             upstream.answered_by(answer.start.as_deref());
             Ok(reply(shared, upstream, call, answer, permit, writer, recorder).await)
         }
@@ -171,9 +172,17 @@
         return Execution::Cut;
     }
     let idle = Duration::from_millis(call.head.left_ms).max(MIN_IDLE);
-    let end = stream_body(&mut answer, idle, writer, &mut |part| recorder.part(part)).await;
+    let end = stream_body(
+        &mut answer,
+        idle,
+        writer,
+        &mut |part| recorder.part(part),
+        &mut |bytes| permit.passed(bytes),
+    )
+    .await;
     match end {
         BodyEnd::Whole => {
+            permit.completed();
             shared.suspects().completed(call.head.fingerprint);
             return Execution::Whole;
         }
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -40,6 +40,7 @@
     client: RefCell<Client>,
     dialect: &'static Dialect,
     policies: Policies,
+    link_rate: Option<u64>,
     timeline: Timeline,
     admission: RefCell<Admission>,
     quality: RefCell<Quality>,
@@ -68,7 +69,8 @@
         let policies = &settings.policies;
         let now = Instant::now();
         let is_told = spec.start.is_some();
-        let bounds = admission_settings(&spec, service.as_deref(), policies);
+        let link_rate = settings.limits.link_rate();
+        let bounds = admission_settings(&spec, service.as_deref(), policies, link_rate);
         let mut admission = Admission::new(bounds, now);
         if let Some(start) = spec.start {
             admission.cold_for(Duration::from_millis(start.cold_ms), now);
@@ -80,6 +82,7 @@
             service: RefCell::new(service),
             dialect: settings.protocol.dialect(),
             policies: policies.clone(),
+            link_rate,
             timeline,
             admission: RefCell::new(admission),
             quality: RefCell::default(),
@@ -111,7 +114,8 @@
         if old.connections != spec.connections {
             self.client.replace(client(spec));
         }
-        let settings = admission_settings(spec, service.map(|it| &**it), &self.policies);
+        let service = service.map(|it| &**it);
+        let settings = admission_settings(spec, service, &self.policies, self.link_rate);
         self.admission.borrow_mut().reconfigure(settings);
         if old_service.is_none() && service.is_some() {
             self.doubt();
@@ -195,7 +199,9 @@
         if is_over {
             metrics::counter!("invariant_broken_total", "name" => "over_limit").increment(1);
         }
-        Permit::new(self, rank, alone, admission.mark())
+        let mark = admission.mark();
+        drop(admission);
+        Permit::new(self, rank, alone, mark)
     }
 
     /// Registers a waiting request.
@@ -256,6 +262,13 @@
         }
     }
 
+    /// Gives waiting requests their turn, if there are any.
+    pub(super) fn pump_waiting(self: &Rc<Self>) {
+        if self.admission.borrow().queued() > 0 {
+            self.pump();
+        }
+    }
+
     /// Gives all waiting requests their turn that can have it.
     pub(super) fn pump(self: &Rc<Self>) {
         loop {
@@ -371,11 +384,13 @@
     spec: &Upstream,
     service: Option<&Service>,
     policies: &Policies,
+    link_rate: Option<u64>,
 ) -> AdmissionSettings {
     let is_told = spec.start.is_some();
     let cold_per_second = service.and_then(|service| service.cold_per_second);
     AdmissionSettings {
         cold_per_second: cold_per_second.filter(|_| is_told),
+        link_rate,
         slots: spec.slots.min(spec.connections),
         // An upstream that tells its slots keeps them: failures need not come from load.
         adaptive: policies.adaptive && !is_told,
