--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -2,13 +2,16 @@
 
 mod adaptive;
 mod alone;
+mod ask;
 mod cold;
 mod link;
 mod queue;
 mod ramp;
 mod rank;
+mod sample;
 #[cfg(test)]
 mod tests;
+mod times;
 
 use std::time::{Duration, Instant};
 
@@ -18,10 +21,15 @@
     cold::ColdRate,
     link::LinkBacklog,
     ramp::Ramp,
-    rank::{RankTimes, RankedQueue, mean},
+    rank::RankedQueue,
+    times::RankTimes,
 };
 
-pub use self::rank::Rank;
+pub use self::{
+    ask::{Arrival, Ask, QueueTicket, Rejection, RejectionCause, StartMark, Turn},
+    rank::Rank,
+    sample::{Sample, SampleResult},
+};
 
 /// Admission to one upstream.
 ///
@@ -41,8 +49,6 @@
     alone: AloneQueue,
     active: u32,
     starts: u64,
-    held: Duration,
-    latency: Duration,
     recent: u8,
 }
 
@@ -60,103 +66,10 @@
     /// Requests a second that a cold upstream bears, where its service states it; there is no
     /// ramp then.
     pub cold_per_second: Option<u32>,
-    /// Bytes a second that answers get on the link of the upstream's VM, where they are known.
+    /// Bytes a second that the link of the upstream's VM carries, where they are known.
     pub link_rate: Option<u64>,
 }
 
-/// A request that asks to be run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// Hash of the caller's name, for fair sharing.
-    pub caller: u64,
-    /// Time by which the answer must be there.
-    pub deadline: Instant,
-    /// Time by which the caller wants the answer, if the route states it.
-    pub target: Option<Instant>,
-    /// Time at which a waiting request is refused; set by the admission.
-    pub patience: Option<Instant>,
-    /// Rank among the requests that wait.
-    pub rank: Rank,
-    /// Whether nothing else should run beside it, because it may crash the upstream.
-    pub alone: bool,
-}
-
-/// Identity of a waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct QueueTicket(u64);
-
-/// Position of a request among those that were started, if nothing ran at its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct StartMark(Option<u64>);
-
-/// What becomes of a request on its arrival.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Arrival {
-    /// It runs now.
-    Start,
-    /// It waits for its turn.
-    Wait(QueueTicket),
-    /// It is refused.
-    Refuse(Rejection),
-}
-
-/// What becomes of a waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Turn {
-    /// It runs now.
-    Start(QueueTicket),
-    /// It is refused.
-    Refuse(QueueTicket, Rejection),
-}
-
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rejection {
-    /// Cause.
-    pub cause: RejectionCause,
-    /// Time after which a resend makes sense.
-    pub after: Duration,
-}
-
-/// Cause of a rejection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RejectionCause {
-    /// The queue is full.
-    Full,
-    /// The deadline would pass while the request waits.
-    Late,
-    /// The upstream accepts no connections.
-    Down,
-}
-
-/// What a request that ran has shown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Sample {
-    /// When the request was started.
-    pub started: Instant,
-    /// Time from the start to the head of the answer.
-    pub latency: Duration,
-    /// How it ended.
-    pub result: SampleResult,
-    /// Rank with which it was admitted.
-    pub rank: Rank,
-}
-
-/// How a request ended, as far as it tells of the upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SampleResult {
-    /// The upstream answered.
-    Answered,
-    /// The upstream refused for want of capacity.
-    Shed,
-    /// The connection broke, or no answer came in time.
-    Failed,
-    /// The upstream accepted no connection.
-    Refused,
-    /// The end tells nothing of the upstream.
-    Abandoned,
-}
-
 /// Time for which requests wait in a full queue, about.
 const QUEUE_TARGET: Duration = Duration::from_millis(100);
 /// Requests that may wait in any case.
@@ -186,8 +99,6 @@
             alone: AloneQueue::default(),
             active: 0,
             starts: 0,
-            held: Duration::ZERO,
-            latency: Duration::ZERO,
             recent: 0,
         };
         admission.restarted(now);
@@ -229,7 +140,7 @@
         if self.queue.len() >= MAX_QUEUED {
             return false;
         }
-        let is_known = !self.held.is_zero();
+        let is_known = !self.times.all().held.is_zero();
         match ask.target.filter(|_| is_known && !ask.rank.is_late) {
             Some(target) => {
                 let slack = target.saturating_duration_since(now);
@@ -278,7 +189,6 @@
         self.recent = self.recent << 1 | u8::from(sample.result == SampleResult::Shed);
         match sample.result {
             SampleResult::Answered => {
-                self.latency = mean(self.latency, sample.latency);
                 self.times.answered(sample.rank, sample.latency);
                 self.adaptive.answered(sample.latency, self.active, now);
                 self.ramp
@@ -314,7 +224,6 @@
             self.alone.finish();
         }
         self.active = self.active.checked_sub(1).expect("a slot was taken");
-        self.held = mean(self.held, held);
         self.times.released(rank, held);
     }
 
@@ -351,6 +260,12 @@
         self.cold.set_until(now + time);
     }
 
+    /// Counts on an earlier process beside the upstream, which may have started as many requests as
+    /// a cold upstream bears just before this process began.
+    pub fn follow_process(&mut self, began: Instant) {
+        self.cold.fill(began);
+    }
+
     /// Takes in changed bounds; a lower limit holds for what starts from now on.
     pub fn reconfigure(&mut self, settings: AdmissionSettings) {
         self.settings = settings;
@@ -380,7 +295,7 @@
     pub fn expected_limit(&self, now: Instant) -> u32 {
         let limit = self.limit();
         self.cold
-            .concurrency(self.latency, now)
+            .concurrency(self.times.all().latency, now)
             .map_or(limit, |cold| cold.min(limit))
     }
 
@@ -421,7 +336,7 @@
             return Arrival::Start;
         }
         if self.alone.is_full() {
-            let wait = self.held * MAX_ALONE;
+            let wait = self.times.all().held * MAX_ALONE;
             return Arrival::Refuse(reject(RejectionCause::Full, wait));
         }
         let ticket = self.queue.issue();
@@ -435,8 +350,9 @@
             return None;
         }
         let (ticket, ask) = self.alone.pop(now)?;
-        if now + self.latency > ask.deadline {
-            let rejection = reject(RejectionCause::Late, self.held);
+        let times = self.times.all();
+        if now + times.latency > ask.deadline {
+            let rejection = reject(RejectionCause::Late, times.held);
             return Some(Turn::Refuse(ticket, rejection));
         }
         if self.active == 0 {
@@ -468,8 +384,7 @@
 
     /// Returns whether the link has room for one more answer to a request of a rank.
     fn has_link_room(&self, rank: Rank) -> bool {
-        let bytes = self.times.of(rank).bytes;
-        self.link.has_room(bytes, self.latency_of(rank))
+        self.link.has_room(self.times.of(rank), rank.wanted())
     }
 
     /// Returns the time that a request of a rank waits behind the others, about.
@@ -477,45 +392,36 @@
         let over = self.active.saturating_sub(self.limit());
         let mut ahead = 0;
         let mut ahead_bytes = 0;
-        let mut work = self.held * over;
+        let mut work = self.times.all().held * over;
         for (rank, waiting) in self.queue.up_to(rank) {
             ahead += waiting;
             let times = self.times.of(rank);
-            let held = if times.held.is_zero() {
-                self.held
-            } else {
-                times.held
-            };
-            work += held * u32::try_from(waiting).unwrap_or(u32::MAX);
+            work += times.held * u32::try_from(waiting).unwrap_or(u32::MAX);
             ahead_bytes += times.bytes * waiting as u64;
         }
         let wait = work / self.limit();
-        let bytes = self.times.of(rank).bytes;
-        let link = self.link.wait(bytes, ahead_bytes, self.latency_of(rank));
+        let times = self.times.of(rank);
+        let link = self.link.wait(times, rank.wanted(), ahead_bytes);
         wait.max(self.cold.wait_behind(ahead, now)).max(link)
     }
 
     /// Returns the time from the start of a request of a rank until its whole answer is sent, about.
     fn time_of(&self, rank: Rank) -> Duration {
-        self.latency_of(rank) + self.link.transfer(self.times.of(rank).bytes)
-    }
-
-    /// Returns the time that a request of a rank takes, about.
-    fn latency_of(&self, rank: Rank) -> Duration {
-        let latency = self.times.of(rank).latency;
-        if latency.is_zero() {
-            return self.latency;
+        let times = self.times.of(rank);
+        if self.link.is_small(times.bytes) {
+            return times.latency;
         }
-        latency
+        times.held.max(times.latency)
     }
 
     fn queue_bound(&self) -> usize {
         let limit = self.limit() as usize;
         let least = limit.clamp(MIN_QUEUED, MAX_QUEUED);
-        if self.held.is_zero() {
+        let held = self.times.all().held;
+        if held.is_zero() {
             return least;
         }
-        let rounds = QUEUE_TARGET.as_secs_f64() / self.held.as_secs_f64();
+        let rounds = QUEUE_TARGET.as_secs_f64() / held.as_secs_f64();
         let bound = (limit as f64 * rounds) as usize;
         bound.clamp(least, MAX_QUEUED)
     }
--- a/crates/coordination/src/admission/cold.rs
+++ b/crates/coordination/src/admission/cold.rs
@@ -28,6 +28,13 @@
         }
     }
 
+    /// Counts as many starts at a moment as the rate allows in a second.
+    pub(super) fn fill(&mut self, at: Instant) {
+        for _ in 0..self.per_second.unwrap_or(0) {
+            self.start(at);
+        }
+    }
+
     /// Changes the rate.
     pub(super) fn set_rate(&mut self, per_second: Option<u32>) {
         self.per_second = per_second;
--- a/crates/coordination/src/admission/link.rs
+++ b/crates/coordination/src/admission/link.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::admission::times::Times;
+
 /// Bytes that running requests still put on the link, as far as they are known or expected.
 ///
 /// Large answers share the link, so that beyond a few of them more at once only make all of them
@@ -12,9 +14,11 @@
     bytes: u64,
 }
 
-/// Backlog with which a further large answer may begin: it keeps the link busy while the next
-/// requests run, and is half of the time that requests wait in a full queue.
-const BACKLOG_TARGET: Duration = Duration::from_millis(50);
+/// Longest backlog with which a further large answer may begin: the time for which requests wait in
+/// a full queue.
+const MAX_BACKLOG: Duration = Duration::from_millis(100);
+/// The same as a part of the time within which the answer is wanted, as a divisor.
+const BACKLOG_PART: u32 = 10;
 /// Largest answer that the link's backlog doesn't delay, in bytes: the share of one flow-control
 /// window, which the link gives to each answer in turn.
 const SMALL_BYTES: u64 = 16 << 10;
@@ -43,24 +47,29 @@
         self.bytes = self.bytes.saturating_sub(bytes);
     }
 
-    /// Returns whether an answer of so many bytes, which is there after `latency`, finds the link
-    /// nearly free.
-    pub(super) fn has_room(&self, bytes: u64, latency: Duration) -> bool {
-        self.wait(bytes, 0, latency).is_zero()
+    /// Returns whether a further answer finds the link nearly free when it is there.
+    pub(super) fn has_room(&self, times: Times, wanted: Duration) -> bool {
+        self.wait(times, wanted, 0).is_zero()
     }
 
-    /// Returns the time after which an answer of so many bytes may begin to be worked on, with
+    /// Returns the time after which a request may begin whose answer is wanted within a time, with
     /// `ahead` bytes of waiting requests before it.
-    pub(super) fn wait(&self, bytes: u64, ahead: u64, latency: Duration) -> Duration {
-        if bytes <= SMALL_BYTES {
+    pub(super) fn wait(&self, times: Times, wanted: Duration, ahead: u64) -> Duration {
+        if self.is_small(times.bytes) {
             return Duration::ZERO;
         }
         let backlog = self.transfer(self.bytes.saturating_add(ahead));
-        backlog.saturating_sub(latency + BACKLOG_TARGET)
+        let allowed = (wanted / BACKLOG_PART).min(MAX_BACKLOG);
+        backlog.saturating_sub(times.latency + allowed)
+    }
+
+    /// Returns whether the link delays an answer of so many bytes little, or its rate is not known.
+    pub(super) fn is_small(&self, bytes: u64) -> bool {
+        bytes <= SMALL_BYTES || self.bytes_per_second.is_none()
     }
 
     /// Returns the time that an answer needs on the link, without others.
-    pub(super) fn transfer(&self, bytes: u64) -> Duration {
+    fn transfer(&self, bytes: u64) -> Duration {
         let Some(rate) = self.bytes_per_second.filter(|rate| *rate > 0) else {
             return Duration::ZERO;
         };
--- a/crates/coordination/src/admission/rank.rs
+++ b/crates/coordination/src/admission/rank.rs
@@ -29,6 +29,11 @@
         priority: u8::MAX,
         target_ms: u32::MAX,
     };
+
+    /// Returns the time within which callers of the route want the answer.
+    pub(super) fn wanted(self) -> Duration {
+        Duration::from_millis(self.target_ms.into())
+    }
 }
 
 /// One queue for each rank; each is fair between callers.
@@ -133,72 +138,3 @@
         true
     }
 }
-
-/// Mean times of the requests of each kind of rank.
-#[derive(Clone, Debug, Default)]
-pub(super) struct RankTimes {
-    times: BTreeMap<(u8, u32), Times>,
-}
-
-/// Mean times of the requests of one kind.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Times {
-    /// Time to the head of the answer.
-    pub(super) latency: Duration,
-    /// Time for which a slot is held.
-    pub(super) held: Duration,
-    /// Bytes of an answer's body.
-    pub(super) bytes: u64,
-}
-
-/// Share of the newest sample in a mean.
-const MEAN_SHARE: f64 = 0.1;
-
-impl RankTimes {
-    /// Returns the mean times of a rank's requests; zero where there was none yet.
-    pub(super) fn of(&self, rank: Rank) -> Times {
-        let times = self.times.get(&(rank.priority, rank.target_ms));
-        times.copied().unwrap_or_default()
-    }
-
-    /// Learns from an answer.
-    pub(super) fn answered(&mut self, rank: Rank, latency: Duration) {
-        let times = self.entry(rank);
-        times.latency = mean(times.latency, latency);
-    }
-
-    /// Learns from a slot that was given back.
-    pub(super) fn released(&mut self, rank: Rank, held: Duration) {
-        let times = self.entry(rank);
-        times.held = mean(times.held, held);
-    }
-
-    /// Learns from an answer that was sent whole.
-    pub(super) fn sent(&mut self, rank: Rank, bytes: u64) {
-        let times = self.entry(rank);
-        if times.bytes == 0 {
-            times.bytes = bytes;
-            return;
-        }
-        #[allow(
-            clippy::cast_possible_truncation,
-            clippy::cast_precision_loss,
-            clippy::cast_sign_loss
-        )]
-        let mean = (times.bytes as f64 * (1.0 - MEAN_SHARE) + bytes as f64 * MEAN_SHARE) as u64;
-        times.bytes = mean;
-    }
-
-    fn entry(&mut self, rank: Rank) -> &mut Times {
-        let key = (rank.priority, rank.target_ms);
-        self.times.entry(key).or_default()
-    }
-}
-
-/// Returns a moving mean with one more sample; zero stands for no sample yet.
-pub(super) fn mean(mean: Duration, sample: Duration) -> Duration {
-    if mean.is_zero() {
-        return sample;
-    }
-    mean.mul_f64(1.0 - MEAN_SHARE) + sample.mul_f64(MEAN_SHARE)
-}
--- a/crates/coordination/src/admission/tests/cold.rs
+++ b/crates/coordination/src/admission/tests/cold.rs
@@ -48,3 +48,25 @@
     }
     assert!(within(300) > 100, "warm again: {}", within(300));
 }
+
+/// Load pattern: the process beside a cold upstream is killed under full load and starts again.
+#[test]
+fn a_fresh_process_counts_on_what_the_one_before_it_started() {
+    const RATE: u32 = 3;
+    let mut bed = Bed::new(AdmissionSettings {
+        cold_per_second: Some(RATE),
+        ..settings()
+    });
+    let began = bed.now;
+    bed.admission.follow_process(began);
+    bed.now += ms(600);
+    bed.admission.cold_for(ms(3_000), bed.now);
+    let mut starts = Vec::new();
+    while bed.now < began + ms(1_500) {
+        if bed.arrive(1, ms(1)) == Arrival::Start {
+            starts.push(bed.now - began);
+        }
+        bed.now += ms(10);
+    }
+    assert_eq!(starts, [ms(1_000), ms(1_010), ms(1_020)]);
+}
--- a/crates/coordination/src/backoff.rs
+++ b/crates/coordination/src/backoff.rs
@@ -21,3 +21,12 @@
         mean.mul_f64(rng.random_range(0.5..1.5))
     }
 }
+
+/// Returns the time that a `Retry-After` header of whole or fractional seconds asks for, `limit` at
+/// most; `None` when it is no such time.
+#[must_use]
+pub fn retry_after(value: &str, limit: Duration) -> Option<Duration> {
+    let seconds = value.trim().parse::<f64>().ok()?;
+    let is_time = seconds.is_finite() && seconds >= 0.0;
+    is_time.then(|| Duration::from_secs_f64(seconds.min(limit.as_secs_f64())))
+}
--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -53,6 +53,8 @@
     pub excluded: &'a [UpstreamName],
     /// Whether the request may run more than once, so that it can serve as a probe.
     pub idempotent: bool,
+    /// Time in milliseconds within which callers of the route want the answer, if it is stated.
+    pub target_ms: Option<u64>,
 }
 
 /// One call at one upstream, given back to the balancer when the call ends.
@@ -141,10 +143,18 @@
         }
     }
 
-    /// Gives an upstream no call for a while, as long as there are others.
-    pub fn rest(&mut self, ticket: &Ticket, until: Instant) {
+    /// Gives an upstream no call of a kind for a while, as long as there are others: one that has no
+    /// room for long requests may have room for short ones. Routes with the same time wanted are
+    /// of one kind.
+    pub fn back_off(
+        &mut self,
+        ticket: &Ticket,
+        target_ms: Option<u64>,
+        until: Instant,
+        now: Instant,
+    ) {
         if let Some(tracked) = self.tracked(ticket) {
-            tracked.rest = Some(until);
+            tracked.back_off(target_ms, until, now);
         }
     }
 
@@ -239,7 +249,7 @@
     ) -> Options<'a> {
         let mut options = Options::default();
         let mut ejected = Vec::new();
-        let mut resting = Vec::new();
+        let mut backed_off = Vec::new();
         let fresh = Tracked::new(0);
         let lowest = self.lowest_cost(candidates);
         let allowed = candidates.iter();
@@ -248,8 +258,10 @@
             let tracked = self.upstreams.get(name).unwrap_or(&fresh);
             let scored = score(candidate, tracked, lowest, now);
             match tracked.health.standing(now) {
-                Standing::Healthy | Standing::Suspect if tracked.is_resting(now) => {
-                    resting.push(scored);
+                Standing::Healthy | Standing::Suspect
+                    if tracked.is_backed_off(constraints.target_ms, now) =>
+                {
+                    backed_off.push(scored);
                 }
                 Standing::Healthy | Standing::Suspect => options.usable.push(scored),
                 Standing::Due { since } if constraints.idempotent || since >= PROBE_PATIENCE => {
@@ -265,7 +277,7 @@
             }
         }
         if options.usable.is_empty() {
-            options.usable = resting;
+            options.usable = backed_off;
         }
         let soonest = ejected.iter().map(|(left, ..)| *left).min();
         options.after = soonest.unwrap_or(DEFAULT_AFTER).max(MIN_AFTER);
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -33,10 +33,14 @@
         excluded: &[UpstreamName],
         idempotent: bool,
     ) -> Result<Ticket, NoChoice> {
-        let constraints = Constraints {
+        self.choose_with(Constraints {
             excluded,
             idempotent,
-        };
+            target_ms: None,
+        })
+    }
+
+    fn choose_with(&mut self, constraints: Constraints<'_>) -> Result<Ticket, NoChoice> {
         let chosen = self
             .balancer
             .choose(&self.candidates, constraints, self.now, &mut self.rng);
@@ -132,17 +136,41 @@
 }
 
 #[test]
-fn an_upstream_that_asks_for_rest_gets_nothing_while_there_are_others() {
+fn an_upstream_that_asks_for_a_pause_gets_nothing_while_there_are_others() {
     let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], ALL, 1);
     let ticket = scene.balancer.direct(&"a1".into());
     let until = scene.now + Duration::from_millis(100);
-    scene.balancer.rest(&ticket, until);
+    scene.balancer.back_off(&ticket, None, until, scene.now);
     scene.balancer.release(&ticket, scene.now);
     assert_eq!(scene.spread(50).get("a1"), None);
     scene.now = until;
     assert!(scene.spread(50).contains_key("a1"));
 }
 
+/// Load pattern: downloads fill the link of an upstream that still has slots for short calls.
+#[test]
+fn a_refused_download_keeps_no_short_call_away() {
+    let mut scene = Scene::new(&[("a1", "a"), ("b1", "b")], ALL, 1);
+    let ticket = scene.balancer.direct(&"a1".into());
+    let until = scene.now + Duration::from_millis(100);
+    scene
+        .balancer
+        .back_off(&ticket, Some(1_000), until, scene.now);
+    scene.balancer.release(&ticket, scene.now);
+    let mut chosen = |target_ms| {
+        let constraints = Constraints {
+            excluded: &[],
+            idempotent: true,
+            target_ms,
+        };
+        let ticket = scene.choose_with(constraints).unwrap();
+        scene.balancer.release(&ticket, scene.now);
+        ticket.upstream
+    };
+    assert_eq!(chosen(Some(1_000)), "b1".into());
+    assert_eq!(chosen(Some(200)), "a1".into());
+}
+
 #[test]
 fn one_call_at_a_time_probes_and_first_one_that_may_run_twice() {
     let mut scene = Scene::new(&[("a1", "a"), ("a2", "a")], ALL, 1);
--- a/crates/coordination/src/balancer/tracked.rs
+++ b/crates/coordination/src/balancer/tracked.rs
@@ -32,8 +32,8 @@
     pub(crate) outstanding: u32,
     /// Health, judged by own calls.
     pub(crate) health: Health,
-    /// Time until which the upstream asked for no calls.
-    pub(crate) rest: Option<Instant>,
+    /// Time until which the upstream asked for no calls, by the time wanted of their routes.
+    backoffs: Vec<(Option<u64>, Instant)>,
     limit: Option<u32>,
     others: Option<(u32, Instant)>,
     cost: Option<(f64, Instant)>,
@@ -45,7 +45,7 @@
             id,
             outstanding: 0,
             health: Health::default(),
-            rest: None,
+            backoffs: Vec::new(),
             limit: None,
             others: None,
             cost: None,
@@ -84,8 +84,17 @@
         self.cost.map(|(cost, _)| cost)
     }
 
-    pub(crate) fn is_resting(&self, now: Instant) -> bool {
-        self.rest.is_some_and(|until| now < until)
+    /// Notes that the upstream asks for no calls of routes with a time wanted until `until`.
+    pub(crate) fn back_off(&mut self, target_ms: Option<u64>, until: Instant, now: Instant) {
+        self.backoffs
+            .retain(|(known, at)| *known != target_ms && now < *at);
+        self.backoffs.push((target_ms, until));
+    }
+
+    /// Returns whether the upstream asked for no calls of routes with a time wanted.
+    pub(crate) fn is_backed_off(&self, target_ms: Option<u64>, now: Instant) -> bool {
+        let mut backoffs = self.backoffs.iter();
+        backoffs.any(|(known, until)| *known == target_ms && now < *until)
     }
 
     /// Returns the limit that was reported last.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -51,7 +51,7 @@
         Admission, AdmissionSettings, Arrival, Ask, QueueTicket, Rank, Rejection, RejectionCause,
         Sample, SampleResult, StartMark, Turn,
     },
-    backoff::Backoff,
+    backoff::{Backoff, retry_after},
     balancer::{Balancer, BalancerPolicy, Constraints, NoChoice, ReportedLoad, Ticket},
     base::{Base, BaseIndex, Publication},
     border::parse_yaml,
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -15,10 +15,11 @@
 use futures_util::future::LocalBoxFuture;
 use log::info;
 use snafu::ResultExt;
+use tokio::time::Instant;
 
 use crate::{
     admin::{exporter::Exporter, queries::Queries, routes::Shared, token::Guard},
-    kernel::{BindSnafu, Context, Service, StartError},
+    kernel::{BindSnafu, Context, Service, StartError, stop_server},
 };
 
 /// Service that answers operators.
@@ -56,10 +57,10 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             for server in self.servers.drain(..) {
-                server.stop(true).await;
+                stop_server(&server, until).await;
             }
         })
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -24,6 +24,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use snafu::ResultExt;
+use tokio::time::Instant;
 
 use crate::{
     ingress::{server::Server, worker::Shared},
@@ -59,10 +60,10 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(server) = self.server.take() {
-                server.stop().await;
+                server.stop(until).await;
             }
         })
     }
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -160,6 +160,7 @@
         let constraints = Constraints {
             excluded: &self.tried,
             idempotent: self.request.idempotent,
+            target_ms: self.request.route.target_ms,
         };
         let now = Instant::now();
         let mut balancer = self.worker.balancer.borrow_mut();
@@ -206,8 +207,9 @@
         if let Some(load) = feedback.load {
             balancer.report(ticket, load, now);
         }
-        if let Some(rest) = feedback.rest {
-            balancer.rest(ticket, now + rest);
+        if let Some(backoff) = feedback.backoff {
+            let target_ms = self.request.route.target_ms;
+            balancer.back_off(ticket, target_ms, now + backoff, now);
         }
         if let Some(evidence) = feedback.evidence {
             let mut rng = self.worker.rng.borrow_mut();
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -10,7 +10,7 @@
 };
 
 /// Longest time for which one refusal keeps calls away from an upstream.
-const MAX_REST: Duration = Duration::from_secs(1);
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Time after which a caller is told to come back when an upstream is out of reach.
 const RETRY_AFTER_MS: u64 = 250;
 /// Time after which a broken call may be resent, in milliseconds: by then all nodes know
@@ -28,7 +28,7 @@
     /// Sequence in force at the sidecar.
     pub(super) sequence: Option<Sequence>,
     /// Time for which the upstream asked for no calls.
-    pub(super) rest: Option<Duration>,
+    pub(super) backoff: Option<Duration>,
     /// Refusal that the caller gets when the attempt was the last one.
     pub(super) refusal: Option<Refusal>,
 }
@@ -71,7 +71,7 @@
             evidence: Some(Evidence::Answered),
             load: Some(reported(*load)),
             sequence: None,
-            rest: None,
+            backoff: None,
             refusal: None,
         },
         ReplyHead::Refused {
@@ -83,7 +83,7 @@
             evidence: evidence(refusal.reason),
             load: Some(reported(*load)),
             sequence: Some(Sequence(*sequence)),
-            rest: rest(refusal),
+            backoff: backoff(refusal),
             refusal: Some(refusal.clone()),
         },
     }
@@ -100,7 +100,7 @@
         evidence: Some(evidence),
         load: None,
         sequence: None,
-        rest: None,
+        backoff: None,
         refusal: Some(Refusal {
             outcome,
             is_arrived: end.is_arrived(),
@@ -144,12 +144,12 @@
     }
 }
 
-fn rest(refusal: &Refusal) -> Option<Duration> {
+fn backoff(refusal: &Refusal) -> Option<Duration> {
     let is_asked = matches!(
         refusal.reason,
         RefusalReason::Overloaded | RefusalReason::Draining | RefusalReason::NotReady
     );
-    is_asked.then(|| Duration::from_millis(refusal.after_ms).min(MAX_REST))
+    is_asked.then(|| Duration::from_millis(refusal.after_ms).min(MAX_BACKOFF))
 }
 
 fn reported(load: Load) -> ReportedLoad {
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -4,10 +4,14 @@
 
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
 use log::info;
+use tokio::time::Instant;
 
-use crate::ingress::{
-    handler::handle,
-    worker::{Shared, Worker},
+use crate::{
+    ingress::{
+        handler::handle,
+        worker::{Shared, Worker},
+    },
+    kernel::stop_server,
 };
 
 /// Time for which a connection without requests stays open.
@@ -64,10 +68,10 @@
     }
 
     /// Refuses new calls for a moment, then takes no more connections and waits for the calls
-    /// in flight.
-    pub(super) async fn stop(self) {
+    /// in flight; those that are left when their time is over are cut.
+    pub(super) async fn stop(self, until: Instant) {
         tokio::time::sleep(self.notice).await;
         info!("no more calls are taken on {:?}", self.addresses);
-        self.handle.stop(true).await;
+        stop_server(&self.handle, until).await;
     }
 }
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -4,15 +4,22 @@
 mod context;
 mod registry;
 mod service;
+mod stop;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     context::Context,
     registry::{Registry, RegistryError},
     service::{BindSnafu, Service, StartError},
+    stop::stop_server,
 };
 
+use std::time::Duration;
+
 use log::info;
 use snafu::ResultExt;
+use tokio::time::Instant;
 
 use crate::error::{NodeError, StartSnafu};
 
@@ -57,10 +64,12 @@
         Ok(())
     }
 
-    /// Stops all services in reverse order.
+    /// Stops all services in reverse order, all of them within the time of the settings.
     pub(crate) async fn stop(&mut self) {
+        let limit = Duration::from_millis(self.context.settings().limits.stop_ms);
+        let until = Instant::now() + limit;
         while let Some(mut service) = self.running.pop() {
-            service.stop().await;
+            service.stop(until).await;
             info!("service {} stopped", service.name());
         }
         self.context.cancel();
--- a/crates/node/src/kernel/service.rs
+++ b/crates/node/src/kernel/service.rs
@@ -2,6 +2,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use snafu::Snafu;
+use tokio::time::Instant;
 
 use crate::kernel::{Context, RegistryError};
 
@@ -13,8 +14,8 @@
     /// Starts the service and publishes its handle in the registry.
     fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>>;
 
-    /// Stops the service after the work in hand is finished.
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()>;
+    /// Stops the service after the calls in flight are finished, `until` at the latest.
+    fn stop(&mut self, until: Instant) -> LocalBoxFuture<'_, ()>;
 }
 
 /// Why a service can't start.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,7 +10,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use log::error;
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 use self::{core::Core, link::Acceptor};
@@ -47,7 +47,7 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, _until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(token) = self.token.take() {
                 token.cancel();
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -109,7 +109,9 @@
         let is_rate = limits
             .link_mbps
             .is_none_or(|rate| rate.is_finite() && rate > 0.0);
-        ensure(is_rate, "limits.link_mbps", above_zero)
+        ensure(is_rate, "limits.link_mbps", above_zero)?;
+        let is_factor = limits.cold_overage.is_finite() && limits.cold_overage >= 1.0;
+        ensure(is_factor, "limits.cold_overage", "must be 1 or more")
     }
 }
 
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -18,21 +18,30 @@
     /// Megabits a second that the VM's link carries, where they are known; large answers then wait
     /// for the link by rank.
     pub link_mbps: Option<f64>,
+    /// Factor by which a cold upstream may get more requests a second than its service states, as
+    /// its operators allow; 1 unless set otherwise.
+    pub cold_overage: f64,
 }
 
-/// Share of the link that answers may count on; the rest is for requests, heads and control.
-const ANSWER_SHARE: f64 = 0.9;
 /// Bytes a second in a megabit a second.
 const MEGABIT_BYTES: f64 = 125_000.0;
 
 impl Limits {
-    /// Returns the bytes a second that answers get on the VM's link, if they are known.
+    /// Returns the bytes a second that the VM's link carries, if they are known.
     pub(crate) fn link_rate(&self) -> Option<u64> {
-        let rate = self.link_mbps? * MEGABIT_BYTES * ANSWER_SHARE;
+        let rate = self.link_mbps? * MEGABIT_BYTES;
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let rate = rate as u64;
         Some(rate.max(1))
     }
+
+    /// Returns the requests a second that a cold upstream may get whose service states a rate.
+    pub(crate) fn cold_rate(&self, stated: u32) -> u32 {
+        let rate = f64::from(stated) * self.cold_overage;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let rate = rate as u32;
+        rate.max(1)
+    }
 }
 
 impl Default for Limits {
@@ -43,6 +52,7 @@
             notice_ms: 0,
             skew_ms: 2_000,
             link_mbps: None,
+            cold_overage: 1.0,
         }
     }
 }
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -206,6 +206,24 @@
     assert_eq!(settings.probes, Some("127.0.0.1:7004".parse().unwrap()));
 }
 
+#[test]
+fn a_link_has_a_rate_or_is_not_stated() {
+    for rate in ["0", "-1", ".inf"] {
+        let text = format!("{VALID}limits:\n  link_mbps: {rate}\n");
+        Case { text }.refuse("10", "limits.link_mbps: must be above 0");
+    }
+    let settings = Case::new().set("limits: {link_mbps: }").accept();
+    assert_eq!(settings.limits.link_rate(), None);
+}
+
+#[test]
+fn a_cold_upstream_gets_at_least_the_rate_that_is_stated() {
+    let text = format!("{VALID}limits:\n  cold_overage: 0.9\n");
+    Case { text }.refuse("10", "limits.cold_overage: must be 1 or more");
+    let settings = Case::new().accept();
+    assert_eq!(settings.limits.cold_rate(17), 17);
+}
+
 #[test]
 fn the_template_of_the_prepared_machines_gives_valid_settings() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/node.yaml");
@@ -225,6 +243,8 @@
         ("bounds.retry_budget_ratio", "0.2"),
         ("bounds.budget_min_retries", "60"),
         ("bounds.budget_window_s", "10"),
+        ("limits.link_mbps", "28.0"),
+        ("bounds.cold_overage", "1.5"),
     ];
     for (field, value) in fields {
         text = text.replace(&format!("{{{{{field}}}}}"), value);
@@ -233,6 +253,8 @@
     let settings = Case { text }.accept();
     assert_eq!(settings.protocol, super::Protocol::Store);
     assert_eq!(settings.regions.len(), 2);
+    assert_eq!(settings.limits.link_rate(), Some(3_500_000));
+    assert_eq!(settings.limits.cold_rate(17), 25);
     let stop_ms = settings.limits.notice_ms + settings.limits.stop_ms;
     assert!(stop_ms < 6_000, "the platform kills after 6 s");
 }
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -29,7 +29,7 @@
 use futures_util::future::LocalBoxFuture;
 use tokio::{
     sync::broadcast::{self, error::RecvError},
-    time::{MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval},
 };
 use wagtaillever_coordination::SoftReport;
 
@@ -73,13 +73,12 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             let Some(shared) = self.shared.take() else {
                 return;
             };
-            let limit = shared.context().settings().limits.stop_ms;
-            shared.drain(Duration::from_millis(limit)).await;
+            shared.drain(until).await;
         })
     }
 }
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -26,6 +26,29 @@
     shared: Rc<Shared>,
 }
 
+/// What the line of a refused call tells of its head.
+struct RefusedCall {
+    call: String,
+    upstream: String,
+    priority: u8,
+    target_ms: Option<u32>,
+    waited_ms: u32,
+    left_ms: u64,
+}
+
+impl RefusedCall {
+    fn of(head: &CallHead) -> Self {
+        Self {
+            call: head.call.clone(),
+            upstream: head.upstream.clone(),
+            priority: head.priority,
+            target_ms: head.target_ms,
+            waited_ms: head.waited_ms,
+            left_ms: head.left_ms,
+        }
+    }
+}
+
 /// Longest time that a call waits for the configuration that routed it.
 const CATCH_UP: Duration = Duration::from_millis(200);
 /// Longest time until the head of a call has arrived.
@@ -59,26 +82,27 @@
     }
 
     async fn serve(&self, head: CallHead, reader: FrameReader, mut writer: FrameWriter) {
-        let name = head.upstream.clone();
-        let call = head.call.clone();
+        let facts = RefusedCall::of(&head);
         let body = Rc::new(RefCell::new(Some(reader)));
         match self.run(head, &body, &mut writer).await {
             Ok(Execution::Whole) => {
                 let _ = writer.end();
             }
             Ok(Execution::Cut | Execution::Abandoned { .. }) => writer.reset(),
-            Err(refusal) => self.refuse(refusal, &call, &name, writer).await,
+            Err(refusal) => self.refuse(refusal, &facts, writer).await,
         }
     }
 
-    async fn refuse(&self, refusal: Refusal, call: &str, name: &str, mut writer: FrameWriter) {
-        let upstream = self.shared.upstreams().get(name);
+    async fn refuse(&self, refusal: Refusal, facts: &RefusedCall, mut writer: FrameWriter) {
+        let upstream = self.shared.upstreams().get(&facts.upstream);
         let load = upstream.map_or(Load::default(), |upstream| upstream.load());
         if let Some(left_out) = self.shared.line() {
             info!(
-                call, upstream = name, reason:? = refusal.reason, outcome:? = refusal.outcome,
+                call = facts.call.as_str(), upstream = facts.upstream.as_str(),
+                reason:? = refusal.reason, outcome:? = refusal.outcome,
                 after_ms = refusal.after_ms, active = load.active, limit = load.limit,
-                queued = load.queued, left_out;
+                queued = load.queued, priority = facts.priority, target_ms = facts.target_ms,
+                waited_ms = facts.waited_ms, left_ms = facts.left_ms, left_out;
                 "call gets no answer of the upstream here"
             );
         }
@@ -100,13 +124,17 @@
     ) -> Result<Execution, Refusal> {
         let call = Call::new(head)?;
         self.check_node(&call)?;
-        if !self.is_listed(&call) {
+        let listed = self.listed(&call);
+        if listed.is_none() {
             self.catch_up(&call).await?;
         }
         if let Some(key) = call.key_to_decide() {
             return decide(&self.shared, &call, key, body, writer).await;
         }
-        let upstream = self.find(&call)?;
+        let upstream = match listed {
+            Some(upstream) => upstream,
+            None => self.find(&call)?,
+        };
         execute(
             &self.shared,
             &upstream,
@@ -132,11 +160,11 @@
         Ok(())
     }
 
-    /// Returns whether the platform itself lists the upstream here, so that the configuration that
-    /// routed the call tells nothing more of it.
-    fn is_listed(&self, call: &Call) -> bool {
-        let found = self.find(call);
-        found.is_ok_and(|upstream| upstream.spec().start.is_some())
+    /// Returns the upstream of a call if the platform itself lists it here, so that the configuration
+    /// that routed the call tells nothing more of it.
+    fn listed(&self, call: &Call) -> Option<Rc<LocalUpstream>> {
+        let found = self.find(call).ok();
+        found.filter(|upstream| upstream.spec().start.is_some())
     }
 
     fn find(&self, call: &Call) -> Result<Rc<LocalUpstream>, Refusal> {
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -4,10 +4,13 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::Notify,
+    time::{self, timeout_at},
+};
 use wagtaillever_coordination::{Dialect, VmState};
 
 use crate::{
@@ -190,15 +193,15 @@
         }
     }
 
-    /// Refuses new calls and waits for those in flight, at most for a time.
-    pub(super) async fn drain(&self, limit: Duration) {
+    /// Refuses new calls and waits for those in flight, `until` at the latest.
+    pub(super) async fn drain(&self, until: time::Instant) {
         self.stopping.set(true);
         let idle = async {
             while self.active.get() > 0 {
                 self.idle.notified().await;
             }
         };
-        let is_idle = timeout(limit, idle).await.is_ok();
+        let is_idle = timeout_at(until, idle).await.is_ok();
         must_hold("stop_cut", is_idle);
     }
 }
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     mutant::{self, Mutant},
-    settings::{Policies, Settings},
+    settings::{Limits, Policies, Settings},
     sidecar::{
         admit::{Permit, Verdict, turn_parts},
         connector::TracedConnector,
@@ -40,7 +40,7 @@
     client: RefCell<Client>,
     dialect: &'static Dialect,
     policies: Policies,
-    link_rate: Option<u64>,
+    limits: Limits,
     timeline: Timeline,
     admission: RefCell<Admission>,
     quality: RefCell<Quality>,
@@ -69,8 +69,7 @@
         let policies = &settings.policies;
         let now = Instant::now();
         let is_told = spec.start.is_some();
-        let link_rate = settings.limits.link_rate();
-        let bounds = admission_settings(&spec, service.as_deref(), policies, link_rate);
+        let bounds = admission_settings(&spec, service.as_deref(), policies, &settings.limits);
         let mut admission = Admission::new(bounds, now);
         if let Some(start) = spec.start {
             admission.cold_for(Duration::from_millis(start.cold_ms), now);
@@ -82,7 +81,7 @@
             service: RefCell::new(service),
             dialect: settings.protocol.dialect(),
             policies: policies.clone(),
-            link_rate,
+            limits: settings.limits.clone(),
             timeline,
             admission: RefCell::new(admission),
             quality: RefCell::default(),
@@ -115,7 +114,7 @@
             self.client.replace(client(spec));
         }
         let service = service.map(|it| &**it);
-        let settings = admission_settings(spec, service, &self.policies, self.link_rate);
+        let settings = admission_settings(spec, service, &self.policies, &self.limits);
         self.admission.borrow_mut().reconfigure(settings);
         if old_service.is_none() && service.is_some() {
             self.doubt();
@@ -384,13 +383,15 @@
     spec: &Upstream,
     service: Option<&Service>,
     policies: &Policies,
-    link_rate: Option<u64>,
+    limits: &Limits,
 ) -> AdmissionSettings {
     let is_told = spec.start.is_some();
     let cold_per_second = service.and_then(|service| service.cold_per_second);
     AdmissionSettings {
-        cold_per_second: cold_per_second.filter(|_| is_told),
-        link_rate,
+        cold_per_second: cold_per_second
+            .filter(|_| is_told)
+            .map(|rate| limits.cold_rate(rate)),
+        link_rate: limits.link_rate(),
         slots: spec.slots.min(spec.connections),
         // An upstream that tells its slots keeps them: failures need not come from load.
         adaptive: policies.adaptive && !is_told,
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -19,6 +19,8 @@
 pub(super) struct Upstreams {
     settings: Arc<Settings>,
     timeline: Timeline,
+    /// When this process began.
+    began: Instant,
     entries: RefCell<BTreeMap<UpstreamName, Entry>>,
 }
 
@@ -33,6 +35,7 @@
         Self {
             settings,
             timeline,
+            began: Instant::now(),
             entries: RefCell::default(),
         }
     }
@@ -88,6 +91,7 @@
         let spec = Arc::clone(spec);
         let upstream = LocalUpstream::new(spec, service.cloned(), &self.settings, timeline);
         let upstream = Rc::new(upstream);
+        upstream.admission().borrow_mut().follow_process(self.began);
         upstream.doubt();
         let entry = Entry {
             upstream,
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -7,6 +7,7 @@
 mod value;
 
 use futures_util::future::{FutureExt, LocalBoxFuture};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wagtaillever_platform::{Places, Store};
 
@@ -57,7 +58,7 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, _until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(token) = self.token.take() {
                 token.cancel();
--- a/crates/node/src/source/client.rs
+++ b/crates/node/src/source/client.rs
@@ -9,6 +9,7 @@
 use awc::{Client, ClientResponse, Connector, error::SendRequestError};
 use bytes::Bytes;
 use serde::Deserialize;
+use wagtaillever_coordination::retry_after;
 
 use super::error::SourceError;
 
@@ -22,6 +23,8 @@
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Delay after a refusal that names none.
 const BUSY_DELAY: Duration = Duration::from_secs(1);
+/// Longest delay that a refusal can ask for: what it asks beyond that would hold notes back.
+const MAX_BUSY_DELAY: Duration = Duration::from_secs(30);
 /// Bytes of a request and of the head of an answer, with the names of headers.
 const HEAD_BYTES: u64 = 200;
 
@@ -146,7 +149,7 @@
         200 | 404 => Ok(answer),
         410 => Err(SourceError::Forgotten),
         429 => Err(SourceError::Busy {
-            after: retry_after(answer.headers()),
+            after: busy_delay(answer.headers()),
         }),
         _ => Err(SourceError::Out {
             reason: format!("status {status}"),
@@ -154,11 +157,10 @@
     }
 }
 
-fn retry_after(headers: &HeaderMap) -> Duration {
+fn busy_delay(headers: &HeaderMap) -> Duration {
     let value = headers.get("retry-after").and_then(|v| v.to_str().ok());
-    let seconds = value.and_then(|v| v.parse::<f64>().ok());
-    let seconds = seconds.filter(|s| s.is_finite() && *s >= 0.0);
-    seconds.map_or(BUSY_DELAY, |s| Duration::from_secs_f64(s.min(30.0)))
+    let delay = value.and_then(|value| retry_after(value, MAX_BUSY_DELAY));
+    delay.unwrap_or(BUSY_DELAY)
 }
 
 fn revision(headers: &HeaderMap) -> u64 {
--- a/crates/node/src/stall.rs
+++ b/crates/node/src/stall.rs
@@ -5,6 +5,7 @@
 pub(crate) use self::ticker::Stall;
 
 use futures_util::future::LocalBoxFuture;
+use tokio::time::Instant;
 
 use crate::kernel::{Context, Service, StartError};
 
@@ -27,7 +28,7 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, _until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {})
     }
 }
--- a/crates/node/src/transport/server.rs
+++ b/crates/node/src/transport/server.rs
@@ -13,7 +13,7 @@
 use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout_at},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -66,13 +66,16 @@
         })
     }
 
-    fn stop(&mut self) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, until: Instant) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(token) = self.token.take() {
                 token.cancel();
             }
             self.connections.close();
-            let _ = timeout(CLOSE_TIMEOUT, self.connections.wait()).await;
+            let until = until.min(Instant::now() + CLOSE_TIMEOUT);
+            if timeout_at(until, self.connections.wait()).await.is_err() {
+                debug!("other nodes have not left in time");
+            }
         })
     }
 }
