--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -122,8 +122,9 @@
             self.start(now);
             return Arrival::Start;
         }
-        let wait = self.wait_of(ask.rank, now);
         let time = self.time_of(ask.rank);
+        ask.rank.is_late |= ask.target.is_some_and(|target| now + time > target);
+        let wait = self.wait_of(ask.rank, now);
         if now + wait + time > ask.deadline {
             return Arrival::Refuse(reject(RejectionCause::Late, wait));
         }
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -27,7 +27,7 @@
 }
 
 /// An admission with a clock and the requests that it started.
-struct Bed {
+struct Fixture {
     admission: Admission,
     now: Instant,
     waiting: BTreeSet<QueueTicket>,
@@ -35,7 +35,7 @@
     alone: BTreeSet<QueueTicket>,
 }
 
-impl Bed {
+impl Fixture {
     fn new(settings: AdmissionSettings) -> Self {
         let now = Instant::now();
         Self {
@@ -127,71 +127,74 @@
 
 #[test]
 fn a_first_contact_gets_a_trickle() {
-    let mut bed = Bed::new(settings());
-    assert_eq!(bed.arrive(1, ms(1000)), Arrival::Start);
-    assert!(matches!(bed.arrive(1, ms(1000)), Arrival::Wait(_)));
-    assert_eq!(bed.admission.active(), 1);
+    let mut fixture = Fixture::new(settings());
+    assert_eq!(fixture.arrive(1, ms(1000)), Arrival::Start);
+    assert!(matches!(fixture.arrive(1, ms(1000)), Arrival::Wait(_)));
+    assert_eq!(fixture.admission.active(), 1);
 }
 
 #[test]
 fn success_warms_an_upstream_up() {
-    let mut bed = Bed::new(settings());
-    bed.run_for(ms(1000), ms(5));
+    let mut fixture = Fixture::new(settings());
+    fixture.run_for(ms(1000), ms(5));
     assert!(
-        (3..=8).contains(&bed.admission.limit()),
+        (3..=8).contains(&fixture.admission.limit()),
         "{}",
-        bed.admission.limit()
+        fixture.admission.limit()
     );
-    bed.run_for(ms(4000), ms(5));
+    fixture.run_for(ms(4000), ms(5));
     assert_eq!(
-        (bed.admission.limit(), bed.admission.is_cold(bed.now)),
+        (
+            fixture.admission.limit(),
+            fixture.admission.is_cold(fixture.now)
+        ),
         (SLOTS, false)
     );
 }
 
 #[test]
 fn a_failure_in_the_ramp_falls_back_once_a_step() {
-    let mut bed = Bed::new(settings());
-    bed.run_for(ms(1500), ms(5));
-    let before = bed.admission.limit();
+    let mut fixture = Fixture::new(settings());
+    fixture.run_for(ms(1500), ms(5));
+    let before = fixture.admission.limit();
     for _ in 0..before {
-        bed.arrive(1, ms(1000));
+        fixture.arrive(1, ms(1000));
     }
-    bed.now += ms(5);
+    fixture.now += ms(5);
     for _ in 0..before {
-        bed.finish(SampleResult::Shed);
+        fixture.finish(SampleResult::Shed);
     }
-    assert_eq!(bed.admission.limit(), before / 2);
+    assert_eq!(fixture.admission.limit(), before / 2);
 }
 
 #[test]
 fn slower_answers_hold_the_ramp() {
-    let mut bed = Bed::new(AdmissionSettings {
+    let mut fixture = Fixture::new(AdmissionSettings {
         adaptive: false,
         ..settings()
     });
-    bed.run_for(ms(1000), ms(5));
-    let before = bed.admission.limit();
-    bed.run_for(ms(400), ms(60));
-    assert_eq!(bed.admission.limit(), before);
+    fixture.run_for(ms(1000), ms(5));
+    let before = fixture.admission.limit();
+    fixture.run_for(ms(400), ms(60));
+    assert_eq!(fixture.admission.limit(), before);
 }
 
 #[test]
 fn work_that_takes_longer_does_not_lower_the_limit_for_long() {
-    let mut bed = Bed::new(settings());
-    bed.run_for(ms(5000), ms(5));
-    bed.run_for(ms(10_000), ms(60));
-    assert_eq!(bed.admission.limit(), SLOTS);
+    let mut fixture = Fixture::new(settings());
+    fixture.run_for(ms(5000), ms(5));
+    fixture.run_for(ms(10_000), ms(60));
+    assert_eq!(fixture.admission.limit(), SLOTS);
 }
 
 #[test]
 fn a_refused_connection_stops_all_for_a_while() {
-    let mut bed = Bed::new(settings());
-    bed.arrive(1, ms(1000));
-    bed.arrive(1, ms(1000));
-    bed.finish(SampleResult::Refused);
+    let mut fixture = Fixture::new(settings());
+    fixture.arrive(1, ms(1000));
+    fixture.arrive(1, ms(1000));
+    fixture.finish(SampleResult::Refused);
     assert!(matches!(
-        bed.turns()[..],
+        fixture.turns()[..],
         [Turn::Refuse(
             _,
             Rejection {
@@ -201,40 +204,40 @@
         )]
     ));
     assert!(matches!(
-        bed.arrive(1, ms(1000)),
+        fixture.arrive(1, ms(1000)),
         Arrival::Refuse(Rejection {
             cause: RejectionCause::Down,
             ..
         })
     ));
-    bed.now += ms(25);
-    assert_eq!(bed.arrive(1, ms(1000)), Arrival::Start);
+    fixture.now += ms(25);
+    assert_eq!(fixture.arrive(1, ms(1000)), Arrival::Start);
 }
 
 #[test]
 fn a_burst_of_sheds_is_a_sign_of_a_restart() {
-    let mut bed = Bed::new(settings());
-    bed.run_for(ms(5000), ms(5));
+    let mut fixture = Fixture::new(settings());
+    fixture.run_for(ms(5000), ms(5));
     for _ in 0..SHED_BURST {
-        bed.arrive(1, ms(1000));
+        fixture.arrive(1, ms(1000));
     }
     for _ in 0..SHED_BURST {
-        bed.finish(SampleResult::Shed);
+        fixture.finish(SampleResult::Shed);
     }
-    assert!(bed.admission.is_cold(bed.now));
-    assert_eq!(bed.admission.limit(), 1);
+    assert!(fixture.admission.is_cold(fixture.now));
+    assert_eq!(fixture.admission.limit(), 1);
 }
 
 #[test]
 fn what_cannot_be_served_in_time_is_refused_at_once() {
-    let mut bed = Bed::new(settings());
-    bed.arrive(1, ms(1000));
-    bed.now += ms(50);
-    bed.finish(SampleResult::Answered);
-    bed.arrive(1, ms(1000));
-    bed.arrive(1, ms(1000));
+    let mut fixture = Fixture::new(settings());
+    fixture.arrive(1, ms(1000));
+    fixture.now += ms(50);
+    fixture.finish(SampleResult::Answered);
+    fixture.arrive(1, ms(1000));
+    fixture.arrive(1, ms(1000));
     assert!(matches!(
-        bed.arrive(1, ms(60)),
+        fixture.arrive(1, ms(60)),
         Arrival::Refuse(Rejection {
             cause: RejectionCause::Late,
             ..
@@ -244,13 +247,13 @@
 
 #[test]
 fn a_waiting_request_that_is_late_is_not_started() {
-    let mut bed = Bed::new(settings());
-    bed.arrive(1, ms(1000));
-    bed.arrive(1, ms(40));
-    bed.now += ms(50);
-    bed.finish(SampleResult::Answered);
+    let mut fixture = Fixture::new(settings());
+    fixture.arrive(1, ms(1000));
+    fixture.arrive(1, ms(40));
+    fixture.now += ms(50);
+    fixture.finish(SampleResult::Answered);
     assert!(matches!(
-        bed.turns()[..],
+        fixture.turns()[..],
         [Turn::Refuse(
             _,
             Rejection {
@@ -263,17 +266,17 @@
 
 #[test]
 fn one_caller_cannot_starve_another() {
-    let mut bed = Bed::new(settings());
-    bed.arrive(1, ms(9000));
-    bed.now += ms(20);
-    bed.finish(SampleResult::Answered);
+    let mut fixture = Fixture::new(settings());
+    fixture.arrive(1, ms(9000));
+    fixture.now += ms(20);
+    fixture.finish(SampleResult::Answered);
     for _ in 0..100 {
-        bed.arrive(1, ms(9000));
+        fixture.arrive(1, ms(9000));
     }
-    let Arrival::Wait(ticket) = bed.arrive(2, ms(9000)) else {
+    let Arrival::Wait(ticket) = fixture.arrive(2, ms(9000)) else {
         panic!("the other caller must get a place");
     };
-    let evicted = bed.turns();
+    let evicted = fixture.turns();
     assert!(matches!(
         evicted[..],
         [Turn::Refuse(
@@ -286,28 +289,31 @@
     ));
     let mut started = Vec::new();
     for _ in 0..2 {
-        bed.now += ms(20);
-        bed.finish(SampleResult::Answered);
-        started.extend(bed.turns());
+        fixture.now += ms(20);
+        fixture.finish(SampleResult::Answered);
+        started.extend(fixture.turns());
     }
     assert!(started.contains(&Turn::Start(ticket)), "{started:?}");
 }
 
 #[test]
 fn a_suspect_runs_alone_but_holds_others_back_only_for_a_while() {
-    let mut bed = Bed::new(settings());
-    bed.run_for(ms(5000), ms(5));
-    bed.arrive(1, ms(9000));
-    assert!(matches!(bed.arrive_as(2, ms(9000), true), Arrival::Wait(_)));
-    assert!(matches!(bed.arrive(1, ms(9000)), Arrival::Wait(_)));
-    bed.now += ms(5);
-    bed.finish(SampleResult::Answered);
-    assert!(matches!(bed.turns()[..], [Turn::Start(_)]));
-    let mark = bed.admission.mark();
-    assert!(bed.admission.ran_alone(mark));
-    bed.now += HOLD_OVER;
-    assert!(matches!(bed.turns()[..], [Turn::Start(_)]));
-    assert!(!bed.admission.ran_alone(mark));
+    let mut fixture = Fixture::new(settings());
+    fixture.run_for(ms(5000), ms(5));
+    fixture.arrive(1, ms(9000));
+    assert!(matches!(
+        fixture.arrive_as(2, ms(9000), true),
+        Arrival::Wait(_)
+    ));
+    assert!(matches!(fixture.arrive(1, ms(9000)), Arrival::Wait(_)));
+    fixture.now += ms(5);
+    fixture.finish(SampleResult::Answered);
+    assert!(matches!(fixture.turns()[..], [Turn::Start(_)]));
+    let mark = fixture.admission.mark();
+    assert!(fixture.admission.ran_alone(mark));
+    fixture.now += HOLD_OVER;
+    assert!(matches!(fixture.turns()[..], [Turn::Start(_)]));
+    assert!(!fixture.admission.ran_alone(mark));
 }
 
 /// Longer than others are held back for a suspect.
@@ -315,12 +321,12 @@
 
 #[test]
 fn without_a_limit_all_start() {
-    let mut bed = Bed::new(AdmissionSettings {
+    let mut fixture = Fixture::new(AdmissionSettings {
         limit: false,
         ..settings()
     });
     for _ in 0..100 {
-        assert_eq!(bed.arrive(1, ms(1)), Arrival::Start);
+        assert_eq!(fixture.arrive(1, ms(1)), Arrival::Start);
     }
 }
 
@@ -359,36 +365,36 @@
     /// forgotten, and the queue is bounded and moves whenever there is room.
     #[test]
     fn every_request_is_decided_once(steps in steps()) {
-        let mut bed = Bed::new(settings());
+        let mut fixture = Fixture::new(settings());
         for step in steps {
             match step {
                 Step::Arrive(caller, left, alone) => {
-                    bed.arrive_as(caller, ms(left), alone);
+                    fixture.arrive_as(caller, ms(left), alone);
                 }
-                Step::Finish(result) => bed.finish(result),
+                Step::Finish(result) => fixture.finish(result),
                 Step::Cancel(nth) => {
-                    if let Some(&ticket) = bed.waiting.iter().nth(nth) {
-                        bed.waiting.remove(&ticket);
-                        bed.admission.cancel(ticket);
+                    if let Some(&ticket) = fixture.waiting.iter().nth(nth) {
+                        fixture.waiting.remove(&ticket);
+                        fixture.admission.cancel(ticket);
                     }
                 }
-                Step::Advance(millis) => bed.now += ms(millis),
-                Step::Restart => bed.admission.restarted(bed.now),
+                Step::Advance(millis) => fixture.now += ms(millis),
+                Step::Restart => fixture.admission.restarted(fixture.now),
                 Step::Slots(slots) => {
                     // Lower slots hold for what starts later.
-                    if slots >= bed.admission.active() {
-                        bed.admission.reconfigure(AdmissionSettings { slots, ..settings() });
+                    if slots >= fixture.admission.active() {
+                        fixture.admission.reconfigure(AdmissionSettings { slots, ..settings() });
                     }
                 }
             }
-            bed.turns();
-            let admission = &bed.admission;
-            prop_assert_eq!(admission.queued(), bed.waiting.len());
-            prop_assert_eq!(admission.active() as usize, bed.running.len());
+            fixture.turns();
+            let admission = &fixture.admission;
+            prop_assert_eq!(admission.queued(), fixture.waiting.len());
+            prop_assert_eq!(admission.active() as usize, fixture.running.len());
             prop_assert!(admission.queued() <= MAX_QUEUED);
-            prop_assert!(bed.running.iter().filter(|&&(_, alone)| alone).count() <= 1);
+            prop_assert!(fixture.running.iter().filter(|&&(_, alone)| alone).count() <= 1);
             let is_busy = admission.active() >= admission.limit();
-            let is_held = admission.alone.holds_others(bed.now) && admission.active() > 0;
+            let is_held = admission.alone.holds_others(fixture.now) && admission.active() > 0;
             let waits_alone = admission.alone.len() > 0 && admission.active() > 0;
             prop_assert!(admission.queued() == 0 || is_busy || is_held || waits_alone);
         }
@@ -398,14 +404,14 @@
 /// Load pattern: an upstream loses the answers of half its requests, though it has room.
 #[test]
 fn failures_take_no_slots_from_an_upstream_whose_slots_are_told() {
-    let mut bed = Bed::new(AdmissionSettings {
+    let mut fixture = Fixture::new(AdmissionSettings {
         adaptive: false,
         ramp: false,
         ..settings()
     });
     for step in 0..200 {
         let sample = Sample {
-            started: bed.now,
+            started: fixture.now,
             latency: ms(90),
             result: if step % 2 == 0 {
                 SampleResult::Failed
@@ -414,8 +420,8 @@
             },
             rank: Rank::default(),
         };
-        bed.now += ms(20);
-        bed.admission.observe(sample, bed.now);
-        assert_eq!(bed.admission.limit(), SLOTS);
+        fixture.now += ms(20);
+        fixture.admission.observe(sample, fixture.now);
+        assert_eq!(fixture.admission.limit(), SLOTS);
     }
 }
--- a/crates/coordination/src/admission/tests/cold.rs
+++ b/crates/coordination/src/admission/tests/cold.rs
@@ -6,31 +6,31 @@
 #[test]
 fn a_cold_upstream_gets_no_more_in_any_second_than_its_service_states() {
     const RATE: u32 = 26;
-    let mut bed = Bed::new(AdmissionSettings {
+    let mut fixture = Fixture::new(AdmissionSettings {
         cold_per_second: Some(RATE),
         ..settings()
     });
     let mut starts = Vec::new();
     for step in 0..400u64 {
         if step == 100 {
-            bed.admission.cold_for(ms(2_000), bed.now);
+            fixture.admission.cold_for(ms(2_000), fixture.now);
         }
         for _ in 0..2 {
-            if bed.arrive(step, ms(5_000)) == Arrival::Start {
+            if fixture.arrive(step, ms(5_000)) == Arrival::Start {
                 starts.push(step);
-                bed.admission.release(ms(10), false, Rank::default());
-                bed.running.pop();
+                fixture.admission.release(ms(10), false, Rank::default());
+                fixture.running.pop();
             }
         }
-        while let Some(turn) = bed.admission.next(bed.now) {
+        while let Some(turn) = fixture.admission.next(fixture.now) {
             let (Turn::Start(ticket) | Turn::Refuse(ticket, _)) = turn;
-            bed.waiting.remove(&ticket);
+            fixture.waiting.remove(&ticket);
             if matches!(turn, Turn::Start(_)) {
                 starts.push(step);
-                bed.admission.release(ms(10), false, Rank::default());
+                fixture.admission.release(ms(10), false, Rank::default());
             }
         }
-        bed.now += ms(10);
+        fixture.now += ms(10);
     }
     let within = |from: u64| {
         starts
@@ -53,20 +53,20 @@
 #[test]
 fn a_fresh_process_counts_on_what_the_one_before_it_started() {
     const RATE: u32 = 3;
-    let mut bed = Bed::new(AdmissionSettings {
+    let mut fixture = Fixture::new(AdmissionSettings {
         cold_per_second: Some(RATE),
         ..settings()
     });
-    let began = bed.now;
-    bed.admission.follow_process(began);
-    bed.now += ms(600);
-    bed.admission.cold_for(ms(3_000), bed.now);
+    let began = fixture.now;
+    fixture.admission.follow_process(began);
+    fixture.now += ms(600);
+    fixture.admission.cold_for(ms(3_000), fixture.now);
     let mut starts = Vec::new();
-    while bed.now < began + ms(1_500) {
-        if bed.arrive(1, ms(1)) == Arrival::Start {
-            starts.push(bed.now - began);
+    while fixture.now < began + ms(1_500) {
+        if fixture.arrive(1, ms(1)) == Arrival::Start {
+            starts.push(fixture.now - began);
         }
-        bed.now += ms(10);
+        fixture.now += ms(10);
     }
     assert_eq!(starts, [ms(1_000), ms(1_010), ms(1_020)]);
 }
--- a/crates/coordination/src/admission/tests/link.rs
+++ b/crates/coordination/src/admission/tests/link.rs
@@ -23,7 +23,7 @@
 
 /// Upstream whose answers share a link evenly.
 struct Uplink {
-    bed: Bed,
+    fixture: Fixture,
     waiting: std::collections::BTreeMap<QueueTicket, (usize, Instant)>,
     running: Vec<Running>,
     in_time: [u32; 2],
@@ -33,14 +33,14 @@
 
 impl Uplink {
     fn new(link_rate: Option<u64>) -> Self {
-        let bed = Bed::new(AdmissionSettings {
+        let fixture = Fixture::new(AdmissionSettings {
             adaptive: false,
             ramp: false,
             link_rate,
             ..settings()
         });
         Self {
-            bed,
+            fixture,
             waiting: Default::default(),
             running: Vec::new(),
             in_time: [0; 2],
@@ -71,7 +71,7 @@
     }
 
     fn arrive(&mut self, kind: usize) {
-        let now = self.bed.now;
+        let now = self.fixture.now;
         let ask = Ask {
             caller: 1,
             deadline: now + ms(2_500),
@@ -80,7 +80,7 @@
             rank: Self::rank(kind),
             alone: false,
         };
-        match self.bed.admission.arrive(ask, now) {
+        match self.fixture.admission.arrive(ask, now) {
             Arrival::Start => self.start(kind, now),
             Arrival::Wait(ticket) => {
                 self.waiting.insert(ticket, (kind, now));
@@ -94,30 +94,30 @@
         let length = BYTES[kind] / 2 + BYTES[kind] * (self.in_time[0] as u64 % 11) / 10;
         self.running.push(Running {
             kind,
-            started: self.bed.now,
+            started: self.fixture.now,
             arrived,
-            expected: self.bed.admission.expect_answer(Self::rank(kind)),
+            expected: self.fixture.admission.expect_answer(Self::rank(kind)),
             length,
             left: length as f64,
         });
     }
 
     fn step(&mut self) {
-        self.bed.now += ms(1);
-        let now = self.bed.now;
+        self.fixture.now += ms(1);
+        let now = self.fixture.now;
         let is_ready = |run: &Running| now >= run.started + ms(WORK_MS[run.kind]);
         let sending = self.running.iter().filter(|run| is_ready(run)).count();
         let share = RATE as f64 / 1_000.0 / sending.max(1) as f64;
         for run in self.running.iter_mut().filter(|run| is_ready(run)) {
             run.left -= share;
             let left = run.left.max(0.0) as u64;
-            self.bed.admission.correct_answer(run.expected, left);
+            self.fixture.admission.correct_answer(run.expected, left);
             run.expected = left;
         }
         let (ended, running): (Vec<_>, _) = self.running.drain(..).partition(|run| run.left <= 0.0);
         self.running = running;
         ended.iter().for_each(|run| self.end(run));
-        while let Some(turn) = self.bed.admission.next(now) {
+        while let Some(turn) = self.fixture.admission.next(now) {
             match turn {
                 Turn::Start(ticket) => {
                     let (kind, arrived) = self.waiting.remove(&ticket).unwrap();
@@ -132,9 +132,9 @@
     }
 
     fn end(&mut self, run: &Running) {
-        let now = self.bed.now;
+        let now = self.fixture.now;
         let rank = Self::rank(run.kind);
-        let admission = &mut self.bed.admission;
+        let admission = &mut self.fixture.admission;
         admission.correct_answer(run.expected, 0);
         admission.learn_length(rank, run.length);
         admission.release(now - run.started, false, rank);
--- a/crates/coordination/src/admission/tests/load.rs
+++ b/crates/coordination/src/admission/tests/load.rs
@@ -17,53 +17,59 @@
 impl Load {
     /// Returns how many answers in a second came in time.
     fn goodput(&self, settings: AdmissionSettings) -> f64 {
-        let mut bed = Bed::new(settings);
-        let begin = bed.now;
+        let mut fixture = Fixture::new(settings);
+        let begin = fixture.now;
         let mut arrival = begin;
         let mut ends = BinaryHeap::new();
         let mut deadlines = std::collections::BTreeMap::new();
         let mut good = 0;
-        while bed.now < begin + self.total {
+        while fixture.now < begin + self.total {
             let end = ends.peek().map(|&Reverse((at, _, _))| at);
             if end.is_some_and(|end| end <= arrival) {
                 let Some(Reverse((at, started, deadline))) = ends.pop() else {
                     break;
                 };
-                bed.now = at;
+                fixture.now = at;
                 good += u32::from(at <= deadline && at > begin + self.total / 2);
-                bed.admission.release(at - started, false, Rank::default());
+                fixture
+                    .admission
+                    .release(at - started, false, Rank::default());
                 let sample = Sample {
                     started,
                     latency: at - started,
                     result: SampleResult::Answered,
                     rank: Rank::default(),
                 };
-                bed.admission.observe(sample, at);
+                fixture.admission.observe(sample, at);
             } else {
-                bed.now = arrival;
+                fixture.now = arrival;
                 arrival += self.gap;
-                let deadline = bed.now + self.left;
-                match bed.arrive(1, self.left) {
-                    Arrival::Start => ends.push(self.start(&bed, deadline)),
+                let deadline = fixture.now + self.left;
+                match fixture.arrive(1, self.left) {
+                    Arrival::Start => ends.push(self.start(&fixture, deadline)),
                     Arrival::Wait(ticket) => {
                         deadlines.insert(ticket, deadline);
                     }
                     Arrival::Refuse(_) => {}
                 }
             }
-            for turn in bed.turns() {
+            for turn in fixture.turns() {
                 if let Turn::Start(ticket) = turn {
-                    ends.push(self.start(&bed, deadlines[&ticket]));
+                    ends.push(self.start(&fixture, deadlines[&ticket]));
                 }
             }
         }
         f64::from(good) / (self.total / 2).as_secs_f64()
     }
 
-    fn start(&self, bed: &Bed, deadline: Instant) -> Reverse<(Instant, Instant, Instant)> {
-        let active = bed.admission.active();
+    fn start(&self, fixture: &Fixture, deadline: Instant) -> Reverse<(Instant, Instant, Instant)> {
+        let active = fixture.admission.active();
         let share = f64::from(active.max(self.capacity)) / f64::from(self.capacity);
-        Reverse((bed.now + self.service.mul_f64(share), bed.now, deadline))
+        Reverse((
+            fixture.now + self.service.mul_f64(share),
+            fixture.now,
+            deadline,
+        ))
     }
 }
 
--- a/crates/coordination/src/admission/tests/rank.rs
+++ b/crates/coordination/src/admission/tests/rank.rs
@@ -4,7 +4,7 @@
 
 /// One upstream's admission with requests of two kinds, each of its own route.
 struct Kinds {
-    bed: Bed,
+    fixture: Fixture,
     kinds: std::collections::BTreeMap<QueueTicket, usize>,
     started: [u32; 2],
     refused: [u32; 2],
@@ -14,7 +14,7 @@
 impl Kinds {
     fn new() -> Self {
         Self {
-            bed: Bed::new(AdmissionSettings {
+            fixture: Fixture::new(AdmissionSettings {
                 adaptive: false,
                 ramp: false,
                 ..settings()
@@ -31,8 +31,8 @@
         let target = ms(target_ms.into()).checked_sub(ms(age_ms));
         Ask {
             caller: 1,
-            deadline: self.bed.now + ms(1_000),
-            target: Some(self.bed.now + target.unwrap_or_default()),
+            deadline: self.fixture.now + ms(1_000),
+            target: Some(self.fixture.now + target.unwrap_or_default()),
             patience: None,
             rank: Rank {
                 is_late: target.is_none(),
@@ -45,7 +45,7 @@
 
     fn arrive(&mut self, kind: usize, age_ms: u64) {
         let ask = self.ask(kind, age_ms);
-        match self.bed.admission.arrive(ask, self.bed.now) {
+        match self.fixture.admission.arrive(ask, self.fixture.now) {
             Arrival::Start => self.start(kind),
             Arrival::Wait(ticket) => {
                 self.kinds.insert(ticket, kind);
@@ -58,27 +58,27 @@
         self.started[kind] += 1;
         let rank = self.ask(kind, 0).rank;
         let held = ms([22, 140][kind]);
-        self.running.push((self.bed.now + held, rank));
+        self.running.push((self.fixture.now + held, rank));
     }
 
     fn step(&mut self) {
-        self.bed.now += ms(1);
-        let now = self.bed.now;
+        self.fixture.now += ms(1);
+        let now = self.fixture.now;
         let (ended, running): (Vec<_>, _) =
             self.running.drain(..).partition(|(end, _)| *end <= now);
         self.running = running;
         for (_, rank) in ended {
             let held = if rank.target_ms == 100 { 22 } else { 140 };
-            self.bed.admission.release(ms(held), false, rank);
+            self.fixture.admission.release(ms(held), false, rank);
             let sample = Sample {
                 started: now - ms(held),
                 latency: ms(held),
                 result: SampleResult::Answered,
                 rank,
             };
-            self.bed.admission.observe(sample, now);
+            self.fixture.admission.observe(sample, now);
         }
-        while let Some(turn) = self.bed.admission.next(now) {
+        while let Some(turn) = self.fixture.admission.next(now) {
             match turn {
                 Turn::Start(ticket) => self.start(self.kinds[&ticket]),
                 Turn::Refuse(ticket, _) => self.refused[self.kinds[&ticket]] += 1,
@@ -127,6 +127,31 @@
     assert!(late > 50, "late requests are decided at once: {late}");
 }
 
+/// Load pattern: callers that were refused come back with less time than an answer takes, to an
+/// upstream whose slots are just taken.
+#[test]
+fn a_request_that_will_be_late_takes_room_that_nobody_else_wants() {
+    let mut kinds = Kinds::new();
+    for _ in 0..200 {
+        if kinds.running.is_empty() {
+            kinds.arrive(1, 0);
+        }
+        kinds.step();
+    }
+    while kinds.running.len() < SLOTS as usize {
+        kinds.arrive(1, 0);
+    }
+    for _ in 0..100 {
+        kinds.step();
+    }
+    let started = kinds.started[1];
+    kinds.arrive(1, 300);
+    for _ in 0..100 {
+        kinds.step();
+    }
+    assert_eq!(kinds.started[1], started + 1);
+}
+
 #[test]
 fn a_request_that_can_not_be_in_time_is_refused_at_once() {
     let mut kinds = Kinds::new();
@@ -139,10 +164,10 @@
     for _ in 0..200 {
         kinds.step();
     }
-    let waiting = kinds.bed.admission.queued();
+    let waiting = kinds.fixture.admission.queued();
     for _ in 0..200 {
         kinds.arrive(1, 0);
     }
     let most = 400 / 140 * SLOTS as usize;
-    assert!(kinds.bed.admission.queued() <= most, "{waiting}");
+    assert!(kinds.fixture.admission.queued() <= most, "{waiting}");
 }
--- a/crates/coordination/src/border/nesting.rs
+++ b/crates/coordination/src/border/nesting.rs
@@ -46,7 +46,7 @@
     deepest: usize,
     /// Quote that is open.
     quote: Option<char>,
-    /// Indentation of the entry that holds the block scalar in hand.
+    /// Indentation of the entry that holds the block scalar being read.
     scalar: Option<usize>,
 }
 
--- a/crates/coordination/src/ledger/tests.rs
+++ b/crates/coordination/src/ledger/tests.rs
@@ -18,22 +18,22 @@
 
 /// A ledger whose process runs for a minute.
 #[derive(Clone)]
-struct Bed {
+struct Fixture {
     ledger: Ledger,
     now: Instant,
     wall: u64,
 }
 
-impl Bed {
+impl Fixture {
     fn new(settings: LedgerSettings) -> Self {
         let now = Instant::now();
-        let mut bed = Self {
+        let mut fixture = Self {
             ledger: Ledger::new(settings, now, START_MS),
             now,
             wall: START_MS,
         };
-        bed.advance(60_000);
-        bed
+        fixture.advance(60_000);
+        fixture
     }
 
     fn advance(&mut self, millis: u64) {
@@ -60,91 +60,95 @@
 
 #[test]
 fn a_key_is_claimed_once() {
-    let mut bed = Bed::new(LedgerSettings::default());
-    let id = id(bed.wall);
-    assert_eq!(bed.claim(&id), Claim::Run);
-    assert_eq!(bed.claim(&id), Claim::InProgress);
-    bed.ledger.finish(&id, Ending::Ran(Some(answer(3))));
-    assert_matches!(bed.claim(&id), Claim::Replay(kept) if *kept == answer(3));
+    let mut fixture = Fixture::new(LedgerSettings::default());
+    let id = id(fixture.wall);
+    assert_eq!(fixture.claim(&id), Claim::Run);
+    assert_eq!(fixture.claim(&id), Claim::InProgress);
+    fixture.ledger.finish(&id, Ending::Ran(Some(answer(3))));
+    assert_matches!(fixture.claim(&id), Claim::Replay(kept) if *kept == answer(3));
 }
 
 #[test]
 fn other_services_have_other_keys() {
-    let mut bed = Bed::new(LedgerSettings::default());
-    let one = id(bed.wall);
+    let mut fixture = Fixture::new(LedgerSettings::default());
+    let one = id(fixture.wall);
     let other = RequestId {
         service: ServiceName::from("receipts"),
         ..one.clone()
     };
-    assert_eq!(bed.claim(&one), Claim::Run);
-    assert_eq!(bed.claim(&other), Claim::Run);
+    assert_eq!(fixture.claim(&one), Claim::Run);
+    assert_eq!(fixture.claim(&other), Claim::Run);
 }
 
 #[test]
 fn a_large_answer_is_not_kept_but_that_it_ran_is() {
-    let mut bed = Bed::new(LedgerSettings::default());
-    let id = id(bed.wall);
-    bed.claim(&id);
-    bed.ledger.finish(&id, Ending::Ran(Some(answer(1 << 20))));
-    assert_eq!(bed.claim(&id), Claim::Ran);
+    let mut fixture = Fixture::new(LedgerSettings::default());
+    let id = id(fixture.wall);
+    fixture.claim(&id);
+    fixture
+        .ledger
+        .finish(&id, Ending::Ran(Some(answer(1 << 20))));
+    assert_eq!(fixture.claim(&id), Claim::Ran);
 }
 
 #[test]
 fn the_age_of_a_key_decides_what_an_unknown_one_means() {
-    let mut bed = Bed::new(LedgerSettings::default());
-    bed.advance(3_600_000);
-    assert_eq!(bed.claim(&id(bed.wall + 2_001)), Claim::TooNew);
-    assert_eq!(bed.claim(&id(bed.wall + 1_999)), Claim::Run);
-    assert_eq!(bed.claim(&id(bed.wall - 598_001)), Claim::TooOld);
-    assert_eq!(bed.claim(&id(bed.wall - 597_999)), Claim::Run);
-    bed.restart();
-    assert_eq!(bed.claim(&id(bed.wall + 1_998)), Claim::Stale);
-    let floor = bed.wall + 60_000;
-    bed.advance(30_000);
-    let stale = bed.ledger.claim(&id(bed.wall), floor, bed.now, bed.wall);
+    let mut fixture = Fixture::new(LedgerSettings::default());
+    fixture.advance(3_600_000);
+    assert_eq!(fixture.claim(&id(fixture.wall + 2_001)), Claim::TooNew);
+    assert_eq!(fixture.claim(&id(fixture.wall + 1_999)), Claim::Run);
+    assert_eq!(fixture.claim(&id(fixture.wall - 598_001)), Claim::TooOld);
+    assert_eq!(fixture.claim(&id(fixture.wall - 597_999)), Claim::Run);
+    fixture.restart();
+    assert_eq!(fixture.claim(&id(fixture.wall + 1_998)), Claim::Stale);
+    let floor = fixture.wall + 60_000;
+    fixture.advance(30_000);
+    let stale = fixture
+        .ledger
+        .claim(&id(fixture.wall), floor, fixture.now, fixture.wall);
     assert_eq!(stale, Claim::Stale);
 }
 
 #[test]
 fn a_full_ledger_forgets_nothing_early() {
-    let mut bed = Bed::new(LedgerSettings {
+    let mut fixture = Fixture::new(LedgerSettings {
         max_entries: 1,
         ..LedgerSettings::default()
     });
-    let first = id(bed.wall);
-    assert_eq!(bed.claim(&first), Claim::Run);
-    bed.ledger.finish(&first, Ending::Unknown);
-    assert_eq!(bed.claim(&id(bed.wall + 1)), Claim::Full);
-    assert_eq!(bed.claim(&first), Claim::Unknown);
-    bed.advance(604_001);
-    assert_eq!(bed.claim(&id(bed.wall)), Claim::Run);
-    assert_eq!(bed.ledger.len(), 1);
+    let first = id(fixture.wall);
+    assert_eq!(fixture.claim(&first), Claim::Run);
+    fixture.ledger.finish(&first, Ending::Unknown);
+    assert_eq!(fixture.claim(&id(fixture.wall + 1)), Claim::Full);
+    assert_eq!(fixture.claim(&first), Claim::Unknown);
+    fixture.advance(604_001);
+    assert_eq!(fixture.claim(&id(fixture.wall)), Claim::Run);
+    assert_eq!(fixture.ledger.len(), 1);
 }
 
 #[test]
 fn kept_answers_are_bounded() {
-    let mut bed = Bed::new(LedgerSettings {
+    let mut fixture = Fixture::new(LedgerSettings {
         max_bytes: 100,
         ..LedgerSettings::default()
     });
-    let (one, two) = (id(bed.wall), id(bed.wall + 1));
+    let (one, two) = (id(fixture.wall), id(fixture.wall + 1));
     for id in [&one, &two] {
-        bed.claim(id);
-        bed.ledger.finish(id, Ending::Ran(Some(answer(60))));
+        fixture.claim(id);
+        fixture.ledger.finish(id, Ending::Ran(Some(answer(60))));
     }
-    assert_matches!(bed.claim(&one), Claim::Replay(_));
-    assert_eq!(bed.claim(&two), Claim::Ran);
+    assert_matches!(fixture.claim(&one), Claim::Replay(_));
+    assert_eq!(fixture.claim(&two), Claim::Ran);
 }
 
 #[test]
 fn a_clock_that_steps_back_revives_no_key() {
-    let mut bed = Bed::new(LedgerSettings::default());
-    let id = id(bed.wall);
-    bed.claim(&id);
-    bed.ledger.finish(&id, Ending::Ran(None));
-    bed.advance(604_001);
-    bed.wall -= 500_000;
-    assert_eq!(bed.claim(&id), Claim::TooOld);
+    let mut fixture = Fixture::new(LedgerSettings::default());
+    let id = id(fixture.wall);
+    fixture.claim(&id);
+    fixture.ledger.finish(&id, Ending::Ran(None));
+    fixture.advance(604_001);
+    fixture.wall -= 500_000;
+    assert_eq!(fixture.claim(&id), Claim::TooOld);
 }
 
 /// What can happen to one request, in any order.
@@ -170,7 +174,7 @@
 /// One request, with the number of its executions that may have run.
 #[derive(Clone)]
 struct World {
-    bed: Bed,
+    fixture: Fixture,
     id: RequestId,
     running: bool,
     ran: u32,
@@ -178,10 +182,10 @@
 
 impl World {
     fn new() -> Self {
-        let bed = Bed::new(LedgerSettings::default());
-        let id = id(bed.wall);
+        let fixture = Fixture::new(LedgerSettings::default());
+        let id = id(fixture.wall);
         Self {
-            bed,
+            fixture,
             id,
             running: false,
             ran: 0,
@@ -192,7 +196,7 @@
     fn step(&mut self, step: Step) -> bool {
         match step {
             Step::Send => {
-                if self.bed.claim(&self.id) == Claim::Run {
+                if self.fixture.claim(&self.id) == Claim::Run {
                     assert!(!self.running, "two executions at once");
                     assert_eq!(self.ran, 0, "an execution after one that may have run");
                     self.running = true;
@@ -201,11 +205,11 @@
             Step::EndRan => return self.end(Ending::Ran(Some(answer(1))), 1),
             Step::EndUnknown => return self.end(Ending::Unknown, 1),
             Step::EndNotRun => return self.end(Ending::DidNotRun, 0),
-            Step::Wait => self.bed.advance(299_500),
+            Step::Wait => self.fixture.advance(299_500),
             Step::Restart => {
                 self.ran += u32::from(self.running);
                 self.running = false;
-                self.bed.restart();
+                self.fixture.restart();
             }
         }
         true
@@ -217,7 +221,7 @@
         }
         self.running = false;
         self.ran += ran;
-        self.bed.ledger.finish(&self.id, ending);
+        self.fixture.ledger.finish(&self.id, ending);
         true
     }
 }
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -179,7 +179,7 @@
             .sum()
     }
 
-    /// Returns the VMs of all neighbours that have greeted.
+    /// Returns the VMs of all neighbours that have said hello.
     #[must_use]
     pub fn neighbours(&self) -> Vec<VmName> {
         let peers = self.links.values().filter_map(|link| link.peer.as_ref());
@@ -349,8 +349,8 @@
     }
 
     fn send_others(&mut self, from: Option<LinkId>, message: &Message) {
-        let greeted = self.links.iter().filter(|(_, link)| link.peer.is_some());
-        let ids: Vec<_> = greeted.map(|(id, _)| *id).collect();
+        let known = self.links.iter().filter(|(_, link)| link.peer.is_some());
+        let ids: Vec<_> = known.map(|(id, _)| *id).collect();
         for id in ids.into_iter().filter(|id| Some(*id) != from) {
             self.send(id, message.clone());
         }
--- a/crates/coordination/src/replica/dial.rs
+++ b/crates/coordination/src/replica/dial.rs
@@ -98,8 +98,8 @@
         self.entry(address, now).state = State::Linked(link);
     }
 
-    /// Notes that the neighbour at the address has greeted.
-    pub(super) fn greeted(&mut self, address: SocketAddr, now: Instant) {
+    /// Notes that the neighbour at the address has said hello.
+    pub(super) fn hello_received(&mut self, address: SocketAddr, now: Instant) {
         self.entry(address, now).failures = 0;
     }
 
--- a/crates/coordination/src/replica/joining.rs
+++ b/crates/coordination/src/replica/joining.rs
@@ -93,7 +93,7 @@
 
     fn was_asked(&self, address: SocketAddr) -> bool {
         let link = self.links.values();
-        let mut greeted = link.filter(|link| link.peer.is_some());
-        self.dials.has_failed(address) || greeted.any(|link| link.address == Some(address))
+        let mut known = link.filter(|link| link.peer.is_some());
+        self.dials.has_failed(address) || known.any(|link| link.address == Some(address))
     }
 }
--- a/crates/coordination/src/replica/link.rs
+++ b/crates/coordination/src/replica/link.rs
@@ -25,7 +25,7 @@
     pub(super) opened: Instant,
     /// When the neighbour was last heard.
     pub(super) heard: Instant,
-    /// The neighbour, after its greeting.
+    /// The neighbour, after its hello.
     pub(super) peer: Option<Peer>,
     /// Highest sequence that was sent to the neighbour.
     pub(super) sent: Sequence,
@@ -47,7 +47,7 @@
     pub(super) parts: Vec<SnapshotPart>,
 }
 
-/// A neighbour that has greeted.
+/// A neighbour that has said hello.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
     pub(super) vm: VmName,
--- a/crates/coordination/src/replica/output.rs
+++ b/crates/coordination/src/replica/output.rs
@@ -35,7 +35,7 @@
     Order(DrainOrder),
     /// A report was heard for the first time.
     Report(SoftReport),
-    /// A neighbour was greeted.
+    /// A neighbour said hello.
     LinkUp(VmName),
     /// The last link to a neighbour ended.
     LinkDown(VmName),
--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -22,8 +22,8 @@
 
 /// Silence after which a link is given up.
 const SILENCE: Duration = Duration::from_millis(2_200);
-/// Time in which a neighbour has to greet.
-const GREETING: Duration = Duration::from_secs(2);
+/// Time in which a neighbour has to say hello.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// Age after which a link that is no longer wanted is closed.
 const SURPLUS_AGE: Duration = Duration::from_secs(2);
 /// Time between two looks for children that are not linked.
@@ -78,7 +78,7 @@
             let limit = if link.peer.is_some() {
                 SILENCE
             } else {
-                GREETING
+                HELLO_TIMEOUT
             };
             silence > limit
         };
@@ -141,7 +141,7 @@
             }
         }
         wanted.extend(uplinks.iter().copied());
-        uplinks.retain(|id| self.is_greeted(*id));
+        uplinks.retain(|id| self.has_hello(*id));
         self.uplinks = uplinks;
     }
 
@@ -251,7 +251,7 @@
                     walk.pending += 1;
                 }
                 DialState::Pending => walk.pending += 1,
-                DialState::Linked(id) if self.is_greeting(id, now) => walk.pending += 1,
+                DialState::Linked(id) if self.awaits_hello(id, now) => walk.pending += 1,
                 DialState::Linked(_) | DialState::Slow | DialState::Waiting => {}
             }
         }
@@ -272,7 +272,7 @@
             }
         }
         for id in changed {
-            if self.is_greeted(id) {
+            if self.has_hello(id) {
                 self.send_digest(id, now);
             }
         }
@@ -312,7 +312,7 @@
         self.dials.has_failed(entry.address) && self.link_to(&entry.vm).is_none()
     }
 
-    /// Returns the link to a VM that has greeted.
+    /// Returns the link to a VM that has said hello.
     pub(super) fn link_to(&self, vm: &VmName) -> Option<LinkId> {
         let is_to = |link: &Link| link.peer.as_ref().is_some_and(|peer| peer.vm == *vm);
         let mut links = self.links.iter();
@@ -336,12 +336,12 @@
             .map(|entry| entry.vm.clone())
     }
 
-    fn is_greeted(&self, id: LinkId) -> bool {
+    fn has_hello(&self, id: LinkId) -> bool {
         self.links.get(&id).is_some_and(|link| link.peer.is_some())
     }
 
-    /// Returns whether a neighbour may still be about to greet.
-    fn is_greeting(&self, id: LinkId, now: Instant) -> bool {
+    /// Returns whether a neighbour may still be about to say hello.
+    fn awaits_hello(&self, id: LinkId, now: Instant) -> bool {
         self.links.get(&id).is_some_and(|link| {
             let age = now.saturating_duration_since(link.opened);
             link.peer.is_none() && age < HEDGE
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -45,7 +45,7 @@
     has_stepped_in: bool,
     list_due: Instant,
     jitter: Duration,
-    last_word: Option<Instant>,
+    last_answer: Option<Instant>,
 }
 
 impl Readers {
@@ -68,7 +68,7 @@
             has_stepped_in: false,
             list_due: now + Duration::from_millis(delay),
             jitter: Duration::from_millis(rng.random_range(0..LIST_DELAY_MS)),
-            last_word: None,
+            last_answer: None,
         }
     }
 
@@ -108,7 +108,7 @@
     }
 
     fn put(&mut self, vm: VmName, position: u32, at: Instant) {
-        self.last_word = self.last_word.max(Some(at));
+        self.last_answer = self.last_answer.max(Some(at));
         let entry = self.contacts.entry(vm).or_insert((position, at));
         if entry.1 <= at {
             *entry = (position, at);
@@ -128,7 +128,7 @@
 
 impl Replica {
     /// Takes in that the platform answered and all that it holds has been passed in.
-    pub fn platform_word(&mut self, now: Instant) {
+    pub fn platform_answered(&mut self, now: Instant) {
         let position = self.effective_position();
         let position = u32::try_from(position).unwrap_or(u32::MAX);
         self.readers.put(self.me.vm.clone(), position, now);
@@ -137,8 +137,8 @@
     /// Returns the time since any reader in reach heard the platform.
     #[must_use]
     pub fn platform_age(&self, now: Instant) -> Option<Duration> {
-        let word = self.readers.last_word?;
-        Some(now.saturating_duration_since(word))
+        let answer = self.readers.last_answer?;
+        Some(now.saturating_duration_since(answer))
     }
 
     /// Returns how the node reads the platform.
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -54,7 +54,7 @@
             return;
         }
         if let Some(address) = address {
-            self.dials.greeted(address, now);
+            self.dials.hello_received(address, now);
         }
         let is_known = self.link_to(&hello.vm).is_some();
         let is_again = self.links[&id].peer.is_some();
@@ -78,7 +78,7 @@
         if !is_again && !self.keep_one_link(id, now) {
             return;
         }
-        self.greet_back(id, now);
+        self.answer_hello(id, now);
         self.receive_digest(id, digest, now);
         self.plan_links(now, rng);
     }
@@ -111,7 +111,7 @@
         is_kept
     }
 
-    fn greet_back(&mut self, id: LinkId, now: Instant) {
+    fn answer_hello(&mut self, id: LinkId, now: Instant) {
         let reports = self.reports.live(now);
         if !reports.is_empty() {
             self.send(id, Message::Reports(reports));
--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -28,7 +28,7 @@
     pub note: Sequence,
     /// Hash of the configuration in force, in hexadecimal.
     pub digest: String,
-    /// Time since the last word from the platform in milliseconds, if there was one.
+    /// Time since the last answer of the platform in milliseconds, if there was one.
     #[serde(default)]
     pub age_ms: Option<u64>,
     /// Highest sequence that the node has heard of.
--- a/crates/coordination/src/retry/tests.rs
+++ b/crates/coordination/src/retry/tests.rs
@@ -30,6 +30,18 @@
     matches!(next, Next::Elsewhere { .. })
 }
 
+/// Load pattern: a full service, whose upstreams turn a call away one after the other.
+#[test]
+fn a_call_that_reached_no_upstream_goes_elsewhere_without_a_pause() {
+    let turned_away = after(RequestKind::Plain, &[AttemptEnd::Refused]);
+    let after_zero = Next::Elsewhere {
+        after: Duration::ZERO,
+    };
+    assert_eq!(turned_away, after_zero);
+    let broken = after(RequestKind::Idempotent, &[AttemptEnd::Broken]);
+    assert!(is_elsewhere(broken) && broken != after_zero);
+}
+
 fn is_owner(next: Next) -> bool {
     matches!(next, Next::Owner { .. })
 }
--- a/crates/coordination/src/stall.rs
+++ b/crates/coordination/src/stall.rs
@@ -9,7 +9,7 @@
 pub const STALL_GAP: Duration = Duration::from_millis(500);
 /// Time after a pause in which what is read may have arrived during it.
 const BACKLOG_TIME: Duration = Duration::from_millis(100);
-/// Longest time after a pause in which the node waits for fresh word of others.
+/// Longest time after a pause in which the node waits to hear others.
 const MAX_QUARANTINE: Duration = Duration::from_secs(2);
 
 /// Detector of pauses of the own process, fed by a regular tick.
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -246,7 +246,7 @@
                 let sequence = Sequence(index as u64 + 1);
                 replica.platform_value(PlatformValue::Note(sequence, Arc::clone(text)), now);
             }
-            replica.platform_word(now);
+            replica.platform_answered(now);
         }
         self.act(number);
     }
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -32,7 +32,7 @@
 const WORKERS: usize = 1;
 /// Connections of operators that are held open at once.
 const MAX_CONNECTIONS: usize = 64;
-/// Longest time in seconds that a stop waits for answers in hand.
+/// Longest time in seconds that a stop waits for answers in flight.
 const STOP_WAIT_S: u64 = 1;
 
 impl Service for Admin {
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -2,7 +2,6 @@
 
 mod answer;
 mod attempt;
-mod beliefs;
 mod body;
 mod channel;
 mod dispatch;
@@ -16,6 +15,7 @@
 mod refusal;
 mod reply_body;
 mod request;
+mod routing;
 mod server;
 mod worker;
 
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -131,13 +131,13 @@
     /// Returns the owner of the call's key, also when it is drained: it decides, and runs the
     /// request where there is room.
     fn owner(&mut self) -> Result<Place, Refusal> {
-        let beliefs = self.worker.beliefs();
+        let routing = self.worker.routing();
         let service = &self.request.service;
         let key = self.request.key.as_ref();
-        let owner = key.and_then(|key| key_owner(&beliefs.view.config, service, key));
+        let owner = key.and_then(|key| key_owner(&routing.view.config, service, key));
         let owner =
             owner.ok_or_else(|| not_run(RefusalReason::NoUpstream, NO_UPSTREAM_AFTER_MS))?;
-        let address = beliefs.candidates.address(&owner.vm);
+        let address = routing.candidates.address(&owner.vm);
         let address =
             address.ok_or_else(|| not_run(RefusalReason::Unreachable, NO_UPSTREAM_AFTER_MS))?;
         let ticket = self.worker.balancer.borrow_mut().direct(&owner.name);
@@ -149,13 +149,13 @@
     }
 
     fn choose(&mut self) -> Result<Place, Refusal> {
-        let beliefs = self.worker.beliefs();
+        let routing = self.worker.routing();
         let any: Vec<_>;
         let candidates = if mutant::is_on(Mutant::Misroute) {
-            any = beliefs.candidates.iter().cloned().collect();
+            any = routing.candidates.iter().cloned().collect();
             &any
         } else {
-            beliefs.candidates.of(&self.request.service)
+            routing.candidates.of(&self.request.service)
         };
         let constraints = Constraints {
             excluded: &self.tried,
@@ -229,7 +229,7 @@
             attempts: self.attempts.made(),
             arrived: request.arrived,
             age: self.age,
-            list: self.worker.beliefs().view.vms.number,
+            list: self.worker.routing().view.vms.number,
         }
     }
 
@@ -261,7 +261,7 @@
             let caught_up = self.worker.catch_up(sequence);
             let _ = timeout_at(self.request.deadline.into(), caught_up).await;
         }
-        let routes = Rc::clone(&self.worker.beliefs().routes);
+        let routes = Rc::clone(&self.worker.routing().routes);
         let choose = |route: &Route| self.worker.choose_service(route);
         self.request.reroute(&routes, choose)
     }
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -46,7 +46,7 @@
         let reason = answer::reason_text(reason);
         worker.recorder.turned_away(call, reason);
     };
-    if !worker.beliefs().view.phase.takes_calls() {
+    if !worker.routing().view.phase.takes_calls() {
         turn_away(RefusalReason::NotReady);
         let mut answer = refuse(dialect, RefusalReason::NotReady, NOT_READY_AFTER_MS);
         return answer.force_close().finish();
@@ -60,7 +60,7 @@
         return refuse(dialect, RefusalReason::Overloaded, OVERLOADED_AFTER_MS).finish();
     };
     let choose = |route: &Route| worker.choose_service(route);
-    let routes = Rc::clone(&worker.beliefs().routes);
+    let routes = Rc::clone(&worker.routing().routes);
     let read = match CallerRequest::read(&request, &routes, words, choose, arrived) {
         Ok(read) => read,
         Err(ReadError::NoRoute) => {
@@ -74,7 +74,7 @@
     };
     let body = RequestBody::new(payload, read.length);
     let mut response = Dispatch::new(&worker, read, body).run(permit).await;
-    if worker.beliefs().view.phase != Phase::Serving {
+    if worker.routing().view.phase != Phase::Serving {
         let head = response.head_mut();
         head.set_connection_type(ConnectionType::Close);
     }
--- a/crates/node/src/ingress/beliefs.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -17,7 +17,7 @@
 const MAX_WARM: usize = 128;
 
 /// A view with the tables that are compiled from it.
-pub(super) struct Beliefs {
+pub(super) struct RoutingView {
     /// The view.
     pub(super) view: Arc<View>,
     /// Routes of the view.
@@ -28,7 +28,7 @@
     pub(super) warm: Rc<Vec<SocketAddr>>,
 }
 
-impl Beliefs {
+impl RoutingView {
     /// Returns what follows from a view, seen from the node of the settings.
     pub(super) fn new(view: Arc<View>, settings: &Settings, last: Option<&Self>) -> Self {
         let candidates = candidates(&view);
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -18,10 +18,10 @@
 
 use crate::{
     ingress::{
-        beliefs::Beliefs,
         pool::{self, Pool},
         record::Recorder,
         request::{CallerRequest, Words},
+        routing::RoutingView,
     },
     settings::Settings,
     stall::Stall,
@@ -67,7 +67,7 @@
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     splitter: RefCell<Splitter>,
     ages: RefCell<CallerAges>,
-    beliefs: RefCell<Rc<Beliefs>>,
+    routing: RefCell<Rc<RoutingView>>,
 }
 
 impl Worker {
@@ -79,7 +79,7 @@
             ejection: settings.policies.ejection,
         };
         let calls = settings.limits.body_bytes / CALL_BYTES;
-        let beliefs = Beliefs::new(shared.view.load(), settings, None);
+        let routing = RoutingView::new(shared.view.load(), settings, None);
         let worker = Rc::new(Self {
             pool: Rc::new(Pool::new(settings.address, shared.token.clone())),
             balancer: RefCell::new(Balancer::new(settings.domain.clone(), policy)),
@@ -90,12 +90,12 @@
             budgets: RefCell::default(),
             splitter: RefCell::default(),
             ages: RefCell::default(),
-            beliefs: RefCell::new(Rc::new(beliefs)),
+            routing: RefCell::new(Rc::new(routing)),
             shared,
         });
         let wanted = Rc::clone(&worker);
         let pool = Rc::clone(&worker.pool);
-        let wanted = move || Rc::clone(&wanted.beliefs().warm);
+        let wanted = move || Rc::clone(&wanted.routing().warm);
         actix_rt::spawn(pool::keep_warm(pool, IDLE_TIMEOUT, wanted));
         worker
     }
@@ -136,19 +136,19 @@
     }
 
     /// Returns what follows from the newest view.
-    pub(super) fn beliefs(&self) -> Rc<Beliefs> {
+    pub(super) fn routing(&self) -> Rc<RoutingView> {
         let view = self.shared.view.load();
-        let mut beliefs = self.beliefs.borrow_mut();
-        if !Arc::ptr_eq(&beliefs.view, &view) {
+        let mut routing = self.routing.borrow_mut();
+        if !Arc::ptr_eq(&routing.view, &view) {
             let settings = &self.shared.settings;
-            *beliefs = Rc::new(Beliefs::new(view, settings, Some(&beliefs)));
-            self.balancer.borrow_mut().retain(&beliefs.candidates);
-            let rates = self.retry_rates(&beliefs);
+            *routing = Rc::new(RoutingView::new(view, settings, Some(&routing)));
+            self.balancer.borrow_mut().retain(&routing.candidates);
+            let rates = self.retry_rates(&routing);
             for budget in self.budgets.borrow_mut().values_mut() {
                 budget.set_rates(rates);
             }
         }
-        Rc::clone(&beliefs)
+        Rc::clone(&routing)
     }
 
     /// Runs a closure on the retry budget of a service.
@@ -171,16 +171,16 @@
         let _ = timeout(CATCH_UP_TIMEOUT, reached).await;
     }
 
-    fn retry_rates(&self, beliefs: &Beliefs) -> RetryRates {
+    fn retry_rates(&self, routing: &RoutingView) -> RetryRates {
         let fleet = self.shared.settings.resends;
         fleet.map_or_else(RetryRates::default, |fleet| {
-            fleet.part(beliefs.view.vms.vms.len())
+            fleet.part(routing.view.vms.vms.len())
         })
     }
 
     fn fresh_budget(&self) -> RetryBudget {
         if self.shared.settings.policies.budget {
-            let rates = self.retry_rates(&self.beliefs.borrow());
+            let rates = self.retry_rates(&self.routing.borrow());
             return RetryBudget::new(rates, Instant::now());
         }
         RetryBudget::unlimited(Instant::now())
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -18,7 +18,7 @@
 pub(crate) struct Serving;
 /// The node still takes callers' calls while they learn that it stops.
 pub(crate) struct Leaving;
-/// The node finishes the work in hand and takes no more.
+/// The node finishes the calls in flight and takes no more.
 pub(crate) struct Stopping;
 
 /// A node in the state `S`; only the transitions defined here exist.
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -53,7 +53,7 @@
     /// Values of the platform.
     Platform(Vec<PlatformValue>, oneshot::Sender<PlatformState>),
     /// The platform answered, and all that it holds was passed in.
-    Word,
+    PlatformAnswered,
     /// An order of an operator.
     Order(DrainOrder, oneshot::Sender<DrainList>),
     /// A question for the verdict on a note.
@@ -172,7 +172,7 @@
                 }
                 let _ = reply.send(platform_state(replica));
             }
-            Input::Word => replica.platform_word(now),
+            Input::PlatformAnswered => replica.platform_answered(now),
             Input::Order(order, reply) => {
                 replica.order(&order, now);
                 let _ = reply.send(replica.drains().clone());
@@ -233,7 +233,7 @@
             }
             ReplicaEvent::Joined(rule) => self.tell_joined(rule),
             ReplicaEvent::Paused(gap) => {
-                warn!("greeting all neighbours again after a pause of {gap:?}");
+                warn!("sending a hello to all neighbours again after a pause of {gap:?}");
             }
             ReplicaEvent::SnapshotRefused(peer, reason) => {
                 warn!(peer = peer.as_str(); "snapshot refused: {reason}");
@@ -340,7 +340,7 @@
 fn is_word(input: &Input) -> bool {
     match input {
         Input::Message(_, message) => matches!(message, Message::Hello(_) | Message::Digest(_)),
-        Input::Word => true,
+        Input::PlatformAnswered => true,
         _ => false,
     }
 }
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -118,8 +118,8 @@
     }
 
     /// Notes that the platform answered and all that it holds was passed in.
-    pub(crate) async fn platform_word(&self) {
-        let _ = self.inputs.send(Input::Word).await;
+    pub(crate) async fn platform_answered(&self) {
+        let _ = self.inputs.send(Input::PlatformAnswered).await;
     }
 
     pub(super) fn set_status(&self, status: PeersStatus) {
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -1,7 +1,7 @@
 //! Runs a real sidecar on loopback against small upstreams.
 
 mod admission;
-mod bed;
+mod fixture;
 mod forwarding;
 mod keys;
 mod listed;
--- a/crates/node/src/sidecar/tests/admission.rs
+++ b/crates/node/src/sidecar/tests/admission.rs
@@ -17,7 +17,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use super::bed::{Bed, Reply, get};
+use super::fixture::{Fixture, Reply, get};
 use crate::wire::{CallHead, Outcome, Refusal, RefusalReason};
 
 /// Starts an upstream that takes 20 ms and notes how many requests ran at once.
@@ -87,8 +87,8 @@
 #[actix_rt::test]
 async fn a_cold_upstream_gets_one_request_at_a_time() {
     let peak = Arc::new(AtomicU32::new(0));
-    let bed = Bed::start(counting_upstream(Arc::clone(&peak))).await;
-    let replies = join_all((0..4).map(|_| bed.call(get(), b""))).await;
+    let fixture = Fixture::start(counting_upstream(Arc::clone(&peak))).await;
+    let replies = join_all((0..4).map(|_| fixture.call(get(), b""))).await;
     for reply in replies {
         assert_matches!(reply, Reply::Whole { status: 200, .. });
     }
@@ -99,8 +99,8 @@
 async fn a_warm_upstream_gets_its_slots_and_no_more() {
     let peak = Arc::new(AtomicU32::new(0));
     let address = counting_upstream(Arc::clone(&peak));
-    let bed = Bed::with(address, "policies: {ramp: false}", 3).await;
-    let replies = join_all((0..30).map(|_| bed.call(get(), b""))).await;
+    let fixture = Fixture::with(address, "policies: {ramp: false}", 3).await;
+    let replies = join_all((0..30).map(|_| fixture.call(get(), b""))).await;
     let good = replies
         .iter()
         .filter(|reply| matches!(reply, Reply::Whole { .. }));
@@ -112,7 +112,7 @@
 async fn a_request_that_crashes_takes_down_two_at_most() {
     let crashes = Arc::new(AtomicU32::new(0));
     let address = crashing_upstream(Arc::clone(&crashes)).await;
-    let bed = Bed::start(address).await;
+    let fixture = Fixture::start(address).await;
     let crash = CallHead {
         target: "/crash".into(),
         fingerprint: 13,
@@ -120,7 +120,7 @@
     };
     let mut refusals = Vec::new();
     for _ in 0..4 {
-        let reply = bed.call(crash.clone(), b"").await;
+        let reply = fixture.call(crash.clone(), b"").await;
         assert_matches!(&reply, Reply::Refused(_));
         if let Reply::Refused(Refusal {
             reason, outcome, ..
@@ -133,5 +133,8 @@
     assert_eq!(crashes.load(Ordering::SeqCst), 2, "{refusals:?}");
     let poison = (RefusalReason::Poison, Outcome::DidNotRun);
     assert_eq!(refusals[2..], [poison, poison]);
-    assert_matches!(bed.call(get(), b"").await, Reply::Whole { status: 200, .. });
+    assert_matches!(
+        fixture.call(get(), b"").await,
+        Reply::Whole { status: 200, .. }
+    );
 }
--- a/crates/node/src/sidecar/tests/bed.rs
+++ b/crates/node/src/sidecar/tests/fixture.rs
@@ -25,14 +25,14 @@
 const STEP: Duration = Duration::from_secs(20);
 
 /// A node with sidecar, and a connection to it.
-pub(super) struct Bed {
+pub(super) struct Fixture {
     pub(super) context: Context,
     pub(super) sidecar: Sidecar,
     _transport: Transport,
     connection: Rc<Connection>,
 }
 
-impl Bed {
+impl Fixture {
     /// Starts a sidecar whose one upstream `u` listens on `address`.
     pub(super) async fn start(address: SocketAddr) -> Self {
         Self::with(address, "", 4).await
@@ -225,9 +225,9 @@
 }
 
 /// Tells nodes of each other.
-pub(super) fn introduce(beds: &[&Bed]) {
-    let entry = |bed: &&Bed| {
-        let settings = bed.context.settings();
+pub(super) fn introduce(beds: &[&Fixture]) {
+    let entry = |fixture: &&Fixture| {
+        let settings = fixture.context.settings();
         Arc::new(VmEntry {
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
@@ -241,8 +241,8 @@
         number: 1,
         vms: beds.iter().map(entry).collect(),
     });
-    for bed in beds {
-        bed.context.view().set_vms(Arc::clone(&vms));
+    for fixture in beds {
+        fixture.context.view().set_vms(Arc::clone(&vms));
     }
 }
 
--- a/crates/node/src/sidecar/tests/forwarding.rs
+++ b/crates/node/src/sidecar/tests/forwarding.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use wagtaillever_coordination::{Config, DrainAction, DrainList, DrainOrder, DrainScope, Sequence};
 
-use super::bed::{Bed, Reply, closed_address, config, get, post, raw_upstream, reply};
+use super::fixture::{Fixture, Reply, closed_address, config, get, post, raw_upstream, reply};
 use crate::{
     kernel::Service,
     wire::{CallHead, Outcome, Refusal, RefusalReason},
@@ -50,7 +50,7 @@
 }
 
 async fn raw(answer: &'static [u8]) -> Reply {
-    Bed::start(raw_upstream(answer).await)
+    Fixture::start(raw_upstream(answer).await)
         .await
         .call(get(), b"")
         .await
@@ -58,16 +58,16 @@
 
 #[actix_rt::test]
 async fn an_answer_is_passed_on() {
-    let bed = Bed::start(echo_upstream()).await;
-    assert_matches!(bed.call(get(), b"").await, Reply::Whole { status: 200, body, .. } if body == b"hello");
+    let fixture = Fixture::start(echo_upstream()).await;
+    assert_matches!(fixture.call(get(), b"").await, Reply::Whole { status: 200, body, .. } if body == b"hello");
 }
 
 #[actix_rt::test]
 async fn bodies_are_passed_whole_both_ways() {
-    let bed = Bed::start(echo_upstream()).await;
+    let fixture = Fixture::start(echo_upstream()).await;
     let sent: Vec<u8> = (0..5_000_000_u32).flat_map(|n| n.to_be_bytes()).collect();
     for length in [Some(sent.len() as u64), None] {
-        let (mut writer, mut reader) = bed.open(post(length)).await;
+        let (mut writer, mut reader) = fixture.open(post(length)).await;
         let body = Bytes::from(sent.clone());
         let sending = actix_rt::spawn(async move {
             writer.bytes(body).await.unwrap();
@@ -127,38 +127,38 @@
 
 #[actix_rt::test]
 async fn an_upstream_that_is_down_did_not_run_the_request() {
-    let bed = Bed::start(closed_address()).await;
-    let reply = bed.call(post(Some(3)), b"abc").await;
+    let fixture = Fixture::start(closed_address()).await;
+    let reply = fixture.call(post(Some(3)), b"abc").await;
     assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Unreachable);
 }
 
 #[actix_rt::test]
 async fn the_deadline_ends_a_call() {
-    let bed = Bed::start(echo_upstream()).await;
+    let fixture = Fixture::start(echo_upstream()).await;
     let slow = CallHead {
         target: "/slow".into(),
         left_ms: 100,
         ..get()
     };
-    let reply = bed.call(slow, b"").await;
+    let reply = fixture.call(slow, b"").await;
     assert_refused(&reply, Outcome::Unknown, RefusalReason::Deadline);
     let late = CallHead {
         left_ms: 0,
         ..get()
     };
-    let reply = bed.call(late, b"").await;
+    let reply = fixture.call(late, b"").await;
     assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Deadline);
 }
 
 #[actix_rt::test]
 async fn what_is_not_here_is_refused() {
-    let bed = Bed::start(echo_upstream()).await;
+    let fixture = Fixture::start(echo_upstream()).await;
     let other = CallHead {
         upstream: "v".into(),
         ..get()
     };
     assert_refused(
-        &bed.call(other, b"").await,
+        &fixture.call(other, b"").await,
         Outcome::DidNotRun,
         RefusalReason::NoUpstream,
     );
@@ -167,7 +167,7 @@
         ..get()
     };
     assert_refused(
-        &bed.call(other, b"").await,
+        &fixture.call(other, b"").await,
         Outcome::DidNotRun,
         RefusalReason::NoUpstream,
     );
@@ -176,7 +176,7 @@
         ..get()
     };
     assert_refused(
-        &bed.call(newer, b"").await,
+        &fixture.call(newer, b"").await,
         Outcome::DidNotRun,
         RefusalReason::NotReady,
     );
@@ -185,8 +185,8 @@
 #[actix_rt::test]
 async fn a_call_waits_for_the_note_that_routed_it() {
     let address = echo_upstream();
-    let bed = Bed::start(address).await;
-    let view = bed.context.view().clone();
+    let fixture = Fixture::start(address).await;
+    let view = fixture.context.view().clone();
     actix_rt::spawn(async move {
         actix_rt::time::sleep(Duration::from_millis(20)).await;
         view.set_config(config(2, address, 4));
@@ -195,55 +195,55 @@
         sequence: 2,
         ..get()
     };
-    assert_matches!(bed.call(newer, b"").await, Reply::Whole { .. });
+    assert_matches!(fixture.call(newer, b"").await, Reply::Whole { .. });
 }
 
 #[actix_rt::test]
 async fn a_withdrawn_upstream_lingers_for_calls_on_older_notes() {
-    let bed = Bed::start(echo_upstream()).await;
+    let fixture = Fixture::start(echo_upstream()).await;
     let empty = Config {
         sequence: Sequence(2),
         ..Config::default()
     };
-    assert_matches!(bed.call(get(), b"").await, Reply::Whole { .. });
-    bed.context.view().set_config(empty.into());
-    assert_matches!(bed.call(get(), b"").await, Reply::Whole { .. });
+    assert_matches!(fixture.call(get(), b"").await, Reply::Whole { .. });
+    fixture.context.view().set_config(empty.into());
+    assert_matches!(fixture.call(get(), b"").await, Reply::Whole { .. });
 }
 
 #[actix_rt::test]
 async fn a_drained_vm_takes_no_new_work() {
-    let bed = Bed::start(echo_upstream()).await;
+    let fixture = Fixture::start(echo_upstream()).await;
     let mut drains = DrainList::default();
     drains.merge(&DrainOrder {
         number: 1,
         scope: DrainScope::Domain("modica".into()),
         action: DrainAction::Drain,
     });
-    bed.context.view().set_drains(drains.into());
-    let reply = bed.call(get(), b"").await;
+    fixture.context.view().set_drains(drains.into());
+    let reply = fixture.call(get(), b"").await;
     assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Draining);
 }
 
 #[actix_rt::test]
 async fn a_planned_stop_cuts_nothing() {
-    let mut bed = Bed::start(echo_upstream()).await;
+    let mut fixture = Fixture::start(echo_upstream()).await;
     let slow = CallHead {
         target: "/slow".into(),
         ..get()
     };
-    let (writer, mut reader) = bed.open(slow).await;
+    let (writer, mut reader) = fixture.open(slow).await;
     writer.end().unwrap();
     actix_rt::time::sleep(Duration::from_millis(50)).await;
     let ended = Rc::new(Cell::new(false));
     let flag = Rc::clone(&ended);
-    let mut sidecar = std::mem::take(&mut bed.sidecar);
+    let mut sidecar = std::mem::take(&mut fixture.sidecar);
     let stopping = actix_rt::spawn(async move {
         sidecar.stop(stop_end()).await;
         flag.set(true);
     });
     actix_rt::time::sleep(Duration::from_millis(20)).await;
     assert!(!ended.get());
-    let refused = bed.call(get(), b"").await;
+    let refused = fixture.call(get(), b"").await;
     assert_refused(&refused, Outcome::DidNotRun, RefusalReason::Draining);
     assert_matches!(reply(&mut reader).await, Reply::Whole { body, .. } if body == b"late");
     stopping.await.unwrap();
--- a/crates/node/src/sidecar/tests/keys.rs
+++ b/crates/node/src/sidecar/tests/keys.rs
@@ -13,7 +13,7 @@
 use assert_matches::assert_matches;
 use wagtaillever_coordination::{IdempotencyKey, key_owner};
 
-use super::bed::{Bed, Reply, closed_address, config_of, introduce, post, raw_upstream};
+use super::fixture::{Fixture, Reply, closed_address, config_of, introduce, post, raw_upstream};
 use crate::wire::{CallHead, CallStage, Outcome, Refusal, RefusalReason};
 
 /// Settings under which keys are accepted soon after the start.
@@ -78,10 +78,10 @@
 #[actix_rt::test]
 async fn a_resend_gets_the_first_answer() {
     let ran = Arc::default();
-    let bed = Bed::with(counting_upstream(&ran), SMALL_SKEW, 4).await;
+    let fixture = Fixture::with(counting_upstream(&ran), SMALL_SKEW, 4).await;
     let key = fresh_key().await;
     for _ in 0..3 {
-        let reply = bed.call(invoice(&key), b"{}").await;
+        let reply = fixture.call(invoice(&key), b"{}").await;
         assert_matches!(reply, Reply::Whole { status: 201, body, .. } if body == b"invoice 1");
     }
     assert_eq!(ran.load(Ordering::SeqCst), 1);
@@ -90,15 +90,15 @@
 #[actix_rt::test]
 async fn a_resend_does_not_run_beside_the_first() {
     let ran = Arc::default();
-    let bed = Bed::with(counting_upstream(&ran), SMALL_SKEW, 4).await;
+    let fixture = Fixture::with(counting_upstream(&ran), SMALL_SKEW, 4).await;
     let slow = CallHead {
         target: "/slow".into(),
         ..invoice(&fresh_key().await)
     };
-    let first = bed.call(slow.clone(), b"{}");
+    let first = fixture.call(slow.clone(), b"{}");
     let second = async {
         actix_rt::time::sleep(Duration::from_millis(50)).await;
-        bed.call(slow.clone(), b"{}").await
+        fixture.call(slow.clone(), b"{}").await
     };
     let (first, second) = futures_util::future::join(first, second).await;
     assert_matches!(first, Reply::Whole { status: 201, .. });
@@ -108,21 +108,21 @@
 
 #[actix_rt::test]
 async fn what_may_have_run_stays_unknown() {
-    let bed = Bed::with(raw_upstream(b"").await, SMALL_SKEW, 4).await;
+    let fixture = Fixture::with(raw_upstream(b"").await, SMALL_SKEW, 4).await;
     let key = fresh_key().await;
-    let first = bed.call(invoice(&key), b"{}").await;
+    let first = fixture.call(invoice(&key), b"{}").await;
     assert_refused(&first, Outcome::Unknown, RefusalReason::Broken);
-    let second = bed.call(invoice(&key), b"{}").await;
+    let second = fixture.call(invoice(&key), b"{}").await;
     assert_refused(&second, Outcome::Unknown, RefusalReason::NotReady);
 }
 
 #[actix_rt::test]
 async fn what_did_not_run_can_be_sent_again() {
     let shed = b"HTTP/1.1 503 Busy\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n";
-    let bed = Bed::with(raw_upstream(shed).await, SMALL_SKEW, 4).await;
+    let fixture = Fixture::with(raw_upstream(shed).await, SMALL_SKEW, 4).await;
     let key = fresh_key().await;
     for _ in 0..2 {
-        let reply = bed.call(invoice(&key), b"{}").await;
+        let reply = fixture.call(invoice(&key), b"{}").await;
         assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Overloaded);
     }
 }
@@ -130,7 +130,7 @@
 #[actix_rt::test]
 async fn the_age_of_a_key_is_checked() {
     let ran = Arc::default();
-    let bed = Bed::with(counting_upstream(&ran), "", 4).await;
+    let fixture = Fixture::with(counting_upstream(&ran), "", 4).await;
     for (minted, outcome, reason) in [
         (now_ms() + 60_000, Outcome::DidNotRun, RefusalReason::BadKey),
         (
@@ -140,18 +140,18 @@
         ),
         (now_ms(), Outcome::DidNotRun, RefusalReason::StaleKey),
     ] {
-        let reply = bed.call(invoice(&key(minted, 1)), b"{}").await;
+        let reply = fixture.call(invoice(&key(minted, 1)), b"{}").await;
         assert_refused(&reply, outcome, reason);
     }
-    let malformed = bed.call(invoice("7"), b"{}").await;
+    let malformed = fixture.call(invoice("7"), b"{}").await;
     assert_refused(&malformed, Outcome::DidNotRun, RefusalReason::BadKey);
     assert_eq!(ran.load(Ordering::SeqCst), 0);
 }
 
 /// Two VMs with an upstream each, and a key that the upstream of the first owns.
 struct Pair {
-    one: Bed,
-    two: Bed,
+    one: Fixture,
+    two: Fixture,
     owned: String,
 }
 
@@ -159,8 +159,8 @@
     async fn start(addresses: [SocketAddr; 2]) -> Self {
         let [one, two] = addresses;
         let config = config_of(1, 4, &[("u", "vm-1", one), ("v", "vm-2", two)]);
-        let one = Bed::node("vm-1", SMALL_SKEW, Arc::clone(&config)).await;
-        let two = Bed::node("vm-2", SMALL_SKEW, Arc::clone(&config)).await;
+        let one = Fixture::node("vm-1", SMALL_SKEW, Arc::clone(&config)).await;
+        let two = Fixture::node("vm-2", SMALL_SKEW, Arc::clone(&config)).await;
         introduce(&[&one, &two]);
         actix_rt::time::sleep(Duration::from_millis(600)).await;
         let owner = |text: &String| {
@@ -207,8 +207,8 @@
     let upstream = counting_upstream(&ran);
     let alone = config_of(1, 4, &[("v", "vm-2", upstream)]);
     let both = config_of(2, 4, &[("u", "vm-1", upstream), ("v", "vm-2", upstream)]);
-    let one = Bed::node("vm-1", SMALL_SKEW, Arc::clone(&alone)).await;
-    let two = Bed::node("vm-2", SMALL_SKEW, alone).await;
+    let one = Fixture::node("vm-1", SMALL_SKEW, Arc::clone(&alone)).await;
+    let two = Fixture::node("vm-2", SMALL_SKEW, alone).await;
     introduce(&[&one, &two]);
     actix_rt::time::sleep(Duration::from_millis(100)).await;
     one.context.view().set_config(Arc::clone(&both));
--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use wagtaillever_coordination::{Config, ListedUpstream, Service, VmEntry, VmList, VmState};
 
-use super::bed::{Bed, Reply, config_of, get, raw_upstream};
+use super::fixture::{Fixture, Reply, config_of, get, raw_upstream};
 use crate::{
     view::Phase,
     wire::{Outcome, Refusal, RefusalReason},
@@ -13,7 +13,7 @@
 
 /// A sidecar whose upstream `u` stands in the platform's list.
 struct Scene {
-    bed: Bed,
+    fixture: Fixture,
     address: SocketAddr,
     number: u64,
 }
@@ -27,9 +27,9 @@
         let address = raw_upstream(answer).await;
         let mut config = Config::clone(&config_of(1, 4, &[]));
         config.services.insert("s".into(), Arc::new(service));
-        let bed = Bed::node("vm-1", "protocol: store\n", Arc::new(config)).await;
+        let fixture = Fixture::node("vm-1", "protocol: store\n", Arc::new(config)).await;
         let mut scene = Self {
-            bed,
+            fixture,
             address,
             number: 0,
         };
@@ -51,7 +51,7 @@
             vm: "vm-1".into(),
             domain: "modica".into(),
             region: "sicily".into(),
-            address: self.bed.context.settings().peers,
+            address: self.fixture.context.settings().peers,
             state,
             upstreams: is_there.then_some(upstream).into_iter().collect(),
         };
@@ -59,11 +59,11 @@
             number: self.number,
             vms: vec![Arc::new(entry)],
         };
-        self.bed.context.view().set_vms(Arc::new(list));
+        self.fixture.context.view().set_vms(Arc::new(list));
     }
 
     async fn is_refused(&self, expected: RefusalReason) {
-        let reply = self.bed.call(get(), b"").await;
+        let reply = self.fixture.call(get(), b"").await;
         let Reply::Refused(Refusal {
             outcome,
             reason,
@@ -86,7 +86,7 @@
                 left_ms: 100,
                 ..get()
             };
-            match self.bed.call(call, b"").await {
+            match self.fixture.call(call, b"").await {
                 Reply::Refused(refusal) => *is_arrived = refusal.is_arrived,
                 reply => panic!("{reply:?}"),
             }
@@ -95,7 +95,7 @@
     }
 
     async fn is_served(&self) {
-        assert_matches!(self.bed.call(get(), b"").await, Reply::Whole { .. });
+        assert_matches!(self.fixture.call(get(), b"").await, Reply::Whole { .. });
     }
 }
 
@@ -124,15 +124,15 @@
         sequence: 9,
         ..get()
     };
-    assert_matches!(scene.bed.call(newer, b"").await, Reply::Whole { .. });
+    assert_matches!(scene.fixture.call(newer, b"").await, Reply::Whole { .. });
 }
 
 #[actix_rt::test]
 async fn a_node_that_leaves_serves_until_it_stops() {
     let scene = Scene::start(HELLO).await;
-    scene.bed.context.view().set_phase(Phase::Leaving);
+    scene.fixture.context.view().set_phase(Phase::Leaving);
     scene.is_served().await;
-    scene.bed.context.view().set_phase(Phase::Stopping);
+    scene.fixture.context.view().set_phase(Phase::Stopping);
     scene.is_refused(RefusalReason::Draining).await;
 }
 
@@ -140,7 +140,7 @@
 async fn an_answer_to_another_request_is_not_passed_on() {
     const OTHER: &[u8] = b"HTTP/1.1 200 OK\r\nrequest-id: 8\r\ncontent-length: 5\r\n\r\nhello";
     let scene = Scene::start(OTHER).await;
-    let reply = scene.bed.call(get(), b"").await;
+    let reply = scene.fixture.call(get(), b"").await;
     assert_matches!(
         reply,
         Reply::Refused(Refusal {
@@ -156,7 +156,7 @@
     const FULL: &[u8] = b"HTTP/1.1 503 Full\r\nrequest-id: 7\r\nnot-executed: 1\r\n\
         content-length: 0\r\n\r\n";
     let scene = Scene::start(FULL).await;
-    let reply = scene.bed.call(get(), b"").await;
+    let reply = scene.fixture.call(get(), b"").await;
     assert_matches!(
         reply,
         Reply::Refused(Refusal {
--- a/crates/node/src/source/reader.rs
+++ b/crates/node/src/source/reader.rs
@@ -111,7 +111,7 @@
     async fn watch(&mut self) -> Result<(), SourceError> {
         let mut after = self.read_all().await?;
         self.seen = self.seen.max(after);
-        self.peers.platform_word().await;
+        self.peers.platform_answered().await;
         let mut stale = 0;
         while *self.mode.borrow() == PlatformMode::Watch {
             let reads = 1.0 + Duration::from_millis(WATCH_MS).as_secs_f64();
@@ -134,7 +134,7 @@
             self.seen = self.seen.max(after);
             self.take_changes(changes.events).await?;
             self.failures = 0;
-            self.peers.platform_word().await;
+            self.peers.platform_answered().await;
         }
         Ok(())
     }
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -17,7 +17,7 @@
     first: Duration::from_millis(100),
     limit: Duration::from_millis(800),
 };
-/// Longest wait of a watch: with the time for its answer well below the 6 s for which word of the
+/// Longest wait of a watch: with the time for its answer well below the 6 s for which an answer of the
 /// platform counts as fresh, so that a watch that has gone silent is noticed in time.
 const WATCH: Duration = Duration::from_secs(2);
 /// Pause between two readings of the registrations by a node that knows no other node yet: a third of
@@ -116,7 +116,7 @@
         let state = self.store.read().await?;
         let mut after = state.revision;
         self.apply_state(state, asked).await;
-        self.peers.platform_word().await;
+        self.peers.platform_answered().await;
         self.succeeded();
         while *self.mode.borrow() == PlatformMode::Watch {
             let wait = self.wait();
@@ -125,7 +125,7 @@
             after = after.max(changes.revision);
             let is_changed = !changes.changes.is_empty();
             self.apply_changes(changes, asked).await;
-            self.peers.platform_word().await;
+            self.peers.platform_answered().await;
             self.succeeded();
             if is_changed {
                 sleep(GATHER).await;
--- a/crates/node/src/stall/ticker.rs
+++ b/crates/node/src/stall/ticker.rs
@@ -39,7 +39,7 @@
         self.tick().generation()
     }
 
-    /// Notes word of another node or of the platform that was read now.
+    /// Notes a message of another node or of the platform that was read now.
     pub(crate) fn heard(&self) {
         self.tick().heard(Instant::now());
     }
--- a/crates/node/src/timeline/event.rs
+++ b/crates/node/src/timeline/event.rs
@@ -87,7 +87,7 @@
         /// Length of the pause in milliseconds.
         paused_ms: u64,
     },
-    /// A neighbour was greeted.
+    /// A neighbour said hello.
     LinkUp {
         /// VM of the neighbour.
         peer: VmName,
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -34,7 +34,7 @@
     Serving,
     /// The node still takes calls while callers learn that it stops.
     Leaving,
-    /// The node finishes the work in hand.
+    /// The node finishes the calls in flight.
     Stopping,
 }
 
