--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -9,6 +9,7 @@
 mod ramp;
 mod rank;
 mod sample;
+mod slowdown;
 #[cfg(test)]
 mod tests;
 mod times;
@@ -22,6 +23,7 @@
     link::LinkBacklog,
     ramp::Ramp,
     rank::RankedQueue,
+    slowdown::SlowdownDetector,
     times::RankTimes,
 };
 
@@ -46,6 +48,7 @@
     link: LinkBacklog,
     queue: RankedQueue,
     times: RankTimes,
+    slowdown: SlowdownDetector,
     alone: AloneQueue,
     active: u32,
     starts: u64,
@@ -96,6 +99,7 @@
             link: LinkBacklog::new(settings.link_rate),
             queue: RankedQueue::default(),
             times: RankTimes::default(),
+            slowdown: SlowdownDetector::default(),
             alone: AloneQueue::default(),
             active: 0,
             starts: 0,
@@ -190,6 +194,11 @@
         self.recent = self.recent << 1 | u8::from(sample.result == SampleResult::Shed);
         match sample.result {
             SampleResult::Answered => {
+                let usual = self.times.of(sample.rank).latency;
+                let is_slow = self.slowdown.answered(sample.latency, usual);
+                if is_slow && self.settings.adaptive && !self.ramp.is_cold() {
+                    self.restarted(now);
+                }
                 self.times.answered(sample.rank, sample.latency);
                 self.adaptive.answered(sample.latency, self.active, now);
                 self.ramp
@@ -243,6 +252,13 @@
         self.link.add(now);
     }
 
+    /// Returns the time that the link needs for the answers of requests that run; zero where its rate
+    /// is not known.
+    #[must_use]
+    pub fn link_backlog(&self) -> Duration {
+        self.link.backlog()
+    }
+
     /// Learns the length of a whole answer in bytes.
     pub fn learn_length(&mut self, rank: Rank, bytes: u64) {
         self.times.sent(rank, bytes);
--- a/crates/coordination/src/admission/link.rs
+++ b/crates/coordination/src/admission/link.rs
@@ -47,6 +47,11 @@
         self.bytes = self.bytes.saturating_sub(bytes);
     }
 
+    /// Returns the time that the link needs for what is to cross it.
+    pub(super) fn backlog(&self) -> Duration {
+        self.transfer(self.bytes)
+    }
+
     /// Returns whether a further answer finds the link nearly free when it is there.
     pub(super) fn has_room(&self, times: Times, wanted: Duration) -> bool {
         self.wait(times, wanted, 0).is_zero()
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -2,6 +2,7 @@
 mod link;
 mod load;
 mod rank;
+mod slowdown;
 
 use std::collections::BTreeSet;
 
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -95,13 +95,14 @@
 
     async fn refuse(&self, refusal: Refusal, facts: &RefusedCall, mut writer: FrameWriter) {
         let upstream = self.shared.upstreams().get(&facts.upstream);
-        let load = upstream.map_or(Load::default(), |upstream| upstream.load());
+        let load = upstream.as_ref().map_or(Load::default(), |it| it.load());
+        let link = upstream.map_or(Duration::ZERO, |it| it.admission().borrow().link_backlog());
         if let Some(left_out) = self.shared.line() {
             info!(
                 call = facts.call.as_str(), upstream = facts.upstream.as_str(),
                 reason:? = refusal.reason, outcome:? = refusal.outcome,
                 after_ms = refusal.after_ms, active = load.active, limit = load.limit,
-                queued = load.queued, priority = facts.priority, target_ms = facts.target_ms,
+                queued = load.queued, link_ms = link.as_millis() as u64, priority = facts.priority, target_ms = facts.target_ms,
                 waited_ms = facts.waited_ms, left_ms = facts.left_ms, left_out;
                 "call gets no answer of the upstream here"
             );
