--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -257,7 +257,12 @@
             let name = &candidate.upstream.name;
             let tracked = self.upstreams.get(name).unwrap_or(&fresh);
             let scored = score(candidate, tracked, lowest, now);
-            match tracked.health.standing(now) {
+            let standing = tracked.health.standing(now);
+            if !candidate.is_listed && standing != Standing::Healthy {
+                // It is most likely gone, so no call probes it.
+                continue;
+            }
+            match standing {
                 Standing::Healthy | Standing::Suspect
                     if tracked.is_backed_off(constraints.target_ms, now) =>
                 {
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -90,6 +90,7 @@
 
 fn candidate(name: &str, domain: &str) -> Candidate {
     Candidate {
+        is_listed: true,
         upstream: Arc::new(Upstream {
             name: name.into(),
             service: "s".into(),
--- a/crates/coordination/src/candidates.rs
+++ b/crates/coordination/src/candidates.rs
@@ -25,6 +25,9 @@
     pub upstream: Arc<Upstream>,
     /// Address on which the VM's node accepts other nodes.
     pub address: SocketAddr,
+    /// Whether the platform lists the upstream; of others only the node beside them knows whether
+    /// they still serve.
+    pub is_listed: bool,
 }
 
 /// Upstreams that may be given new work, by service.
@@ -55,7 +58,11 @@
             }
             let candidates = services.entry(upstream.service.clone()).or_default();
             let address = entry.address;
-            candidates.push(Candidate { upstream, address });
+            candidates.push(Candidate {
+                upstream,
+                address,
+                is_listed: entry.state != VmState::Unlisted,
+            });
         }
         let addresses = entries
             .iter()
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -24,6 +24,7 @@
 mod join;
 mod key;
 mod ledger;
+mod listing;
 mod locator;
 mod message;
 mod name;
@@ -71,6 +72,7 @@
     join::{Join, JoinFacts, JoinRule, JoinWait},
     key::{IdempotencyKey, KeyError, key_owner},
     ledger::{Claim, Ending, Ledger, LedgerSettings, RecordedAnswer, RequestId},
+    listing::{Listing, RegistrationAnswer},
     message::{Contact, Digest, Have, Hello, Message, SnapshotPart},
     name::{
         DomainName, MAX_NAME_BYTES, RegionName, RouteName, ServiceName, UpstreamName, VmName,
--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -21,6 +21,9 @@
 /// Time after an outage for which a missing registration is kept. The platform's pages say that
 /// those of live upstreams are back within about two seconds.
 const LAPSED_HOLD: Duration = Duration::from_millis(2_200);
+/// Time for which the node on a VM is asked about an upstream whose registration went missing: the
+/// time within which the platform's pages want service back after a failure.
+const UNLISTED_HOLD: Duration = Duration::from_secs(15);
 /// Bits of a list's number that count changes at one revision of the platform.
 const CHANGE_BITS: u32 = 8;
 
@@ -43,8 +46,9 @@
 
 /// All registrations that one reader of the platform knows.
 ///
-/// A registration that goes missing is dropped at once, unless the platform was silent before:
-/// then it may have lapsed and is kept until its upstream had time to renew it.
+/// A registration that goes missing is unlisted, unless the platform was silent before: then it may
+/// have lapsed with all others and is kept until its upstream had time to renew it. An upstream that
+/// was leaving is dropped at once.
 #[derive(Clone, Debug, Default)]
 pub struct Registrations {
     known: BTreeMap<UpstreamName, Known>,
@@ -58,6 +62,17 @@
 struct Known {
     registration: Registration,
     is_missing: bool,
+    unlisted: Option<Instant>,
+}
+
+impl Known {
+    fn new(registration: Registration) -> Self {
+        Self {
+            registration,
+            is_missing: false,
+            unlisted: None,
+        }
+    }
 }
 
 impl Registrations {
@@ -80,10 +95,8 @@
                     node: entry.address,
                     is_leaving: entry.state == VmState::Leaving,
                 };
-                let known = Known {
-                    registration,
-                    is_missing: false,
-                };
+                let mut known = Known::new(registration);
+                known.unlisted = (entry.state == VmState::Unlisted).then_some(now);
                 registrations.known.insert(upstream.name.clone(), known);
             }
         }
@@ -111,11 +124,7 @@
         self.revision = self.revision.max(revision);
         match registration {
             Some(registration) => {
-                let known = Known {
-                    registration,
-                    is_missing: false,
-                };
-                self.known.insert(name.clone(), known);
+                self.known.insert(name.clone(), Known::new(registration));
             }
             None => self.miss(name, now),
         }
@@ -143,6 +152,9 @@
         if !self.is_holding(now) {
             self.known.retain(|_, known| !known.is_missing);
         }
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= UNLISTED_HOLD;
+        self.known
+            .retain(|_, known| !known.unlisted.is_some_and(is_over));
         let vms = self.vms();
         if vms == self.published.vms {
             return None;
@@ -161,15 +173,16 @@
     }
 
     fn miss(&mut self, name: &UpstreamName, now: Instant) {
-        if !self.is_holding(now) {
-            self.known.remove(name);
+        let is_holding = self.is_holding(now);
+        let Some(known) = self.known.get_mut(name) else {
             return;
-        }
-        if let Some(known) = self.known.get_mut(name) {
-            known.is_missing = !known.registration.is_leaving;
-            if known.registration.is_leaving {
-                self.known.remove(name);
-            }
+        };
+        if known.registration.is_leaving {
+            self.known.remove(name);
+        } else if is_holding {
+            known.is_missing = true;
+        } else {
+            known.unlisted.get_or_insert(now);
         }
     }
 
@@ -180,10 +193,10 @@
     /// Returns one entry a VM. A VM leaves when all its upstreams do. Of two upstreams at one
     /// address only the one that started last can be alive.
     fn vms(&self) -> Vec<Arc<VmEntry>> {
-        let mut vms: BTreeMap<&VmName, Vec<&Registration>> = BTreeMap::new();
+        let mut vms: BTreeMap<&VmName, Vec<&Known>> = BTreeMap::new();
         for known in self.known.values() {
-            let registration = &known.registration;
-            vms.entry(&registration.vm).or_default().push(registration);
+            let vm = &known.registration.vm;
+            vms.entry(vm).or_default().push(known);
         }
         vms.into_values()
             .map(|of_vm| Arc::new(entry(&of_vm)))
@@ -192,28 +205,47 @@
 }
 
 /// Returns the entry of a VM with at least one registration.
-fn entry(of_vm: &[&Registration]) -> VmEntry {
+fn entry(of_vm: &[&Known]) -> VmEntry {
     let newest = of_vm
         .iter()
+        .map(|known| &known.registration)
         .max_by_key(|r| (r.upstream.started, &r.upstream.name))
         .expect("a VM has at least one registration");
-    let alive = |r: &&&Registration| {
-        let is_replaced = r.upstream.address == newest.upstream.address;
-        !is_replaced || r.upstream.name == newest.upstream.name
+    let alive = |known: &&&Known| {
+        let upstream = &known.registration.upstream;
+        let is_replaced = upstream.address == newest.upstream.address;
+        !is_replaced || upstream.name == newest.upstream.name
     };
     let alive: Vec<_> = of_vm.iter().filter(alive).collect();
-    let is_leaving = alive.iter().all(|r| r.is_leaving);
-    let staying = alive.iter().filter(|r| is_leaving || !r.is_leaving);
+    let state = state(&alive);
+    let staying = alive.iter().filter(|known| state_of(known) == state);
     VmEntry {
         vm: newest.vm.clone(),
         domain: newest.domain.clone(),
         region: newest.region.clone(),
         address: newest.node,
-        state: if is_leaving {
-            VmState::Leaving
-        } else {
-            VmState::Live
-        },
-        upstreams: staying.map(|r| r.upstream.clone()).collect(),
+        state,
+        upstreams: staying
+            .map(|known| known.registration.upstream.clone())
+            .collect(),
+    }
+}
+
+/// Returns the state of a VM: it is live while one of its upstreams is, and leaves when all that are
+/// listed do.
+fn state(alive: &[&&Known]) -> VmState {
+    let has = |state| alive.iter().any(|known| state_of(known) == state);
+    let states = [VmState::Live, VmState::Leaving];
+    let state = states.into_iter().find(|state| has(*state));
+    state.unwrap_or(VmState::Unlisted)
+}
+
+fn state_of(known: &Known) -> VmState {
+    if known.unlisted.is_some() {
+        VmState::Unlisted
+    } else if known.registration.is_leaving {
+        VmState::Leaving
+    } else {
+        VmState::Live
     }
 }
--- a/crates/coordination/src/registrations/tests.rs
+++ b/crates/coordination/src/registrations/tests.rs
@@ -106,7 +106,7 @@
 const B: &str = "10.0.0.2";
 
 #[test]
-fn an_upstream_that_goes_is_dropped_at_once() {
+fn an_upstream_that_goes_is_unlisted_at_once_and_dropped_later() {
     case()
         .heard()
         .put(registration("a", A, 1))
@@ -115,9 +115,38 @@
         .after_ms(500)
         .heard()
         .remove("a")
+        .lists(&[(A, VmState::Unlisted, &["a"]), (B, VmState::Live, &["b"])])
+        .after_ms(14_000)
+        .heard()
+        .lists(&[(A, VmState::Unlisted, &["a"]), (B, VmState::Live, &["b"])])
+        .after_ms(1_000)
+        .heard()
         .lists(&[(B, VmState::Live, &["b"])]);
 }
 
+/// Load pattern: a VM is cut off from the platform alone, and comes back.
+#[test]
+fn an_unlisted_upstream_that_registers_again_is_live() {
+    case()
+        .heard()
+        .put(registration("a", A, 1))
+        .remove("a")
+        .lists(&[(A, VmState::Unlisted, &["a"])])
+        .put(registration("a", A, 1))
+        .lists(&[(A, VmState::Live, &["a"])]);
+}
+
+/// Another upstream that has the address of one that went takes its place at once.
+#[test]
+fn an_unlisted_upstream_gives_way_to_a_later_one_at_its_address() {
+    case()
+        .heard()
+        .put(registration("a", A, 1))
+        .remove("a")
+        .put(registration("c", A, 2))
+        .lists(&[(A, VmState::Live, &["c"])]);
+}
+
 #[test]
 fn registrations_that_lapsed_in_an_outage_are_kept_until_they_can_be_back() {
     case()
@@ -162,7 +191,7 @@
         .after_ms(800)
         .heard()
         .read(&[])
-        .lists(&[]);
+        .lists(&[(A, VmState::Unlisted, &["a"])]);
 }
 
 #[test]
@@ -193,5 +222,5 @@
         .after_ms(10)
         .heard_after_ms(2_000)
         .remove("a")
-        .lists(&[]);
+        .lists(&[(A, VmState::Unlisted, &["a"])]);
 }
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -23,6 +23,12 @@
     /// Reads the registrations alone; they may be some seconds old.
     fn read_registrations(&mut self) -> impl Future<Output = Result<StoreState, Self::Error>>;
 
+    /// Returns whether an upstream is registered now.
+    fn is_registered(
+        &mut self,
+        name: &UpstreamName,
+    ) -> impl Future<Output = Result<bool, Self::Error>>;
+
     /// Waits for changes after a revision, at most for a time.
     fn watch(
         &mut self,
--- a/crates/coordination/src/vm.rs
+++ b/crates/coordination/src/vm.rs
@@ -109,6 +109,9 @@
     Live,
     /// The VM is about to be taken away.
     Leaving,
+    /// The platform no longer lists the upstreams of the VM, and none was told to leave: they are
+    /// gone, or can't reach the platform. The node on the VM finds out which.
+    Unlisted,
 }
 
 /// Identity of one process on a VM; a replacement on the same address has a higher one.
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -29,7 +29,7 @@
 use futures_util::future::LocalBoxFuture;
 use tokio::{
     sync::broadcast::{self, error::RecvError},
-    time::{Instant, MissedTickBehavior, interval},
+    time::{Instant, MissedTickBehavior, interval, sleep},
 };
 use wagtaillever_coordination::SoftReport;
 
@@ -37,6 +37,7 @@
     kernel::{Context, Service, StartError},
     peers::PeersHandle,
     sidecar::{fence::FenceHandler, handler::CallHandler, shared::Shared},
+    source::RegistrationCheck,
 };
 
 /// Service that admits calls to the upstreams of this VM.
@@ -49,6 +50,9 @@
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 /// Time between two rounds of questions to earlier owners of keys.
 const HAND_OVER_EVERY: Duration = Duration::from_millis(200);
+/// Time between two questions for a registration that the platform doesn't list: a third of the time
+/// for which a VM must reach the platform to count as connected on the users' pages.
+const ASK_EVERY: Duration = Duration::from_secs(1);
 /// Time between two looks at what is due.
 const TICK_EVERY: Duration = Duration::from_millis(50);
 
@@ -68,6 +72,12 @@
             if let Ok(peers) = context.registry().find::<PeersHandle>("peers") {
                 actix_rt::spawn(learn(Rc::clone(&shared), peers.reports()));
             }
+            if let Ok(check) = context
+                .registry()
+                .find::<RegistrationCheck>("registrations")
+            {
+                actix_rt::spawn(ask_for_registration(Rc::clone(&shared), check));
+            }
             self.shared = Some(shared);
             Ok(())
         })
@@ -103,6 +113,22 @@
     }
 }
 
+/// Asks for the registration of this VM's upstream while the platform doesn't list it.
+async fn ask_for_registration(shared: Rc<Shared>, check: RegistrationCheck) {
+    let token = shared.context().token();
+    let ask = async {
+        loop {
+            let name = shared.unlisted().await;
+            shared.registration_answered(check.ask(&name).await);
+            sleep(ASK_EVERY).await;
+        }
+    };
+    tokio::select! {
+        () = token.cancelled() => {}
+        () = ask => {}
+    }
+}
+
 /// Learns from the reports of other nodes until the node ends.
 async fn learn(shared: Rc<Shared>, mut reports: broadcast::Receiver<SoftReport>) {
     let token = shared.context().token();
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -7,11 +7,12 @@
     time::Instant,
 };
 
+use log::info;
 use tokio::{
     sync::Notify,
     time::{self, timeout_at},
 };
-use wagtaillever_coordination::{Dialect, VmState};
+use wagtaillever_coordination::{Dialect, Listing, RegistrationAnswer, UpstreamName, VmState};
 
 use crate::{
     invariant::must_hold,
@@ -38,6 +39,8 @@
     stall: Option<Stall>,
     applied: RefCell<Option<Arc<View>>>,
     leaving: Cell<bool>,
+    listing: Cell<Listing>,
+    unlisted: Notify,
     drained: Cell<bool>,
     lines: RefCell<LineBudget>,
     active: Cell<usize>,
@@ -64,6 +67,8 @@
             stall,
             applied: RefCell::default(),
             leaving: Cell::default(),
+            listing: Cell::default(),
+            unlisted: Notify::new(),
             drained: Cell::default(),
             lines: RefCell::new(LineBudget::new(Instant::now())),
             active: Cell::default(),
@@ -98,11 +103,36 @@
     }
 
     /// Returns whether the VM or its failure domain must get no new work, by an order or because
-    /// the platform lists the VM as leaving.
+    /// the platform lists the VM as leaving or no longer.
     pub(super) fn is_drained(&self) -> bool {
         self.refresh();
         let is_drained = self.drained.get() && !mutant::is_on(Mutant::IgnoreDrains);
-        is_drained || self.leaving.get() && !mutant::is_on(Mutant::IgnoreLeaving)
+        let is_leaving = self.leaving.get() || !self.listing.get().may_serve();
+        is_drained || is_leaving && !mutant::is_on(Mutant::IgnoreLeaving)
+    }
+
+    /// Waits until the platform is to be asked for the registration of this VM's upstream, and
+    /// returns its name.
+    pub(super) async fn unlisted(&self) -> UpstreamName {
+        loop {
+            let changed = self.unlisted.notified();
+            self.refresh();
+            let view = self.context.view().load();
+            let entry = view.vms.get(&self.context.settings().vm);
+            let upstream = entry.and_then(|entry| entry.upstreams.first());
+            if let Some(upstream) = upstream.filter(|_| self.listing.get().is_open()) {
+                return upstream.name.clone();
+            }
+            changed.await;
+        }
+    }
+
+    /// Takes in what the platform answered on the registration of this VM's upstream.
+    pub(super) fn registration_answered(&self, answer: RegistrationAnswer) {
+        let listing = self.listing.get().answered(answer);
+        if self.listing.replace(listing) != listing {
+            info!(listing:? = listing; "what is known of the upstream's registration changed");
+        }
     }
 
     /// Lets waiting requests start that have waited long enough, and settles crashes.
@@ -162,6 +192,11 @@
         let listed = view.vms.get(&settings.vm);
         let state = listed.map_or(VmState::Live, |entry| entry.state);
         self.leaving.set(state == VmState::Leaving);
+        let listing = self.listing.get().listed_as(state);
+        if self.listing.replace(listing) != listing {
+            info!(listing:? = listing; "what is known of the upstream's registration changed");
+            self.unlisted.notify_one();
+        }
         let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
         let was_drained = self.drained.replace(is_drained);
         self.update_upstreams(&view);
--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -117,6 +117,16 @@
     scene.is_refused(RefusalReason::Draining).await;
 }
 
+#[actix_rt::test]
+async fn an_upstream_that_is_no_longer_listed_waits_for_the_answer_of_the_platform() {
+    let mut scene = Scene::start(HELLO).await;
+    scene.is_served().await;
+    scene.list(VmState::Unlisted, true);
+    scene.is_refused(RefusalReason::Draining).await;
+    scene.list(VmState::Live, true);
+    scene.is_served().await;
+}
+
 #[actix_rt::test]
 async fn a_newer_configuration_elsewhere_does_not_keep_calls_from_a_listed_upstream() {
     let scene = Scene::start(HELLO).await;
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -3,6 +3,7 @@
 mod client;
 mod error;
 mod reader;
+mod registration_check;
 mod store_reader;
 mod value;
 
@@ -11,6 +12,8 @@
 use tokio_util::sync::CancellationToken;
 use wagtaillever_platform::{Places, Store};
 
+pub(crate) use self::registration_check::RegistrationCheck;
+
 use self::{client::PlatformClient, reader::Reader, store_reader::StoreReader};
 use crate::{
     kernel::{Context, Service, StartError},
@@ -42,6 +45,8 @@
                     let view = context.view().clone();
                     let store =
                         Store::new(settings.address, settings.platform[0], places(settings));
+                    let check = RegistrationCheck::new(store.clone());
+                    context.registry().publish("registrations", check);
                     StoreReader::new(store, peers, view).run().boxed_local()
                 }
             };
