--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -1,5 +1,8 @@
 //! Reads a store that holds the newest configuration in full, as long as the node is to do so.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
@@ -23,9 +26,9 @@
 /// Pause between two readings of the registrations by a node that knows no other node yet: a third of
 /// the time in which upstreams renew theirs.
 const LIST_EVERY: Duration = Duration::from_millis(500);
-/// Pause after changes, so that a series of them costs few calls: a fifth of the two seconds in which
-/// the platform's pages want a change in force.
-const GATHER: Duration = Duration::from_millis(400);
+/// Shortest time between the starts of two watches that find changes, so that a series of them costs
+/// few calls: a fifth of the two seconds in which the platform's pages want a change in force.
+const WATCH_EVERY: Duration = Duration::from_millis(400);
 
 /// Reader of a store.
 pub(super) struct StoreReader<S> {
@@ -128,7 +131,7 @@
             self.peers.platform_answered().await;
             self.succeeded();
             if is_changed {
-                sleep(GATHER).await;
+                sleep(pause_after_changes(asked.elapsed())).await;
             }
         }
         Ok(())
@@ -206,6 +209,13 @@
     }
 }
 
+/// Returns the pause after a watch that found changes, which took `elapsed` in all. An answer that is
+/// long on its way, such as one with several configurations, is followed by the next call at once, as
+/// the next answer grows while nobody asks for it.
+fn pause_after_changes(elapsed: Duration) -> Duration {
+    WATCH_EVERY.saturating_sub(elapsed)
+}
+
 fn report(unusable: &Unusable) {
     let Unusable {
         key,
