--- a/crates/coordination/src/retry.rs
+++ b/crates/coordination/src/retry.rs
@@ -207,9 +207,9 @@
     }
 
     fn pause(&self, end: AttemptEnd, budget: &RetryBudget, rng: &mut impl Rng) -> Duration {
-        // The next upstream is another one, and the call has reached none yet.
-        let is_fresh = matches!(end, AttemptEnd::Unreachable | AttemptEnd::Refused);
-        if is_fresh || budget.is_unlimited() {
+        // The next upstream is another one, so there is nothing to wait for.
+        let has_reached_none = matches!(end, AttemptEnd::Unreachable | AttemptEnd::Refused);
+        if has_reached_none || budget.is_unlimited() {
             return Duration::ZERO;
         }
         let longest = FIRST_PAUSE * 2u32.pow(self.made.saturating_sub(1).min(8));
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -102,7 +102,8 @@
                 call = facts.call.as_str(), upstream = facts.upstream.as_str(),
                 reason:? = refusal.reason, outcome:? = refusal.outcome,
                 after_ms = refusal.after_ms, active = load.active, limit = load.limit,
-                queued = load.queued, link_ms = link.as_millis() as u64, priority = facts.priority, target_ms = facts.target_ms,
+                queued = load.queued, link_ms = link.as_millis() as u64,
+                priority = facts.priority, target_ms = facts.target_ms,
                 waited_ms = facts.waited_ms, left_ms = facts.left_ms, left_out;
                 "call gets no answer of the upstream here"
             );
