--- a/crates/node/src/ingress/tests/lifecycle.rs
+++ b/crates/node/src/ingress/tests/lifecycle.rs
@@ -47,7 +47,7 @@
     }
     scene.context.view().set_phase(Phase::Stopping);
     let reply = async { Raw::read(stream).await };
-    let (reply, ()) = tokio::join!(reply, scene.ingress.stop(stop_end()));
+    let (reply, ()) = tokio::join!(reply, scene.ingress.stop(crate::kernel::stop_end()));
     reply.is(200).body(b"halfrest");
     let mut rest = Vec::new();
     idle.read_to_end(&mut rest).await.unwrap();
@@ -176,7 +176,7 @@
     let mut first = scene.services.remove(0);
     let stop = async {
         tokio::time::sleep(Duration::from_millis(200)).await;
-        first.stop(stop_end()).await;
+        first.stop(crate::kernel::stop_end()).await;
     };
     let calls = (0..300).map(|i| {
         let scene = &scene;
@@ -190,8 +190,3 @@
         reply.is(200).body(b"halfrest");
     }
 }
-
-/// Returns the end of a stop that starts now, later than any call of these tests takes.
-fn stop_end() -> tokio::time::Instant {
-    tokio::time::Instant::now() + Duration::from_secs(30)
-}
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -8,6 +8,8 @@
 #[cfg(test)]
 mod tests;
 
+#[cfg(test)]
+pub(crate) use self::tests::stop_end;
 pub(crate) use self::{
     context::Context,
     registry::{Registry, RegistryError},
--- a/crates/node/src/kernel/tests.rs
+++ b/crates/node/src/kernel/tests.rs
@@ -55,3 +55,8 @@
     assert!(ended.iter().all(|until| *until == ended[0]));
     assert!(ended[0] >= before + Duration::from_millis(STOP_MS));
 }
+
+/// Returns the end of a stop that starts now, later than any call of a test takes.
+pub(crate) fn stop_end() -> Instant {
+    Instant::now() + Duration::from_secs(30)
+}
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -129,10 +129,16 @@
 
     /// Takes in what the platform answered on the registration of this VM's upstream.
     pub(super) fn registration_answered(&self, answer: RegistrationAnswer) {
-        let listing = self.listing.get().answered(answer);
-        if self.listing.replace(listing) != listing {
+        self.set_listing(self.listing.get().answered(answer));
+    }
+
+    /// Sets what is known of the registration, and returns whether that is new.
+    fn set_listing(&self, listing: Listing) -> bool {
+        let is_changed = self.listing.replace(listing) != listing;
+        if is_changed {
             info!(listing:? = listing; "what is known of the upstream's registration changed");
         }
+        is_changed
     }
 
     /// Lets waiting requests start that have waited long enough, and settles crashes.
@@ -192,9 +198,7 @@
         let listed = view.vms.get(&settings.vm);
         let state = listed.map_or(VmState::Live, |entry| entry.state);
         self.leaving.set(state == VmState::Leaving);
-        let listing = self.listing.get().listed_as(state);
-        if self.listing.replace(listing) != listing {
-            info!(listing:? = listing; "what is known of the upstream's registration changed");
+        if self.set_listing(self.listing.get().listed_as(state)) {
             self.unlisted.notify_one();
         }
         let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
--- a/crates/node/src/sidecar/tests/forwarding.rs
+++ b/crates/node/src/sidecar/tests/forwarding.rs
@@ -238,7 +238,7 @@
     let flag = Rc::clone(&ended);
     let mut sidecar = std::mem::take(&mut fixture.sidecar);
     let stopping = actix_rt::spawn(async move {
-        sidecar.stop(stop_end()).await;
+        sidecar.stop(crate::kernel::stop_end()).await;
         flag.set(true);
     });
     actix_rt::time::sleep(Duration::from_millis(20)).await;
@@ -248,8 +248,3 @@
     assert_matches!(reply(&mut reader).await, Reply::Whole { body, .. } if body == b"late");
     stopping.await.unwrap();
 }
-
-/// Returns the end of a stop that starts now, later than any call of these tests takes.
-fn stop_end() -> tokio::time::Instant {
-    tokio::time::Instant::now() + Duration::from_secs(30)
-}
