Let fewer nodes read the platform's store

In the logs of a start, 8 of 10 nodes of a failure domain read and watched the store for 2.5 s: a node counted the time without a reader from its own start, and the platform lists the first VMs later than that, so everyone up to position 8 took over at once. While upstreams register one after the other, each change also moved the positions of relays, and each new relay read everything. After the start, ten readers watched each 0.4 s through every series of changes, in lockstep, because one change wakes them all.

Ruled out: the lists read by nodes that know nobody; six pages at a tenth of a call each are about 180 calls a start.

Change: the time without a reader counts from the first list of VMs; a relay by a new position waits a second for it to settle while others read; several readers draw their pauses at random from 0.4 to 1.2 s. The decision on the pause moves from the reader to the coordination crate, with its two tests.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -46,6 +46,7 @@
 mod stall;
 mod store;
 mod vm;
+mod watch_pause;
 
 pub use crate::{
     admission::{
@@ -106,4 +107,5 @@
     stall::{MIN_STALL, StallDetector},
     store::{ConfigStore, StoreChange, StoreChanges, StoreFailure, StoreState, UnusableValue},
     vm::{Incarnation, ListedUpstream, VmEntry, VmList, VmState},
+    watch_pause::watch_pause,
 };
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -23,6 +23,9 @@
 const ISOLATED_TAKEOVER_DELAY: Duration = Duration::from_secs(5);
 /// Time for which a reader at a lower position must be fresh before a node that took over stops.
 const HANDBACK_DELAY: Duration = Duration::from_secs(3);
+/// Time for which a node must hold the position of a relay before it reads the platform while others
+/// read it. Positions change often while VMs start or are replaced.
+const RELAY_PROMOTION_DELAY: Duration = Duration::from_secs(1);
 /// Maximum delay before a node without seeds reads the list of VMs; also the range of the jitter
 /// added to `ISOLATED_TAKEOVER_DELAY`.
 const MAX_VMS_DELAY_MS: u64 = 2_000;
@@ -44,6 +47,10 @@
     /// Time since which a reader at a lower position has been fresh.
     better_since: Option<Instant>,
     has_taken_over: bool,
+    /// Time since which the list of VMs has been known.
+    listed_since: Option<Instant>,
+    /// Time since which this node has held the position of a relay.
+    relay_since: Option<Instant>,
     vms_due: Instant,
     jitter: Duration,
     last_answer: Option<Instant>,
@@ -72,6 +79,8 @@
             is_fresh: false,
             better_since: None,
             has_taken_over: false,
+            listed_since: None,
+            relay_since: None,
             vms_due: now + Duration::from_millis(delay),
             jitter: Duration::from_millis(rng.random_range(0..MAX_VMS_DELAY_MS)),
             last_answer: None,
@@ -147,6 +156,14 @@
         Some(now.saturating_duration_since(answer))
     }
 
+    /// Returns the number of readers that the platform answered recently, as far as this node
+    /// knows.
+    #[must_use]
+    pub fn fresh_readers(&self, now: Instant) -> usize {
+        let known = self.readers.contacts.keys();
+        known.filter(|vm| self.readers.is_fresh(vm, now)).count()
+    }
+
     /// Returns how the node reads the platform.
     #[must_use]
     pub fn platform_mode(&self) -> PlatformMode {
@@ -203,11 +220,13 @@
                 PlatformMode::Off
             };
         }
+        self.readers.listed_since.get_or_insert(now);
         let position = self.effective_position();
         if position < RELAYS_PER_DOMAIN {
             self.readers.has_taken_over = false;
-            return PlatformMode::Watch;
+            return self.relay_mode(now);
         }
+        self.readers.relay_since = None;
         self.update_takeover(position, now);
         if self.readers.has_taken_over {
             return PlatformMode::Watch;
@@ -215,6 +234,18 @@
         PlatformMode::Off
     }
 
+    /// Returns the mode of a node at the position of a relay. While others read the platform, a new
+    /// relay waits until its position is stable, because each new reader reads everything.
+    fn relay_mode(&mut self, now: Instant) -> PlatformMode {
+        let readers = &mut self.readers;
+        let since = *readers.relay_since.get_or_insert(now);
+        let is_stable = now.saturating_duration_since(since) >= RELAY_PROMOTION_DELAY;
+        if is_stable || !readers.is_fresh || readers.mode == PlatformMode::Watch {
+            return PlatformMode::Watch;
+        }
+        PlatformMode::Off
+    }
+
     fn update_takeover(&mut self, position: usize, now: Instant) {
         if self.readers.has_taken_over {
             self.update_handback(position, now);
@@ -224,7 +255,11 @@
         if self.readers.is_fresh {
             return;
         }
-        let outage = now.saturating_duration_since(self.readers.state_since);
+        let expected_since = self
+            .readers
+            .listed_since
+            .max(Some(self.readers.state_since));
+        let outage = expected_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let is_isolated = self.neighbours().is_empty();
         let steps = u32::try_from(position - RELAYS_PER_DOMAIN).unwrap_or(u32::MAX);
         let delay = TAKEOVER_DELAY + TAKEOVER_DELAY_STEP.saturating_mul(steps.min(64));
--- a/crates/coordination/tests/replica/main.rs
+++ b/crates/coordination/tests/replica/main.rs
@@ -7,6 +7,8 @@
 mod model;
 mod sim;
 
+use std::sync::Arc;
+
 use wagtaillever_coordination::{
     DrainAction, DrainOrder, DrainScope, JoinRule, PlatformMode, Replica, parent_positions,
 };
@@ -212,6 +214,34 @@
     );
 }
 
+/// Load pattern: all VMs start at once, and the platform lists them one after the other, the first
+/// ones later than a node waits for an expected reader.
+#[test]
+fn few_nodes_read_the_platform_while_all_vms_start() {
+    for seed in 0..5 {
+        let mut sim = Sim::new(seed, &[("a", 40), ("b", 40), ("c", 40)]);
+        sim.policy.consistent_reads = true;
+        sim.publish_service();
+        let all = std::mem::take(&mut sim.platform.vms.vms);
+        sim.platform.is_down = true;
+        sim.start_all();
+        sim.run_for(1_800);
+        sim.platform.is_down = false;
+        for i in 0..5 {
+            let listed = all.iter().enumerate().filter(|(at, _)| at % 5 <= i);
+            sim.platform.vms.vms = listed.map(|(_, entry)| Arc::clone(entry)).collect();
+            sim.platform.vms.number += 1;
+            sim.run_for(300);
+        }
+        sim.run_until(3_000, |sim| sim.all_serve() && sim.all_have(1));
+        let readers = sim.nodes.iter().filter(|node| node.has_watched).count();
+        assert!(
+            readers <= 12,
+            "seed {seed}: {readers} readers, 6 are needed"
+        );
+    }
+}
+
 #[test]
 fn node_without_peers_does_not_serve() {
     let mut sim = Sim::new(8, &THREE_DOMAINS);
--- a/crates/coordination/tests/replica/model.rs
+++ b/crates/coordination/tests/replica/model.rs
@@ -19,6 +19,8 @@
     pub(crate) in_force: BTreeMap<Sequence, u64>,
     pub(crate) process: u64,
     pub(crate) mode: PlatformMode,
+    /// Whether the current process has watched the platform.
+    pub(crate) has_watched: bool,
     pub(crate) highest_served: Sequence,
 }
 
@@ -47,6 +49,7 @@
             in_force: BTreeMap::new(),
             process: 0,
             mode: PlatformMode::Off,
+            has_watched: false,
             highest_served: Sequence::ZERO,
         }
     }
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -115,6 +115,7 @@
         node.replica = Some(Replica::new(me, self.policy, now, &mut self.rng));
         node.process = process;
         node.mode = PlatformMode::Off;
+        node.has_watched = false;
         node.rule = None;
         node.in_force.clear();
         let first = self.rng.random_range(0..100);
@@ -385,7 +386,10 @@
     fn record_event(&mut self, number: usize, event: ReplicaEvent) {
         let node = &mut self.nodes[number];
         match event {
-            ReplicaEvent::PlatformMode(mode) => node.mode = mode,
+            ReplicaEvent::PlatformMode(mode) => {
+                node.mode = mode;
+                node.has_watched |= mode == PlatformMode::Watch;
+            }
             ReplicaEvent::SplitVerdict(vm) => panic!("{vm} has a different configuration"),
             ReplicaEvent::Joined(rule) => node.rule = Some(rule),
             ReplicaEvent::Fold(FoldEvent::Refused(note, _)) => {
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -36,6 +36,8 @@
     pub(crate) highest: Sequence,
     /// Time in milliseconds since the platform last answered a reachable reader.
     pub(crate) platform_age_ms: Option<u64>,
+    /// Number of readers that the platform answered recently, as far as this node knows.
+    pub(crate) fresh_readers: usize,
     /// Whether this node reads the platform.
     pub(crate) is_relay: bool,
     /// Rule by which the node started to accept requests.
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -1,9 +1,6 @@
 //! Reader of a store that holds the newest configuration in full; the platform mode decides what it
 //! reads.
 
-#[cfg(test)]
-mod tests;
-
 use std::time::{Duration, Instant};
 
 use log::{info, warn};
@@ -11,7 +8,7 @@
 use tokio::{sync::watch, time::sleep};
 use wagtaillever_coordination::{
     Backoff, ConfigStore, PlatformMode, PlatformValue, Registrations, StoreChange, StoreChanges,
-    StoreFailure, StoreState, UnusableValue,
+    StoreFailure, StoreState, UnusableValue, watch_pause,
 };
 
 use crate::{peers::PeersHandle, view::ViewCell};
@@ -29,10 +26,6 @@
 /// Interval between reads of the registrations by a node that knows no other node yet: a third of
 /// the interval at which upstreams renew theirs.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
-/// Minimum time between the starts of watches that return changes, to limit the number of calls
-/// during a series of changes: a fifth of the 2 s within which the documentation of the platform
-/// requires a change to be in force.
-const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Reader of a store that holds the newest configuration in full.
 pub(super) struct StoreReader<S> {
@@ -135,7 +128,8 @@
             self.peers.record_platform_answer().await;
             self.record_success();
             if has_changes {
-                sleep(pause_after_changes(asked_at.elapsed())).await;
+                let readers = self.peers.status().fresh_readers;
+                sleep(watch_pause(asked_at.elapsed(), readers, &mut self.rng)).await;
             }
         }
         Ok(())
@@ -213,13 +207,6 @@
     }
 }
 
-/// Returns the pause after a watch that returned changes and took `elapsed` in all. After an answer
-/// that took long to transfer, such as one with several configurations, the next watch starts at
-/// once, because its answer grows during a pause.
-fn pause_after_changes(elapsed: Duration) -> Duration {
-    MIN_WATCH_INTERVAL.saturating_sub(elapsed)
-}
-
 fn report_unusable(unusable: &UnusableValue) {
     let UnusableValue {
         key,
