Bound the upstreams among which a node distributes remote calls

Cause: an ingress drew among all upstreams of a service, 149 of the largest one at 294 VMs, and so opened a connection to nearly every node: connections grow with the square of the fleet. Memory shows it: 12 MB a process at 71 VMs and 27.6 MB at 294, 72 KB for each further VM, which is one connection in each direction. An ingress with 10 calls a second also hears from each of so many upstreams once in ten seconds or more, so it chooses by old news.

Weighed: smaller buffers a connection (those of the HTTP/2 library are fixed); closing idle connections sooner (each call to a new node then opens one, on a twentieth of a core); a fixed subset of all upstreams (a failure domain's own come first for the price of bytes, so only the others are bounded).

Change: the candidates of a service are ordered for each node, its own failure domain first, then by a hash of both names; of the others, the first 24 usable ones take part. Failed ones are replaced by the next. Connections are kept open to the same ones.

--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -15,7 +15,7 @@
 pub use self::tracked::ReportedLoad;
 use self::tracked::TrackedUpstream;
 use crate::{
-    candidates::{Candidate, Candidates},
+    candidates::{Candidate, Candidates, MAX_REMOTE_CHOICES},
     health::{Evidence, HealthChange, HealthStatus},
     name::{DomainName, UpstreamName},
 };
@@ -104,7 +104,8 @@
         }
     }
 
-    /// Selects a candidate and registers an outstanding call to it.
+    /// Selects a candidate and registers an outstanding call to it. Of the candidates in other
+    /// failure domains, only the first [`MAX_REMOTE_CHOICES`] usable ones are considered.
     ///
     /// # Errors
     ///
@@ -254,9 +255,14 @@
         let mut ejected = Vec::new();
         let mut backed_off = Vec::new();
         let fresh = TrackedUpstream::new(0);
+        let mut remote = 0;
         let lowest = self.lowest_cost(candidates);
         let allowed = candidates.iter();
         for candidate in allowed.filter(|c| !constraints.excluded.contains(&c.upstream.name)) {
+            let is_remote = candidate.upstream.domain != self.domain;
+            if is_remote && remote == MAX_REMOTE_CHOICES {
+                continue;
+            }
             let name = &candidate.upstream.name;
             let tracked = self.upstreams.get(name).unwrap_or(&fresh);
             let scored = score(candidate, tracked, lowest, now);
@@ -271,7 +277,10 @@
                 {
                     backed_off.push(scored);
                 }
-                HealthStatus::Healthy | HealthStatus::Suspect => selectable.usable.push(scored),
+                HealthStatus::Healthy | HealthStatus::Suspect => {
+                    remote += usize::from(is_remote);
+                    selectable.usable.push(scored);
+                }
                 HealthStatus::ProbeDue { overdue }
                     if constraints.idempotent || overdue >= ANY_CALL_PROBE_DELAY =>
                 {
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -338,3 +338,52 @@
         }
     }
 }
+
+/// Load pattern: a failure domain of 60 nodes is drained, so all calls of its callers go to the 240
+/// upstreams of four others.
+#[test]
+fn calls_of_a_drained_domain_reach_all_others_over_few_connections() {
+    let names: Vec<String> = (0..240).map(|i| format!("u{i}")).collect();
+    let candidates: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(i, name)| candidate(name, ["b", "c", "d", "e"][i % 4]))
+        .collect();
+    let mut calls: BTreeMap<UpstreamName, usize> = BTreeMap::new();
+    for node in 0..60 {
+        let vm = format!("a{node}").as_str().into();
+        let ordered = Candidates::of_service("s".into(), candidates.clone());
+        let ordered = ordered.ordered_for(&vm, &"a".into());
+        let mut fixture = Fixture::new(&[], ALL_ENABLED, node);
+        fixture.candidates = ordered.for_service(&"s".into()).to_vec();
+        let mut chosen = std::collections::BTreeSet::new();
+        for _ in 0..240 {
+            let ticket = fixture.choose();
+            fixture.balancer.release(&ticket, fixture.now);
+            *calls.entry(ticket.upstream.clone()).or_default() += 1;
+            chosen.insert(ticket.upstream);
+        }
+        assert!(chosen.len() <= MAX_REMOTE_CHOICES, "{}", chosen.len());
+    }
+    // 60 calls each if all nodes divided their calls over all upstreams.
+    let most = calls.values().max().copied().unwrap();
+    assert!(calls.len() >= 230, "{} upstreams get calls", calls.len());
+    assert!(
+        most <= 60 * 3,
+        "{most} calls to one upstream, 60 on average"
+    );
+}
+
+/// Load pattern: the preferred upstreams of other failure domains fail one after the other.
+#[test]
+fn next_upstreams_replace_failed_ones_in_other_domains() {
+    let names: Vec<String> = (0..60).map(|i| format!("u{i}")).collect();
+    let upstreams: Vec<_> = names.iter().map(|name| (name.as_str(), "b")).collect();
+    let mut fixture = Fixture::new(&upstreams, ALL_ENABLED, 1);
+    for name in &names[..30] {
+        fixture.fail(name, Evidence::Unreachable);
+    }
+    let counts = fixture.call_counts(500);
+    assert!(counts.len() > MAX_REMOTE_CHOICES / 2, "{}", counts.len());
+    assert!(names[..30].iter().all(|name| !counts.contains_key(name)));
+}
--- a/crates/coordination/src/candidates.rs
+++ b/crates/coordination/src/candidates.rs
@@ -4,7 +4,7 @@
 mod tests;
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
 };
@@ -18,6 +18,14 @@
     vm::{VmEntry, VmList, VmState},
 };
 
+/// Maximum number of upstreams of a service in other failure domains among which one node
+/// distributes its calls.
+///
+/// Each node prefers others, so that all upstreams get calls. With few choices a node sends each of
+/// them enough calls to know its load, and the connections between nodes grow with the fleet, not
+/// with its square.
+pub(crate) const MAX_REMOTE_CHOICES: usize = 24;
+
 /// An upstream and the address of its sidecar.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -74,7 +82,32 @@
         }
     }
 
-    /// Returns the candidates of a service, ordered by upstream name.
+    /// Returns the given candidates of one service.
+    #[cfg(test)]
+    pub(crate) fn of_service(service: ServiceName, candidates: Vec<Candidate>) -> Self {
+        Self {
+            services: HashMap::from([(service, candidates)]),
+            addresses: HashMap::new(),
+        }
+    }
+
+    /// Orders the candidates of each service by the preference of the node on `vm`: those in its
+    /// failure domain first, each group by a hash of both VM names, so that the nodes of a large
+    /// fleet do not all prefer the same upstreams.
+    #[must_use]
+    pub fn ordered_for(mut self, vm: &VmName, domain: &DomainName) -> Self {
+        let seed = xxh3_64(vm.as_str().as_bytes());
+        for candidates in self.services.values_mut() {
+            candidates.sort_by_cached_key(|candidate| {
+                let name = candidate.upstream.vm.as_str();
+                let hash = xxh3_64_with_seed(name.as_bytes(), seed);
+                (candidate.upstream.domain != *domain, hash)
+            });
+        }
+        self
+    }
+
+    /// Returns the candidates of a service in order of preference.
     #[must_use]
     pub fn for_service(&self, service: &ServiceName) -> &[Candidate] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -87,25 +120,24 @@
         self.addresses.get(vm).copied()
     }
 
-    /// Returns the addresses of at most `limit` sidecars to which the node on `vm` keeps
-    /// connections open.
-    ///
-    /// Sidecars in the same failure domain come first. Within each group the order is a hash of
-    /// both VM names, so that the nodes of a large fleet don't all select the same sidecars.
+    /// Returns the addresses of at most `limit` sidecars to which a node keeps connections open:
+    /// those of all services in its failure domain first, then those among which it distributes
+    /// calls to other failure domains. The candidates must be ordered for the node.
     #[must_use]
-    pub fn neighbours(&self, vm: &VmName, domain: &DomainName, limit: usize) -> Vec<SocketAddr> {
-        let seed = xxh3_64(vm.as_str().as_bytes());
-        let rank = |candidate: &Candidate| {
-            let name = candidate.upstream.vm.as_str();
-            let hash = xxh3_64_with_seed(name.as_bytes(), seed);
-            (candidate.upstream.domain != *domain, hash)
-        };
-        let ranked = self.iter().map(|c| (rank(c), c.address));
-        let ranked: BTreeSet<_> = ranked.collect();
-        let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|(_, at)| at).collect();
-        addresses.dedup();
-        addresses.truncate(limit);
-        addresses
+    pub fn neighbours(&self, domain: &DomainName, limit: usize) -> Vec<SocketAddr> {
+        let mut local = Vec::new();
+        let mut remote = Vec::new();
+        for candidates in self.services.values() {
+            let first_remote = candidates.partition_point(|c| c.upstream.domain == *domain);
+            let (near, far) = candidates.split_at(first_remote);
+            local.extend(near.iter().map(|c| c.address));
+            remote.extend(far.iter().take(MAX_REMOTE_CHOICES).map(|c| c.address));
+        }
+        local.extend(remote);
+        let mut seen = HashSet::new();
+        local.retain(|address| seen.insert(*address));
+        local.truncate(limit);
+        local
     }
 
     /// Iterates over the candidates of all services in arbitrary order.
--- a/crates/coordination/src/candidates/tests.rs
+++ b/crates/coordination/src/candidates/tests.rs
@@ -117,7 +117,8 @@
     let mut incoming: HashMap<SocketAddr, usize> = HashMap::new();
     for (i, vm) in vms.iter().enumerate() {
         let own = DomainName::from(domain(i));
-        let chosen = candidates.neighbours(&vm.as_str().into(), &own, 60);
+        let ordered = candidates.clone().ordered_for(&vm.as_str().into(), &own);
+        let chosen = ordered.neighbours(&own, 60);
         assert_eq!(chosen.len(), 60);
         let is_own = |at: &SocketAddr| usize::from(at.port() - 1_000) % 3 == i % 3;
         assert!(
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -30,13 +30,13 @@
     /// Derives the tables from a view for the node with these settings. Reuses the route table of
     /// `previous` if the configuration is the same.
     pub(super) fn new(view: Arc<View>, settings: &Settings, previous: Option<&Self>) -> Self {
-        let candidates = candidates(&view);
+        let candidates = candidates(&view).ordered_for(&settings.vm, &settings.domain);
         check_candidates(&candidates, &view);
         let unchanged =
             previous.filter(|previous| Arc::ptr_eq(&previous.view.config, &view.config));
         let routes = unchanged.map(|previous| Rc::clone(&previous.routes));
         let routes = routes.unwrap_or_else(|| Rc::new(RouteTable::new(&view.config)));
-        let preconnected = candidates.neighbours(&settings.vm, &settings.domain, MAX_PRECONNECTED);
+        let preconnected = candidates.neighbours(&settings.domain, MAX_PRECONNECTED);
         let preconnected = Rc::new(preconnected);
         Self {
             view,
