End the slow start when the cold rate of the service becomes known

A fresh process learns of its upstream from the list of VMs before it has a configuration. Until the service states a cold rate, the ramp holds, which starts at one request at a time, and it went on after the rate, which is to replace it, was known. Each restart of a node paid for this: kills, losses of power, stops in turn.

Ruled out: cold upstreams (they report 0 ms), time to join (0.75 to 1 s from the start of the process), the second that a fresh process leaves to the starts of the one before (it counts only while the upstream is cold).

Change: the ramp ends when the settings state a cold rate.

Test: slots after the rate is told, before 1 of 12, now 12.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -316,6 +316,9 @@
     /// Applies changed settings; a lower limit only affects requests that start later.
     pub fn reconfigure(&mut self, settings: AdmissionSettings) {
         self.settings = settings;
+        if settings.cold_per_second.is_some() {
+            self.ramp.finish();
+        }
         self.cold_rate.set_rate(settings.cold_per_second);
         self.link_backlog.set_rate(settings.link_rate);
         self.adaptive_limit.set_slots(settings.slots);
--- a/crates/coordination/src/admission/ramp.rs
+++ b/crates/coordination/src/admission/ramp.rs
@@ -58,6 +58,11 @@
         });
     }
 
+    /// Ends the ramp, for example because the rate that a cold upstream bears became known.
+    pub(super) fn finish(&mut self) {
+        self.state = None;
+    }
+
     /// Returns the limit while the upstream is cold.
     pub(super) fn limit(&self) -> Option<u32> {
         self.state.as_ref().map(|state| state.limit)
--- a/crates/coordination/src/admission/tests/cold.rs
+++ b/crates/coordination/src/admission/tests/cold.rs
@@ -70,3 +70,21 @@
     }
     assert_eq!(starts, [ms(1_000), ms(1_010), ms(1_020)]);
 }
+
+/// Load pattern: the processes of all nodes restart in front of warm upstreams, and each learns of
+/// its upstream before it learns the cold rate of the service.
+#[test]
+fn a_cold_rate_that_becomes_known_late_ends_the_slow_start() {
+    let mut fixture = Fixture::new(settings());
+    assert_eq!(fixture.admission.limit(), 1, "slow start");
+    fixture.admission.reconfigure(AdmissionSettings {
+        cold_per_second: Some(7),
+        ..settings()
+    });
+    fixture.admission.set_cold_for(Duration::ZERO, fixture.now);
+    assert!(!fixture.admission.is_cold(fixture.now));
+    let starts = (0..SLOTS)
+        .filter(|_| fixture.submit(1, ms(100)) == AdmissionDecision::Start)
+        .count();
+    assert_eq!(starts, SLOTS as usize);
+}
