Order what the store says by its era

Cause: the store may come back from a copy some seconds old and give out its revisions again. Drain orders and lists of VMs are ordered by revision, so after that an evacuation would have been ignored for as long as its revision was below that of the last order known, a restored zone would have stayed drained, a watch from a revision given out again would have mixed two histories, and what the copy has forgotten (a registration, a drain, a notice of leaving) would have counted as withdrawn at once.

Ruled out: eras as a part of the configuration's version. A copy's older configuration would then count as newer, and no node may go back.

A read or watch that meets a new era fails, and the reader reads everything. For 2.2 s missing registrations are kept, leaving upstreams stay leaving and no drain order ends for want of its key; then everything is read again and counts. Readers that take over meanwhile learn of the restoration from the number of the list of VMs.

Not covered: a version number of the configuration given out anew for other contents; the node keeps the contents that it has until the next version.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod dialect;
 mod drain;
+mod era;
 mod error;
 mod fleet;
 mod fold;
@@ -64,6 +65,7 @@
     crash::CrashDetector,
     dialect::{Dialect, RetryAfterFormat},
     drain::{DrainAction, DrainList, DrainOrder, DrainScope},
+    era::{era_of, ordered_revision, revision_within_era},
     error::NoteError,
     fleet::{FleetSummary, Summary, TreeReport},
     fold::{Fold, FoldEvent},
--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    era::era_of,
     name::{DomainName, RegionName, UpstreamName, VmName},
     vm::{ListedUpstream, VmEntry, VmList, VmState},
 };
@@ -25,8 +26,6 @@
 /// its VM can check the registration. Equals the recovery time after a failure that the platform's
 /// documentation requires.
 const UNLISTED_RETENTION: Duration = Duration::from_secs(15);
-/// Number of low bits in the number of a list that count changes at one revision of the platform.
-const CHANGE_BITS: u32 = 8;
 
 /// Registration of one upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,11 +49,17 @@
 /// An upstream whose registration disappears becomes unlisted. After an outage of the platform, all
 /// registrations may have expired, so missing ones are kept until their upstreams have had time to
 /// register again. An upstream that was leaving is dropped at once.
+///
+/// A platform that was restored from an older copy has forgotten the newest registrations. They are
+/// kept as after an outage, and an upstream that was leaving stays so until everything is read
+/// again at [`Registrations::restored_until`].
 #[derive(Clone, Debug, Default)]
 pub struct Registrations {
     records: BTreeMap<UpstreamName, Record>,
     last_answer: Option<Instant>,
     hold_until: Option<Instant>,
+    /// End of the time after a restoration of the platform in which its contents are incomplete.
+    restored_until: Option<Instant>,
     revision: u64,
     published: VmList,
 }
@@ -78,11 +83,22 @@
 
 impl Registrations {
     /// Returns the registrations of a reader that takes over from another one, based on the last
-    /// list of VMs. `silence` is the time since the platform last answered any reader.
+    /// list of VMs. `silence` is the time since the platform last answered any reader, and
+    /// `restored` the time since the first list after a restoration, if there was one.
     #[must_use]
-    pub fn resume(list: &VmList, silence: Duration, now: Instant) -> Self {
+    pub fn resume(
+        list: &VmList,
+        silence: Duration,
+        restored: Option<Duration>,
+        now: Instant,
+    ) -> Self {
+        let left = restored.and_then(|age| RENEWAL_HOLD.checked_sub(age));
+        let restored_until = left.map(|left| now + left);
         let mut registrations = Self {
             last_answer: now.checked_sub(silence),
+            hold_until: restored_until,
+            restored_until,
+            revision: list.revision(),
             published: list.clone(),
             ..Self::default()
         };
@@ -111,7 +127,7 @@
             .last_answer
             .map(|at| asked.saturating_duration_since(at));
         if silence.is_some_and(|silence| silence >= MIN_OUTAGE) {
-            self.hold_until = Some(now + RENEWAL_HOLD);
+            self.hold_until = self.hold_until.max(Some(now + RENEWAL_HOLD));
         }
         self.last_answer = Some(now);
     }
@@ -133,14 +149,26 @@
         }
     }
 
-    /// Replaces all registrations by those of a full read.
-    pub fn replace(&mut self, registrations: Vec<Registration>, revision: u64, now: Instant) {
+    /// Replaces all registrations by those of a full read. Returns whether the read is the first
+    /// one of a new era.
+    pub fn replace(
+        &mut self,
+        registrations: Vec<Registration>,
+        revision: u64,
+        now: Instant,
+    ) -> bool {
+        let is_new_era = self.revision > 0 && era_of(revision) > era_of(self.revision);
+        if is_new_era {
+            self.hold_until = Some(now + RENEWAL_HOLD);
+            self.restored_until = self.hold_until;
+        }
         let names: Vec<_> = registrations
             .iter()
             .map(|r| r.upstream.name.clone())
             .collect();
-        for registration in registrations {
+        for mut registration in registrations {
             let name = registration.upstream.name.clone();
+            registration.is_leaving |= self.is_restoring(now) && self.was_leaving(&registration);
             self.apply(&name, Some(registration), revision, now);
         }
         let missing = self.records.keys().filter(|name| !names.contains(name));
@@ -148,6 +176,7 @@
             self.mark_missing(&name, now);
         }
         self.revision = self.revision.max(revision);
+        is_new_era
     }
 
     /// Returns the list of VMs if it has changed since the last call.
@@ -159,10 +188,12 @@
         self.records
             .retain(|_, record| !record.unlisted_since.is_some_and(is_expired));
         let vms = self.vms();
-        if vms == self.published.vms {
+        let is_same_era =
+            self.published.number == 0 || era_of(self.revision) == self.published.era();
+        if vms == self.published.vms && is_same_era {
             return None;
         }
-        let number = self.revision << CHANGE_BITS;
+        let number = VmList::first_number(self.revision);
         let number = number.max(self.published.number + 1);
         self.published = VmList { number, vms };
         Some(self.published.clone())
@@ -175,12 +206,36 @@
         self.hold_until.filter(|_| is_any_missing)
     }
 
+    /// Returns until when the contents of the platform may be incomplete, because it was restored
+    /// from an older copy. Everything has to be read again then.
+    #[must_use]
+    pub fn restored_until(&self) -> Option<Instant> {
+        self.restored_until
+    }
+
+    /// Returns whether the contents of the platform may be incomplete, because it was restored from
+    /// an older copy.
+    #[must_use]
+    pub fn is_restoring(&self, now: Instant) -> bool {
+        self.restored_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether the same process of an upstream was leaving.
+    fn was_leaving(&self, registration: &Registration) -> bool {
+        let record = self.records.get(&registration.upstream.name);
+        record.is_some_and(|record| {
+            let known = &record.registration;
+            known.is_leaving && known.upstream.started == registration.upstream.started
+        })
+    }
+
     fn mark_missing(&mut self, name: &UpstreamName, now: Instant) {
         let is_holding = self.is_holding(now);
+        let is_restoring = self.is_restoring(now);
         let Some(record) = self.records.get_mut(name) else {
             return;
         };
-        if record.registration.is_leaving {
+        if record.registration.is_leaving && !is_restoring {
             self.records.remove(name);
         } else if is_holding {
             record.is_missing = true;
--- a/crates/coordination/src/registrations/tests.rs
+++ b/crates/coordination/src/registrations/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::era::ordered_revision;
 
 struct Case {
     registrations: Registrations,
@@ -74,6 +75,21 @@
         self
     }
 
+    /// Restores the platform from an older copy, whose next change gets a low revision again.
+    fn restored(mut self) -> Self {
+        self.revision = ordered_revision(era_of(self.revision) + 1, 5);
+        self
+    }
+
+    /// Replaces the reader by another one that has only the last list and learned of a restoration
+    /// `restored_ms` ago.
+    fn taken_over(mut self, restored_ms: u64) -> Self {
+        let restored = Some(Duration::from_millis(restored_ms));
+        let list = self.registrations.published.clone();
+        self.registrations = Registrations::resume(&list, Duration::ZERO, restored, self.now());
+        self
+    }
+
     fn read(mut self, registrations: &[Registration]) -> Self {
         let now = self.now();
         self.registrations
@@ -225,3 +241,96 @@
         .remove("a")
         .expect_list(&[(A, VmState::Unlisted, &["a"])]);
 }
+
+fn leaving(registration: Registration) -> Registration {
+    Registration {
+        is_leaving: true,
+        ..registration
+    }
+}
+
+#[test]
+fn a_restored_platform_may_forget_an_upstream_until_it_registers_again() {
+    let a = registration("a", A, 1);
+    let b = registration("b", B, 1);
+    case()
+        .answered()
+        .put(a.clone())
+        .put(b.clone())
+        .expect_list(&[(A, VmState::Live, &["a"]), (B, VmState::Live, &["b"])])
+        .restored()
+        .read(std::slice::from_ref(&a))
+        .expect_list(&[(A, VmState::Live, &["a"]), (B, VmState::Live, &["b"])])
+        .after_ms(1_500)
+        .put(b)
+        .after_ms(1_000)
+        .answered()
+        .expect_list(&[(A, VmState::Live, &["a"]), (B, VmState::Live, &["b"])]);
+}
+
+#[test]
+fn an_upstream_that_stays_forgotten_is_unlisted_when_everything_is_read_again() {
+    let a = registration("a", A, 1);
+    let case = case()
+        .answered()
+        .put(a.clone())
+        .put(registration("b", B, 1))
+        .expect_list(&[(A, VmState::Live, &["a"]), (B, VmState::Live, &["b"])])
+        .restored()
+        .read(std::slice::from_ref(&a))
+        .expect_list(&[(A, VmState::Live, &["a"]), (B, VmState::Live, &["b"])]);
+    let until = case.registrations.restored_until();
+    assert_eq!(until, Some(case.now() + RENEWAL_HOLD));
+    case.after_ms(2_200)
+        .taken_over(2_200)
+        .read(&[a])
+        .expect_list(&[(A, VmState::Live, &["a"]), (B, VmState::Unlisted, &["b"])]);
+}
+
+#[test]
+fn an_upstream_that_was_leaving_stays_so_in_a_restored_platform() {
+    let a = registration("a", A, 1);
+    case()
+        .answered()
+        .put(a.clone())
+        .put(leaving(a.clone()))
+        .expect_list(&[(A, VmState::Leaving, &["a"])])
+        .restored()
+        .read(std::slice::from_ref(&a))
+        .expect_list(&[(A, VmState::Leaving, &["a"])])
+        .read(&[])
+        .expect_list(&[(A, VmState::Leaving, &["a"])])
+        .read(&[registration("a", A, 2)])
+        .expect_list(&[(A, VmState::Live, &["a"])]);
+}
+
+#[test]
+fn a_reader_that_takes_over_after_a_restoration_keeps_what_was_forgotten() {
+    let a = registration("a", A, 1);
+    case()
+        .answered()
+        .put(a)
+        .expect_list(&[(A, VmState::Live, &["a"])])
+        .restored()
+        .read(&[])
+        .expect_list(&[(A, VmState::Live, &["a"])])
+        .taken_over(700)
+        .read(&[])
+        .expect_list(&[(A, VmState::Live, &["a"])])
+        .after_ms(1_500)
+        .read(&[])
+        .expect_list(&[]);
+}
+
+/// Other nodes take only lists with a higher number, and revisions start again at a low one.
+#[test]
+fn the_first_list_of_a_new_era_has_a_higher_number_even_without_a_change() {
+    let a = registration("a", A, 1);
+    let mut case = case().answered().put(a.clone());
+    let before = case.registrations.changed_list(case.now()).unwrap();
+    let mut case = case.restored().read(&[a]);
+    let after = case.registrations.changed_list(case.now()).unwrap();
+    assert!(after.number > before.number);
+    assert_eq!((before.era(), after.era()), (0, 1));
+    assert_eq!(case.registrations.changed_list(case.now()), None);
+}
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -60,6 +60,8 @@
     /// Candidate parents of this node in order of preference.
     parents: Arc<[Arc<VmEntry>]>,
     vms_missing: bool,
+    /// When a list of VMs first came from a later era of the platform than the one before.
+    restored_at: Option<Instant>,
     drains: DrainList,
     drains_hash: u64,
     config_hash: u32,
@@ -108,6 +110,7 @@
             overlay: Overlay::default(),
             parents: Arc::default(),
             vms_missing: false,
+            restored_at: None,
             drains_hash: drains_hash(&drains),
             config_hash: config_hash(&Config::default()),
             snapshot: SnapshotCache::default(),
@@ -147,6 +150,12 @@
         &self.vms
     }
 
+    /// Returns when this node learned that the platform was restored from an older copy.
+    #[must_use]
+    pub fn restored_at(&self) -> Option<Instant> {
+        self.restored_at
+    }
+
     /// Returns the drain orders.
     #[must_use]
     pub fn drains(&self) -> &DrainList {
@@ -295,6 +304,9 @@
         if list.number <= self.vms.number && !self.overlay.is_empty() {
             return;
         }
+        if self.vms.number > 0 && list.era() > self.vms.era() {
+            self.restored_at = Some(now);
+        }
         self.vms = Arc::clone(list);
         self.overlay = Overlay::new(list);
         self.parents = self
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -30,7 +30,7 @@
         name: &UpstreamName,
     ) -> impl Future<Output = Result<bool, Self::Error>>;
 
-    /// Waits for changes after a revision, at most for `wait`.
+    /// Waits for changes after an ordered revision, at most for `wait`.
     fn watch(
         &mut self,
         after: u64,
@@ -52,15 +52,18 @@
     pub drained: Option<BTreeMap<DomainName, u64>>,
     /// Invalid values.
     pub unusable: Vec<UnusableValue>,
-    /// Revision after which changes have to be watched.
+    /// Ordered revision after which changes have to be watched.
     pub revision: u64,
 }
 
 impl StoreState {
     /// Returns the orders that result from a read: the active drain orders, and a restore order for
     /// each known drain order that is no longer active.
+    ///
+    /// A store that was just restored may have forgotten orders that are written again, so none is
+    /// ended while `is_restoring` is set.
     #[must_use]
-    pub fn orders(&self, known: &DrainList) -> Vec<DrainOrder> {
+    pub fn orders(&self, known: &DrainList, is_restoring: bool) -> Vec<DrainOrder> {
         let Some(drained) = &self.drained else {
             return Vec::new();
         };
@@ -73,7 +76,7 @@
         };
         let ended = known.iter().filter(|known| {
             let is_drained = known.action == DrainAction::Drain;
-            is_drained && !is_active(&known.scope)
+            is_drained && !is_restoring && !is_active(&known.scope)
         });
         let ended = ended.map(|known| drain_order(known.scope, false, self.revision));
         active.chain(ended).collect()
@@ -85,7 +88,7 @@
 pub struct StoreChanges {
     /// Changes in the order of their revisions.
     pub changes: Vec<StoreChange>,
-    /// Revision from which to continue watching.
+    /// Ordered revision from which to continue watching.
     pub revision: u64,
 }
 
@@ -128,6 +131,8 @@
 pub enum StoreFailure {
     /// The store no longer holds the requested revisions; everything has to be read again.
     Compacted,
+    /// The store was restored from an older copy; everything has to be read again.
+    Restored,
     /// The store is busy and asks for a delay.
     Busy {
         /// Time to wait.
--- a/crates/coordination/src/vm.rs
+++ b/crates/coordination/src/vm.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::Upstream,
+    era::era_of,
     name::{DomainName, RegionName, ServiceName, UpstreamName, VmName},
     note::UpstreamStart,
 };
@@ -22,7 +23,28 @@
     pub vms: Vec<Arc<VmEntry>>,
 }
 
+/// Number of low bits in the number of a list that count changes at one revision of the platform.
+const CHANGE_BITS: u32 = 8;
+
 impl VmList {
+    /// Returns the lowest number of a list at an ordered revision of the platform.
+    #[must_use]
+    pub(crate) fn first_number(revision: u64) -> u64 {
+        revision << CHANGE_BITS
+    }
+
+    /// Returns the ordered revision of the platform from which the list was derived.
+    #[must_use]
+    pub(crate) fn revision(&self) -> u64 {
+        self.number >> CHANGE_BITS
+    }
+
+    /// Returns the era of the platform from which the list was derived.
+    #[must_use]
+    pub(crate) fn era(&self) -> u64 {
+        era_of(self.revision())
+    }
+
     /// Returns the entry of a VM.
     #[must_use]
     pub fn get(&self, vm: &VmName) -> Option<&Arc<VmEntry>> {
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -209,6 +209,10 @@
             ReplicaEvent::Vms(list) => {
                 info!(list = list.number, vms = list.vms.len(); "installed a list of VMs");
                 self.view.set_vms(list);
+                if self.replica.restored_at() != self.handle.status().restored_at {
+                    // A reader that takes over has to know of the restoration at once.
+                    self.publish_status(Instant::now());
+                }
             }
             ReplicaEvent::OrderApplied(order) => {
                 self.view
@@ -327,6 +331,7 @@
             neighbours: replica.neighbours(),
             highest: replica.highest_sequence(),
             platform_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            restored_at: replica.restored_at(),
             fresh_readers: replica.fresh_readers(now),
             is_relay: replica.platform_mode() == PlatformMode::Watch,
             joined: self.join_rule,
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -1,6 +1,6 @@
 //! Handle by which other services use the peers service.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -38,6 +38,9 @@
     pub(crate) platform_age_ms: Option<u64>,
     /// Number of readers that the platform answered recently, as far as this node knows.
     pub(crate) fresh_readers: usize,
+    /// When this node learned that the platform was restored from an older copy.
+    #[serde(skip)]
+    pub(crate) restored_at: Option<Instant>,
     /// Whether this node reads the platform.
     pub(crate) is_relay: bool,
     /// Rule by which the node started to accept requests.
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::watch, time::sleep};
 use wagtaillever_coordination::{
     Backoff, ConfigStore, PlatformMode, PlatformValue, Registrations, StoreChange, StoreChanges,
-    StoreFailure, StoreState, UnusableValue, watch_pause,
+    StoreFailure, StoreState, UnusableValue, era_of, watch_pause,
 };
 
 use crate::{peers::PeersHandle, view::ViewCell};
@@ -118,7 +118,7 @@
         self.apply_state(state, asked_at).await;
         self.peers.record_platform_answer().await;
         self.record_success();
-        while *self.mode.borrow() == PlatformMode::Watch {
+        while *self.mode.borrow() == PlatformMode::Watch && !self.is_reread_due() {
             let wait = self.watch_wait();
             let asked_at = Instant::now();
             let changes = self.store.watch(after, wait).await?;
@@ -137,27 +137,42 @@
 
     /// Continues from the list of VMs that other readers last distributed.
     fn resume_registrations(&mut self) {
-        let silence = self.peers.status().platform_age_ms;
+        let status = self.peers.status();
+        let silence = status.platform_age_ms;
         let silence = Duration::from_millis(silence.unwrap_or(0));
         let list = &self.view.load().vms;
-        self.registrations = Registrations::resume(list, silence, Instant::now());
+        let restored = status.restored_at.map(|at| at.elapsed());
+        self.registrations = Registrations::resume(list, silence, restored, Instant::now());
+    }
+
+    /// Returns whether everything has to be read again because the store was restored.
+    fn is_reread_due(&self) -> bool {
+        let until = self.registrations.restored_until();
+        until.is_some_and(|until| until <= Instant::now())
     }
 
     /// Returns the time for which the next watch waits for changes.
     fn watch_wait(&self) -> Duration {
-        let Some(until) = self.registrations.hold_until() else {
+        let held = self.registrations.hold_until();
+        let ends = held.into_iter().chain(self.registrations.restored_until());
+        let Some(until) = ends.min() else {
             return MAX_WATCH_WAIT;
         };
         let left = until.saturating_duration_since(Instant::now());
         left.clamp(Duration::from_millis(1), MAX_WATCH_WAIT)
     }
 
-    async fn apply_state(&mut self, state: StoreState, asked_at: Instant) {
+    async fn apply_state(&mut self, mut state: StoreState, asked_at: Instant) {
         let now = Instant::now();
-        let orders = state.orders(&self.view.load().drains);
+        let revision = state.revision;
         self.registrations.record_answer(asked_at, now);
-        self.registrations
-            .replace(state.registrations, state.revision, now);
+        let registrations = std::mem::take(&mut state.registrations);
+        if self.registrations.replace(registrations, revision, now) {
+            warn!(era = era_of(revision); "the store was restored from an older copy; keeping what it may have forgotten until everything is read again");
+            metrics::counter!("store_restorations_total").increment(1);
+        }
+        let is_restoring = self.registrations.is_restoring(now);
+        let orders = state.orders(&self.view.load().drains, is_restoring);
         state.unusable.iter().for_each(report_unusable);
         let mut values: Vec<_> = state.config.map(PlatformValue::Base).into_iter().collect();
         if !orders.is_empty() {
