Watch the store at a fixed pace again

In a storm of configurations an answer holds all of them, 200 KB each: a longer pause makes the next answer larger, on the same link of 2.5 MB/s, for all readers at once.

The start of the fleet with few readers stays: it has no part in this.

--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -156,14 +156,6 @@
         Some(now.saturating_duration_since(answer))
     }
 
-    /// Returns the number of readers that the platform answered recently, as far as this node
-    /// knows.
-    #[must_use]
-    pub fn fresh_readers(&self, now: Instant) -> usize {
-        let known = self.readers.contacts.keys();
-        known.filter(|vm| self.readers.is_fresh(vm, now)).count()
-    }
-
     /// Returns how the node reads the platform.
     #[must_use]
     pub fn platform_mode(&self) -> PlatformMode {
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -332,7 +332,6 @@
             highest: replica.highest_sequence(),
             platform_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             restored_at: replica.restored_at(),
-            fresh_readers: replica.fresh_readers(now),
             is_relay: replica.platform_mode() == PlatformMode::Watch,
             joined: self.join_rule,
             waiting: replica.join_wait(),
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -36,8 +36,6 @@
     pub(crate) highest: Sequence,
     /// Time in milliseconds since the platform last answered a reachable reader.
     pub(crate) platform_age_ms: Option<u64>,
-    /// Number of readers that the platform answered recently, as far as this node knows.
-    pub(crate) fresh_readers: usize,
     /// When this node learned that the platform was restored from an older copy.
     #[serde(skip)]
     pub(crate) restored_at: Option<Instant>,
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -128,8 +128,7 @@
             self.peers.record_platform_answer().await;
             self.record_success();
             if has_changes {
-                let readers = self.peers.status().fresh_readers;
-                sleep(watch_pause(asked_at.elapsed(), readers, &mut self.rng)).await;
+                sleep(watch_pause(asked_at.elapsed())).await;
             }
         }
         Ok(())
