Cut off bodies without a stated length that do not end

Cause: only the time without progress was bounded. An upstream that sends one chunk after the other, at full speed or a byte a time, held its slot, the call and the connection of the caller for as long as the caller read.

Ruled out, each by a test that passes without the change: heads and headers without end (refused as unknown at 128 KB or at the deadline), chunk extensions and trailers (no data counts as no progress), bytes past the length (the answer is whole, the connection is not used again once they are seen), memory with 36 callers that do not read.

Change: a body without a stated length ends a second after the deadline of its call; the stream is reset, so the caller sees that it broke off, and the upstream counts as failed, as it now does when it stalls within a body.

The last test allows one thing: the first byte past the length of one answer may arrive when the next request is on its way.

--- a/crates/node/src/sidecar/answer.rs
+++ b/crates/node/src/sidecar/answer.rs
@@ -5,7 +5,7 @@
 use awc::error::PayloadError;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::{sidecar::forward::Answer, transport::FrameWriter};
 
@@ -18,31 +18,47 @@
     Truncated,
     /// The caller closed the stream.
     CallerGone,
-    /// No data was received or forwarded within the idle timeout.
-    IdleTimeout,
+    /// The upstream sent no data within the idle timeout.
+    UpstreamIdle,
+    /// No data could be forwarded within the idle timeout.
+    CallerIdle,
+    /// A body without a stated length did not end in time.
+    Endless,
+}
+
+/// Time limits of a body.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyLimits {
+    /// Longest time without progress.
+    pub(super) idle: Duration,
+    /// When a body without a stated length is cut off, as it may never end.
+    pub(super) unsized_end: Instant,
 }
 
 /// Streams the body of an answer to the ingress.
 ///
 /// `record` is called with each part before it is forwarded, and `on_forwarded` with its length in
-/// bytes afterwards. `idle` limits the time without progress, not the time for the whole body.
+/// bytes afterwards. A body of stated length may take any time as long as it makes progress.
 pub(super) async fn stream_body(
     answer: &mut Answer,
-    idle: Duration,
+    limits: BodyLimits,
     writer: &mut FrameWriter,
     record: &mut impl FnMut(&Bytes),
     on_forwarded: &mut impl FnMut(u64),
 ) -> BodyEnd {
+    let idle = limits.idle;
+    let is_unsized = answer.expected.is_none();
     let mut total = 0;
     loop {
         let next = timeout(idle, next_chunk(answer));
         let next = tokio::select! {
             biased;
+            () = sleep_until(limits.unsized_end), if is_unsized => return BodyEnd::Endless,
             next = next => next,
             () = writer.wait_for_reset() => return BodyEnd::CallerGone,
         };
         let Ok(next) = next else {
-            return BodyEnd::IdleTimeout;
+            return BodyEnd::UpstreamIdle;
         };
         let chunk = match next {
             Some(Ok(chunk)) => chunk,
@@ -55,7 +71,7 @@
         match timeout(idle, writer.write_bytes(chunk)).await {
             Ok(Ok(())) => on_forwarded(bytes),
             Ok(Err(_)) => return BodyEnd::CallerGone,
-            Err(_) => return BodyEnd::IdleTimeout,
+            Err(_) => return BodyEnd::CallerIdle,
         }
     }
 }
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use log::warn;
 use wagtaillever_coordination::{AdmissionRequest, SampleResult, Suspicion};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -10,7 +11,7 @@
     invariant::check_invariant,
     sidecar::{
         admit::{Permit, admit},
-        answer::{BodyEnd, stream_body},
+        answer::{BodyEnd, BodyLimits, stream_body},
         call::Call,
         forward::{Answer, Failure, forward},
         headers, probe,
@@ -27,6 +28,9 @@
 
 /// Lower bound of the idle timeout of a body.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after the deadline of a call at which a body without a stated length is cut off. Callers
+/// still get an answer that is late, but not one that never ends.
+const UNSIZED_BODY_GRACE: Duration = Duration::from_secs(1);
 
 /// How the execution of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -177,10 +181,13 @@
     if writer.write_frame(&head).await.is_err() {
         return Execution::Truncated;
     }
-    let idle = Duration::from_millis(call.head.left_ms).max(MIN_IDLE_TIMEOUT);
+    let limits = BodyLimits {
+        idle: Duration::from_millis(call.head.left_ms).max(MIN_IDLE_TIMEOUT),
+        unsized_end: (call.deadline + UNSIZED_BODY_GRACE).into(),
+    };
     let end = stream_body(
         &mut answer,
-        idle,
+        limits,
         writer,
         &mut |part| recorder.part(part),
         &mut |bytes| permit.record_forwarded(bytes),
@@ -192,12 +199,22 @@
             shared.suspects().record_completion(call.head.fingerprint);
             return Execution::Complete;
         }
+        BodyEnd::UpstreamIdle | BodyEnd::Endless => {
+            if let Some(left_out) = shared.take_log_line() {
+                warn!(
+                    call = call.head.call.as_str(), upstream = call.head.upstream.as_str(),
+                    end:? = end, left_out;
+                    "cut off an answer that the upstream did not finish in time"
+                );
+            }
+            permit.record_failure(SampleResult::Failed);
+        }
         BodyEnd::Truncated => {
             permit.record_failure(SampleResult::Failed);
             upstream.record_broken_connection(permit.in_flight());
             probe::start(upstream);
         }
-        BodyEnd::CallerGone | BodyEnd::IdleTimeout => {}
+        BodyEnd::CallerGone | BodyEnd::CallerIdle => {}
     }
     Execution::Truncated
 }
