Install the SIGHUP handler before the node can be seen to run

Cause of a failure of sighup_checks_the_settings_without_stopping_the_node seen once (the node was ended by SIGHUP): the handler was installed by a task that runs only when the start of the services first waits, and the first service, on which the test waits, listens by then. Found by reading; not reproduced.

Change: the handler is installed before the services are built, the task only receives from it. The test stays as it is.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use clap::Parser;
 use log::{error, info, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{
     admin::Admin,
@@ -77,6 +77,14 @@
     #[cfg(feature = "mutants")]
     crate::mutant::enable(&context.settings().mutants);
     logging::start(context.settings(), context.view().clone());
+    // Installed before the node can be seen to run, because the default action of the signal ends
+    // the process.
+    match signal(SignalKind::hangup()) {
+        Ok(hangups) => {
+            actix_rt::spawn(check_settings_on_hangup(hangups, path, context.clone()));
+        }
+        Err(err) => warn!("can't install the SIGHUP handler: {err}"),
+    }
     let mut kernel = Kernel::new(context.clone());
     kernel
         .add(Admin::default())
@@ -88,7 +96,6 @@
         .add(Ingress::default());
     let lifecycle = Lifecycle::new(&context);
     let stop = context.stop_signal();
-    actix_rt::spawn(check_settings_on_hangup(path, context.clone()));
     kernel.start().await?;
     run_until_stopped(&context, lifecycle, stop).await?;
     if mutant::is_enabled(Mutant::AbruptStop) {
@@ -100,14 +107,7 @@
 
 /// Checks the settings file on each SIGHUP. Changes take effect at the next start, so an invalid
 /// file is reported before a restart needs it.
-async fn check_settings_on_hangup(path: PathBuf, context: Context) {
-    let mut hangups = match signal(SignalKind::hangup()) {
-        Ok(hangups) => hangups,
-        Err(err) => {
-            warn!("can't install the SIGHUP handler: {err}");
-            return;
-        }
-    };
+async fn check_settings_on_hangup(mut hangups: Signal, path: PathBuf, context: Context) {
     while hangups.recv().await.is_some() {
         match Settings::load(&path) {
             Ok(settings) if settings == **context.settings() => info!("settings are unchanged"),
