Test that one silent sidecar reveals the others

Without the alarm the test finds only the sidecar that has the call (and fails after 4 s); the others would be found after 5 s of quiet each.

--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -2,6 +2,7 @@
 mod fake;
 mod lifecycle;
 mod outcomes;
+mod silence;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
