Log and count what upstreams state of themselves

On-call engineers could not tell from logs or metrics whether an upstream had stated a limit on its requests, whether any process had read it, or how many requests the upstream got. The sidecar now reads the statements in all answers, those to health checks included, and writes a line on each change with the call in whose answer it came; requests and stated limits are counted for each upstream. Lines of refused calls name the limit and its age.

No decision depends on it yet.

--- a/crates/coordination/src/dialect.rs
+++ b/crates/coordination/src/dialect.rs
@@ -20,8 +20,12 @@
     pub process: Option<&'static str>,
     /// Upstream that answered a health check.
     pub answered_by: Option<&'static str>,
-    /// Remaining cold-start time in milliseconds, in answers to health checks.
+    /// Remaining cold-start time in milliseconds, in answers of an upstream.
     pub cold_ms: Option<&'static str>,
+    /// Requests per second that an upstream accepts from all nodes together, in its answers.
+    pub request_limit: Option<&'static str>,
+    /// Header with the value 1 by which an upstream states in its answers that it will stop.
+    pub leaving: Option<&'static str>,
     /// Header by which an upstream states that it did not run the request.
     pub not_run: &'static str,
     /// Status with which an upstream rejects a request intended for another upstream.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -45,6 +45,7 @@
 mod soft_report;
 mod split;
 mod stall;
+mod statement;
 mod store;
 mod vm;
 mod watch_pause;
@@ -107,6 +108,7 @@
     soft_report::SoftReport,
     split::Splitter,
     stall::{MIN_STALL, StallDetector},
+    statement::{RequestRate, StatedLimit, Statement},
     store::{ConfigStore, StoreChange, StoreChanges, StoreFailure, StoreState, UnusableValue},
     vm::{Incarnation, ListedUpstream, VmEntry, VmList, VmState},
     watch_pause::watch_pause,
--- a/crates/node/src/settings/protocol.rs
+++ b/crates/node/src/settings/protocol.rs
@@ -42,6 +42,8 @@
     process: Some("x-start"),
     answered_by: None,
     cold_ms: None,
+    request_limit: Some("x-limit"),
+    leaving: Some("x-leaving"),
     not_run: "x-shed",
     misdirected_status: None,
     retry_after: RetryAfterFormat::WholeSeconds,
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -20,6 +20,7 @@
 mod probe;
 mod refuse;
 mod shared;
+mod statements;
 mod suspects;
 mod upstream;
 mod upstreams;
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -15,7 +15,11 @@
 
 use crate::{
     sidecar::{
-        call::Call, connector::Trace, execute::RequestBody, headers, refuse,
+        call::Call,
+        connector::Trace,
+        execute::RequestBody,
+        headers, refuse,
+        statements::{Source, Statements},
         upstream::LocalUpstream,
     },
     transport::{FrameReader, TransportError},
@@ -142,6 +146,10 @@
         return Err(Failure::Deadline { written });
     };
     let response = result.map_err(|err| classify(&err, &trace))?;
+    if is_from_upstream(&response, call, dialect) {
+        let statement = Statements::read(response.headers(), dialect);
+        upstream.record_statement(statement, Source::Call(&call.head.call));
+    }
     check_answer(response, call, trace, dialect)
 }
 
@@ -273,6 +281,14 @@
     header_is(response, "transfer-encoding", "chunked")
 }
 
+/// Returns whether the upstream itself wrote the answer for this call: another upstream may have
+/// its address, and a late copy of an answer to another call tells what was true earlier.
+fn is_from_upstream(response: &ClientResponse, call: &Call, dialect: &Dialect) -> bool {
+    let status = response.status();
+    let is_misdirected = dialect.misdirected_status == Some(status.as_u16());
+    !status.is_informational() && !is_misdirected && !is_for_other_call(response, call, dialect)
+}
+
 /// Returns whether the answer carries the ID of another call.
 fn is_for_other_call(response: &ClientResponse, call: &Call, dialect: &Dialect) -> bool {
     let echoed = response.headers().get(dialect.call_id);
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -14,6 +14,7 @@
         execute::{Execution, NoRecorder, RequestBody, execute},
         refuse::did_not_run,
         shared::Shared,
+        statements::per_second,
         upstream::LocalUpstream,
     },
     transport::{FrameReader, FrameWriter, StreamHandler},
@@ -95,8 +96,10 @@
     async fn refuse(&self, refusal: Refusal, summary: &CallSummary, mut writer: FrameWriter) {
         let upstream = self.shared.upstreams().get(&summary.upstream);
         let load = upstream.as_ref().map_or(Load::default(), |it| it.load());
-        let link_backlog =
-            upstream.map_or(Duration::ZERO, |it| it.admission().borrow().link_backlog());
+        let link_backlog = upstream
+            .as_ref()
+            .map_or(Duration::ZERO, |it| it.admission().borrow().link_backlog());
+        let stated = upstream.map(|it| it.statements().last());
         if let Some(left_out) = self.shared.take_log_line() {
             info!(
                 call = summary.call.as_str(), upstream = summary.upstream.as_str(),
@@ -104,7 +107,10 @@
                 after_ms = refusal.after_ms, active = load.active, limit = load.limit,
                 queued = load.queued, link_ms = link_backlog.as_millis() as u64,
                 priority = summary.priority, target_ms = summary.target_ms,
-                waited_ms = summary.waited_ms, left_ms = summary.left_ms, left_out;
+                waited_ms = summary.waited_ms, left_ms = summary.left_ms,
+                stated_limit:? = stated.and_then(|(stated, _)| per_second(stated.limit)),
+                is_leaving = stated.is_some_and(|(stated, _)| stated.is_leaving),
+                stated_ms = stated.map(|(_, since)| since.elapsed().as_millis() as u64), left_out;
                 "call refused by sidecar"
             );
         }
--- a/crates/node/src/sidecar/health.rs
+++ b/crates/node/src/sidecar/health.rs
@@ -6,7 +6,10 @@
 use log::{debug, info};
 use tokio::time::sleep;
 
-use crate::sidecar::upstream::LocalUpstream;
+use crate::sidecar::{
+    statements::{Source, Statements},
+    upstream::LocalUpstream,
+};
 
 /// Timeout of one health check. An upstream at capacity may never answer.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -53,25 +56,24 @@
     metrics::counter!("upstream_health_checks_total").increment(1);
     let answer = client.finish().get(url).force_close().send().await;
     let answer = match answer {
-        Ok(answer) if answer.status() == 200 => answer,
-        Ok(answer) => {
-            debug!(upstream:% = spec.name, status = answer.status().as_u16(); "upstream health check returned an error status");
-            return None;
-        }
+        Ok(answer) => answer,
         Err(err) => {
             debug!(upstream:% = spec.name; "upstream health check failed: {err}");
             return None;
         }
     };
-    let header = |name: Option<&str>| {
-        let value = answer.headers().get(name?)?;
-        value.to_str().ok()
-    };
     let dialect = upstream.dialect();
-    if header(dialect.answered_by).is_some_and(|name| name != spec.name.as_str()) {
+    let answered_by = dialect
+        .answered_by
+        .and_then(|name| answer.headers().get(name));
+    if answered_by.is_some_and(|name| name.as_bytes() != spec.name.as_str().as_bytes()) {
+        return None;
+    }
+    let statement = Statements::read(answer.headers(), dialect);
+    upstream.record_statement(statement, Source::HealthCheck);
+    if answer.status() != 200 {
+        debug!(upstream:% = spec.name, status = answer.status().as_u16(); "upstream health check returned an error status");
         return None;
     }
-    let cold_ms = header(dialect.cold_ms).and_then(|text| text.trim().parse::<f64>().ok());
-    let cold_ms = cold_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
-    Some(Duration::from_secs_f64(cold_ms.unwrap_or(0.0) / 1000.0))
+    Some(statement.cold.unwrap_or_default())
 }
--- /dev/null
+++ b/crates/node/src/sidecar/statements.rs
@@ -0,0 +1,104 @@
+//! Records what an upstream states of itself in its answers, in log and metrics.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Instant,
+};
+
+use awc::http::header::HeaderMap;
+use log::{info, warn};
+use wagtaillever_coordination::{Dialect, StatedLimit, Statement, UpstreamName};
+
+use crate::logging::LineBudget;
+
+/// Last statement of an upstream and when it changed.
+pub(super) struct Statements {
+    last: Cell<Statement>,
+    changed_at: Cell<Instant>,
+    log_budget: RefCell<LineBudget>,
+}
+
+/// Answer in which an upstream states something of itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Source<'a> {
+    /// Answer to a call.
+    Call(&'a str),
+    /// Answer to a health check.
+    HealthCheck,
+}
+
+impl Source<'_> {
+    fn call(self) -> Option<String> {
+        match self {
+            Self::Call(call) => Some(call.to_string()),
+            Self::HealthCheck => None,
+        }
+    }
+}
+
+impl Statements {
+    /// Returns the record of an upstream that has stated nothing.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            last: Cell::default(),
+            changed_at: Cell::new(now),
+            log_budget: RefCell::new(LineBudget::new(now)),
+        }
+    }
+
+    /// Reads the statement in the headers of an answer.
+    pub(super) fn read(headers: &HeaderMap, dialect: &Dialect) -> Statement {
+        Statement::read(dialect, |name| {
+            headers.get_all(name).map(|value| value.as_bytes())
+        })
+    }
+
+    /// Returns the last statement and the time since when it has been the same.
+    pub(super) fn last(&self) -> (Statement, Instant) {
+        (self.last.get(), self.changed_at.get())
+    }
+
+    /// Records a statement.
+    pub(super) fn record(&self, upstream: &UpstreamName, statement: Statement, source: Source<'_>) {
+        if statement.limit == StatedLimit::Unusable {
+            self.report_unusable(upstream, source);
+        }
+        let old = self.last.replace(statement);
+        if (old.limit, old.is_leaving) == (statement.limit, statement.is_leaving) {
+            return;
+        }
+        let now = Instant::now();
+        let age = now.saturating_duration_since(self.changed_at.replace(now));
+        let limit = per_second(statement.limit);
+        metrics::gauge!("upstream_stated_limit", "upstream" => upstream.to_string())
+            .set(limit.unwrap_or(f64::INFINITY));
+        metrics::counter!("upstream_statement_changes_total").increment(1);
+        let Some(left_out) = self.log_budget.borrow_mut().take(now) else {
+            return;
+        };
+        info!(
+            upstream:% = upstream, call:? = source.call(), stated_limit:? = limit,
+            old_limit:? = per_second(old.limit), is_leaving = statement.is_leaving,
+            age_ms = age.as_millis() as u64, left_out;
+            "upstream changed what it states of itself"
+        );
+    }
+
+    fn report_unusable(&self, upstream: &UpstreamName, source: Source<'_>) {
+        metrics::counter!("upstream_statements_unusable_total").increment(1);
+        if let Some(left_out) = self.log_budget.borrow_mut().take(Instant::now()) {
+            warn!(
+                upstream:% = upstream, call:? = source.call(), left_out;
+                "upstream stated a limit that is no rate; the last one stays in force"
+            );
+        }
+    }
+}
+
+/// Returns the requests per second of a stated limit.
+pub(super) fn per_second(limit: StatedLimit) -> Option<f64> {
+    match limit {
+        StatedLimit::Rate(rate) => Some(rate.per_second()),
+        StatedLimit::None | StatedLimit::Unusable => None,
+    }
+}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 use wagtaillever_coordination::{
     Admission, AdmissionRequest, AdmissionSettings, CrashDetector, Dialect, InFlight, Quality,
-    QueueTicket, Rank, Sample, SampleResult, Service, Upstream,
+    QueueTicket, Rank, Sample, SampleResult, Service, Statement, Upstream,
 };
 
 use crate::{
@@ -23,6 +23,7 @@
         admit::{AdmissionResult, Permit, decision_parts},
         connector::TracedConnector,
         health,
+        statements::{Source, Statements},
     },
     timeline::{EventKind, Timeline},
     wire::Load,
@@ -44,6 +45,9 @@
     timeline: Timeline,
     admission: RefCell<Admission>,
     quality: RefCell<Quality>,
+    statements: Statements,
+    /// Metric of the requests that were started.
+    requests: metrics::Counter,
     waiters: RefCell<BTreeMap<QueueTicket, Waiter>>,
     crashes: RefCell<CrashDetector>,
     process: RefCell<Option<Vec<u8>>>,
@@ -75,6 +79,8 @@
             admission.set_cold_for(Duration::from_millis(start.cold_ms), now);
         }
         let reported = Cell::new((admission.limit(), admission.is_cold(now)));
+        let requests =
+            metrics::counter!("upstream_requests_total", "upstream" => spec.name.to_string());
         Self {
             client: RefCell::new(client(&spec)),
             spec: RefCell::new(spec),
@@ -85,6 +91,8 @@
             timeline,
             admission: RefCell::new(admission),
             quality: RefCell::default(),
+            statements: Statements::new(now),
+            requests,
             waiters: RefCell::default(),
             crashes: RefCell::new(CrashDetector::new(is_listed)),
             process: RefCell::default(),
@@ -206,6 +214,7 @@
         }
         let mark = admission.start_mark();
         drop(admission);
+        self.requests.increment(1);
         Permit::new(self, rank, alone, mark)
     }
 
@@ -301,6 +310,17 @@
         }
     }
 
+    /// Records what the upstream states of itself in an answer.
+    pub(super) fn record_statement(&self, statement: Statement, source: Source<'_>) {
+        let name = &self.spec.borrow().name;
+        self.statements.record(name, statement, source);
+    }
+
+    /// Returns what the upstream states of itself.
+    pub(super) fn statements(&self) -> &Statements {
+        &self.statements
+    }
+
     /// Records the identity of the process that answered. A changed identity means that the
     /// upstream has restarted.
     pub(super) fn record_process(self: &Rc<Self>, process: Option<&[u8]>) {
