--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -3,6 +3,7 @@
 mod lifecycle;
 mod outcomes;
 mod silence;
+mod stated;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -6,3 +6,4 @@
 mod forwarding;
 mod keys;
 mod listed;
+mod stated;
--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -12,10 +12,11 @@
 };
 
 /// Sidecar whose upstream `u` is in the platform's list.
-struct ListedFixture {
-    fixture: Fixture,
+pub(super) struct ListedFixture {
+    pub(super) fixture: Fixture,
     address: SocketAddr,
     number: u64,
+    started: u64,
 }
 
 impl ListedFixture {
@@ -24,7 +25,11 @@
     }
 
     async fn with_service(answer: &'static [u8], service: Service) -> Self {
-        let address = raw_upstream(answer).await;
+        Self::for_address(raw_upstream(answer).await, service).await
+    }
+
+    /// Starts a sidecar in front of the upstream of a service at an address.
+    pub(super) async fn for_address(address: SocketAddr, service: Service) -> Self {
         let mut config = Config::clone(&config_of(1, 4, &[]));
         config.services.insert("s".into(), Arc::new(service));
         let fixture = Fixture::for_vm("vm-1", "protocol: store\n", Arc::new(config)).await;
@@ -32,19 +37,20 @@
             fixture,
             address,
             number: 0,
+            started: 1,
         };
         listed.set_listing(VmState::Live, true);
         listed
     }
 
-    fn set_listing(&mut self, state: VmState, is_listed: bool) {
+    pub(super) fn set_listing(&mut self, state: VmState, is_listed: bool) {
         self.number += 1;
         let upstream = ListedUpstream {
             name: "u".into(),
             service: "s".into(),
             address: self.address,
             slots: 4,
-            started: 1,
+            started: self.started,
             cold_ms: 0,
         };
         let entry = VmEntry {
@@ -62,7 +68,13 @@
         self.fixture.context.view().set_vms(Arc::new(list));
     }
 
-    async fn assert_refused(&self, expected: RefusalReason) {
+    /// Lists a later start of the upstream.
+    pub(super) fn restart_upstream(&mut self) {
+        self.started += 1;
+        self.set_listing(VmState::Live, true);
+    }
+
+    pub(super) async fn assert_refused(&self, expected: RefusalReason) {
         let reply = self.fixture.call(get(), b"").await;
         let Reply::Refused(Refusal {
             outcome,
@@ -94,7 +106,7 @@
         arrived
     }
 
-    async fn assert_served(&self) {
+    pub(super) async fn assert_served(&self) {
         assert_matches!(self.fixture.call(get(), b"").await, Reply::Complete { .. });
     }
 }
