Keep to the limit that an upstream states in its answers

The sidecar's admission knew slots and the cold rate from the platform's list and passed the header on to the callers. Ruled out: a limit kept for each node and a limit that is forgotten, since nothing was kept at all.

The sidecar is the only way to its upstream, so one limit there holds for calls, retries, delegated calls and health checks of all nodes. It counts the starts of the last seconds also while no limit is known, so that a limit that appears or falls covers the second in which it does. A stricter limit applies at once; a higher one or none counts only in the answer to a request sent after the limit in force was last stated, as answers overtake each other. A limit of zero still lets a request through each five seconds, since only an answer can tell that it is over. A new process sends one request at a time until the first answer, for a second at most, and asks with a health check at once. Calls beyond the limit wait as long as they can still be in time, else they are refused at once with the time until one may start.

The limits on starts are tested without network in admission/tests/stated.rs.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -7,24 +7,30 @@
 mod queue;
 mod ramp;
 mod rank;
+mod rates;
 mod request;
 mod sample;
 mod slowdown;
+mod start_log;
+mod stated;
 mod stats;
 #[cfg(test)]
 mod tests;
 
 use std::time::{Duration, Instant};
 
-use crate::admission::{
-    adaptive::AdaptiveLimit,
-    alone::{AloneQueue, MAX_QUEUED_ALONE},
-    cold::ColdRateLimit,
-    link::LinkBacklog,
-    ramp::Ramp,
-    rank::RankedQueue,
-    slowdown::SlowdownDetector,
-    stats::RankStats,
+use crate::{
+    admission::{
+        adaptive::AdaptiveLimit,
+        alone::{AloneQueue, MAX_QUEUED_ALONE},
+        link::LinkBacklog,
+        ramp::Ramp,
+        rank::RankedQueue,
+        rates::RateLimits,
+        slowdown::SlowdownDetector,
+        stats::RankStats,
+    },
+    statement::{RequestRate, StatedLimit},
 };
 
 pub use self::{
@@ -39,15 +45,16 @@
 /// Admission control of one upstream.
 ///
 /// The concurrency limit is the minimum of the upstream's slots, the adaptive limit (derived from
-/// latency and failures) and the limit of the slow start of a cold upstream (ramp). Requests above
-/// the limit wait in a bounded queue, ordered by rank and fair between callers, or are refused at
+/// latency and failures) and the limit of the slow start of a cold upstream (ramp). The rate at
+/// which requests start is limited by the cold rate and by what the upstream states. Requests above
+/// the limits wait in a bounded queue, ordered by rank and fair between callers, or are refused at
 /// once if they cannot be served in time.
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: AdmissionSettings,
     adaptive_limit: AdaptiveLimit,
     ramp: Ramp,
-    cold_rate: ColdRateLimit,
+    rates: RateLimits,
     link_backlog: LinkBacklog,
     queue: RankedQueue,
     stats: RankStats,
@@ -56,6 +63,8 @@
     active: u32,
     start_count: u64,
     shed_history: u8,
+    /// End of the time in which an upstream that has not answered yet gets one request at a time.
+    unheard_until: Option<Instant>,
 }
 
 /// Limits and switches of admission control.
@@ -87,6 +96,9 @@
 /// Share of the slack before its target time that a request may spend in the queue. The rest allows
 /// for variation in the duration of the request itself.
 const MAX_SLACK_SHARE: f64 = 0.7;
+/// Longest time for which an upstream that has not answered gets one request at a time: as long as
+/// callers wait for a node to read their requests.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of shed requests among the last eight results that indicates a restart.
 const SHED_BURST: u32 = 4;
 
@@ -98,7 +110,7 @@
             settings,
             adaptive_limit: AdaptiveLimit::new(settings.slots),
             ramp: Ramp::default(),
-            cold_rate: ColdRateLimit::new(settings.cold_per_second),
+            rates: RateLimits::new(settings.cold_per_second),
             link_backlog: LinkBacklog::new(settings.link_rate),
             queue: RankedQueue::default(),
             stats: RankStats::default(),
@@ -107,6 +119,7 @@
             active: 0,
             start_count: 0,
             shed_history: 0,
+            unheard_until: None,
         };
         admission.record_restart(now);
         admission
@@ -304,13 +317,51 @@
 
     /// Sets how long the upstream stays cold, as reported by its platform or by the upstream.
     pub fn set_cold_for(&mut self, time: Duration, now: Instant) {
-        self.cold_rate.set_cold_until(now + time);
+        self.rates.cold_mut().set_cold_until(now + time);
     }
 
     /// Assumes that an earlier sidecar process started as many requests as a cold upstream can
     /// handle in a second, just before this process started.
     pub fn assume_prior_starts(&mut self, started_at: Instant) {
-        self.cold_rate.fill(started_at);
+        self.rates.fill(started_at);
+    }
+
+    /// Limits an upstream of which nothing is known to one request at a time until it has answered,
+    /// as an earlier sidecar process may have been told a limit.
+    pub fn await_first_answer(&mut self, now: Instant) {
+        self.unheard_until = Some(now + FIRST_ANSWER_TIMEOUT);
+    }
+
+    /// Records the limit stated in an answer to a request that was sent at `sent_at`; returns
+    /// whether the limit in force changed.
+    pub fn record_stated_limit(
+        &mut self,
+        limit: StatedLimit,
+        sent_at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.unheard_until = None;
+        self.rates.record_stated(limit, sent_at, now)
+    }
+
+    /// Returns the limit in force that the upstream states.
+    #[must_use]
+    pub fn stated_limit(&self) -> Option<RequestRate> {
+        self.rates.stated()
+    }
+
+    /// Returns the time until the stated limit allows a health check.
+    #[must_use]
+    pub fn health_check_delay(&self, now: Instant) -> Duration {
+        self.rates.stated_delay(now)
+    }
+
+    /// Records that a health check is sent, which counts as a request if the upstream states a
+    /// limit.
+    pub fn record_health_check(&mut self, now: Instant) {
+        if self.rates.stated().is_some() {
+            self.rates.record_start(now);
+        }
     }
 
     /// Applies changed settings; a lower limit only affects requests that start later.
@@ -319,7 +370,7 @@
         if settings.cold_per_second.is_some() {
             self.ramp.finish();
         }
-        self.cold_rate.set_rate(settings.cold_per_second);
+        self.rates.cold_mut().set_rate(settings.cold_per_second);
         self.link_backlog.set_rate(settings.link_rate);
         self.adaptive_limit.set_slots(settings.slots);
     }
@@ -340,19 +391,27 @@
         limit.max(1)
     }
 
-    /// Returns how many requests are expected to run at once, taking the cold rate into account.
+    /// Returns how many requests are expected to run at once, taking the limits on
+    /// the rate into account.
     #[must_use]
     pub fn expected_limit(&self, now: Instant) -> u32 {
         let limit = self.limit();
-        self.cold_rate
+        self.rates
             .concurrency(self.stats.all().latency, now)
-            .map_or(limit, |cold| cold.min(limit))
+            .map_or(limit, |running| running.min(limit))
     }
 
     /// Returns whether the upstream is still limited below its warm capacity.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
-        self.ramp.is_cold() || self.cold_rate.is_cold(now)
+        self.ramp.is_cold() || self.rates.cold().is_cold(now)
+    }
+
+    /// Returns whether the upstream gets fewer requests than it has capacity for when warm, because it
+    /// is cold or states a limit.
+    #[must_use]
+    pub fn is_throttled(&self, now: Instant) -> bool {
+        self.is_cold(now) || self.rates.stated().is_some()
     }
 
     /// Returns a mark of the request that was started last, for use with [`Self::ran_alone`].
@@ -380,7 +439,7 @@
     }
 
     fn submit_alone(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionDecision {
-        if self.active == 0 && self.alone_queue.len() == 0 && self.cold_rate.can_start(now) {
+        if self.active == 0 && self.alone_queue.len() == 0 && self.rates.can_start(now) {
             self.start(now);
             self.alone_queue.start(now);
             return AdmissionDecision::Start;
@@ -397,7 +456,7 @@
     fn next_alone(&mut self, now: Instant) -> Option<QueueDecision> {
         let is_free =
             self.active == 0 || self.has_capacity(now) && self.alone_queue.is_overdue(now);
-        if self.alone_queue.is_running() || !is_free || !self.cold_rate.can_start(now) {
+        if self.alone_queue.is_running() || !is_free || !self.rates.can_start(now) {
             return None;
         }
         let (ticket, request) = self.alone_queue.pop(now)?;
@@ -416,13 +475,15 @@
     }
 
     fn has_capacity(&self, now: Instant) -> bool {
-        self.active < self.limit() && self.cold_rate.can_start(now)
+        let is_unheard = self.unheard_until.is_some_and(|until| now < until);
+        let limit = if is_unheard { 1 } else { self.limit() };
+        self.active < limit && self.rates.can_start(now)
     }
 
     fn count_start(&mut self, now: Instant) {
         self.active += 1;
         self.start_count += 1;
-        self.cold_rate.record_start(now);
+        self.rates.record_start(now);
     }
 
     fn start(&mut self, now: Instant) {
@@ -456,7 +517,7 @@
         let link = self
             .link_backlog
             .start_delay(stats, rank.target(), ahead_bytes);
-        wait.max(self.cold_rate.queue_wait(ahead, now)).max(link)
+        wait.max(self.rates.queue_wait(ahead, now)).max(link)
     }
 
     /// Returns the estimated time from the start of a request of a rank until its response is sent.
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -3,6 +3,7 @@
 mod load;
 mod rank;
 mod slowdown;
+mod stated;
 
 use std::collections::BTreeSet;
 
--- a/crates/node/src/sidecar/decide.rs
+++ b/crates/node/src/sidecar/decide.rs
@@ -92,7 +92,10 @@
     }
     match refusal.reason {
         RefusalReason::Draining | RefusalReason::Unreachable => true,
-        RefusalReason::Overloaded => upstream.admission().borrow().is_cold(Instant::now()),
+        RefusalReason::Overloaded => {
+            let admission = upstream.admission().borrow();
+            admission.is_throttled(Instant::now())
+        }
         _ => false,
     }
 }
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -1,6 +1,9 @@
 //! Forwards a request to the upstream and receives the head of its answer.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_web::body::SizedStream;
 use awc::{
@@ -133,11 +136,12 @@
 ///
 /// Returns the failure, which determines the outcome of the call.
 pub(super) async fn forward(
-    upstream: &LocalUpstream,
+    upstream: &Rc<LocalUpstream>,
     call: &Call,
     body: &RequestBody,
     dialect: &Dialect,
 ) -> Result<Answer, Failure> {
+    let sent_at = Instant::now();
     let trace = Rc::new(Trace::default());
     let request = request(upstream, call, dialect)?;
     let sent = Rc::clone(&trace).scope(send(request, call, body));
@@ -148,7 +152,7 @@
     let response = result.map_err(|err| classify(&err, &trace))?;
     if is_from_upstream(&response, call, dialect) {
         let statement = Statements::read(response.headers(), dialect);
-        upstream.record_statement(statement, Source::Call(&call.head.call));
+        upstream.record_statement(statement, sent_at, Source::Call(&call.head.call));
     }
     check_answer(response, call, trace, dialect)
 }
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -14,7 +14,6 @@
         execute::{Execution, NoRecorder, RequestBody, execute},
         refuse::did_not_run,
         shared::Shared,
-        statements::per_second,
         upstream::LocalUpstream,
     },
     transport::{FrameReader, FrameWriter, StreamHandler},
@@ -99,7 +98,7 @@
         let link_backlog = upstream
             .as_ref()
             .map_or(Duration::ZERO, |it| it.admission().borrow().link_backlog());
-        let stated = upstream.map(|it| it.statements().last());
+        let stated = upstream.map(|it| it.statements().belief());
         if let Some(left_out) = self.shared.take_log_line() {
             info!(
                 call = summary.call.as_str(), upstream = summary.upstream.as_str(),
@@ -108,8 +107,8 @@
                 queued = load.queued, link_ms = link_backlog.as_millis() as u64,
                 priority = summary.priority, target_ms = summary.target_ms,
                 waited_ms = summary.waited_ms, left_ms = summary.left_ms,
-                stated_limit:? = stated.and_then(|(stated, _)| per_second(stated.limit)),
-                is_leaving = stated.is_some_and(|(stated, _)| stated.is_leaving),
+                stated_limit:? = stated.and_then(|(belief, _)| belief.limit_per_second()),
+                is_leaving = stated.is_some_and(|(belief, _)| belief.is_leaving),
                 stated_ms = stated.map(|(_, since)| since.elapsed().as_millis() as u64), left_out;
                 "call refused by sidecar"
             );
--- a/crates/node/src/sidecar/health.rs
+++ b/crates/node/src/sidecar/health.rs
@@ -1,6 +1,9 @@
-//! Health checks that query how long an upstream stays cold.
+//! Health checks that query how long an upstream stays cold, and what it states of itself.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use awc::{Client, Connector};
 use log::{debug, info};
@@ -32,6 +35,7 @@
     let upstream = Rc::clone(upstream);
     actix_rt::spawn(async move {
         for _ in 0..MAX_CHECKS {
+            sleep(upstream.health_check_delay()).await;
             if let Some(cold) = remaining_cold_time(&upstream, &path).await {
                 let name = upstream.spec().name.clone();
                 info!(upstream:% = name, cold_ms = cold.as_millis() as u64; "upstream reported its remaining cold time");
@@ -46,7 +50,7 @@
 
 /// Returns how long the upstream stays cold; `None` if it does not answer in time, is unhealthy, or
 /// a different upstream answers.
-async fn remaining_cold_time(upstream: &LocalUpstream, path: &str) -> Option<Duration> {
+async fn remaining_cold_time(upstream: &Rc<LocalUpstream>, path: &str) -> Option<Duration> {
     let spec = upstream.spec();
     let connector = Connector::new().timeout(CHECK_TIMEOUT);
     let client = Client::builder()
@@ -54,6 +58,11 @@
         .timeout(CHECK_TIMEOUT);
     let url = format!("http://{}{path}", spec.address);
     metrics::counter!("upstream_health_checks_total").increment(1);
+    let sent_at = Instant::now();
+    upstream
+        .admission()
+        .borrow_mut()
+        .record_health_check(sent_at);
     let answer = client.finish().get(url).force_close().send().await;
     let answer = match answer {
         Ok(answer) => answer,
@@ -70,7 +79,7 @@
         return None;
     }
     let statement = Statements::read(answer.headers(), dialect);
-    upstream.record_statement(statement, Source::HealthCheck);
+    upstream.record_statement(statement, sent_at, Source::HealthCheck);
     if answer.status() != 200 {
         debug!(upstream:% = spec.name, status = answer.status().as_u16(); "upstream health check returned an error status");
         return None;
--- a/crates/node/src/sidecar/statements.rs
+++ b/crates/node/src/sidecar/statements.rs
@@ -7,17 +7,33 @@
 
 use awc::http::header::HeaderMap;
 use log::{info, warn};
-use wagtaillever_coordination::{Dialect, StatedLimit, Statement, UpstreamName};
+use wagtaillever_coordination::{Dialect, RequestRate, StatedLimit, Statement, UpstreamName};
 
 use crate::logging::LineBudget;
 
-/// Last statement of an upstream and when it changed.
+/// What this process believes of an upstream by its statements, and since when.
 pub(super) struct Statements {
-    last: Cell<Statement>,
+    belief: Cell<Belief>,
     changed_at: Cell<Instant>,
     log_budget: RefCell<LineBudget>,
 }
 
+/// What this process believes of an upstream by its statements.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Belief {
+    /// Limit in force.
+    limit: Option<RequestRate>,
+    /// Whether the upstream is leaving.
+    pub(super) is_leaving: bool,
+}
+
+impl Belief {
+    /// Returns the limit in force in requests per second.
+    pub(super) fn limit_per_second(self) -> Option<f64> {
+        self.limit.map(RequestRate::per_second)
+    }
+}
+
 /// Answer in which an upstream states something of itself.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Source<'a> {
@@ -40,7 +56,7 @@
     /// Returns the record of an upstream that has stated nothing.
     pub(super) fn new(now: Instant) -> Self {
         Self {
-            last: Cell::default(),
+            belief: Cell::default(),
             changed_at: Cell::new(now),
             log_budget: RefCell::new(LineBudget::new(now)),
         }
@@ -53,23 +69,31 @@
         })
     }
 
-    /// Returns the last statement and the time since when it has been the same.
-    pub(super) fn last(&self) -> (Statement, Instant) {
-        (self.last.get(), self.changed_at.get())
+    /// Returns the belief and since when it has been the same.
+    pub(super) fn belief(&self) -> (Belief, Instant) {
+        (self.belief.get(), self.changed_at.get())
     }
 
-    /// Records a statement.
-    pub(super) fn record(&self, upstream: &UpstreamName, statement: Statement, source: Source<'_>) {
+    /// Records a statement and the limit that is in force after it.
+    pub(super) fn record(
+        &self,
+        upstream: &UpstreamName,
+        statement: Statement,
+        limit: Option<RequestRate>,
+        source: Source<'_>,
+    ) {
         if statement.limit == StatedLimit::Unusable {
             self.report_unusable(upstream, source);
         }
-        let old = self.last.replace(statement);
-        if (old.limit, old.is_leaving) == (statement.limit, statement.is_leaving) {
+        let is_leaving = statement.is_leaving;
+        let belief = Belief { limit, is_leaving };
+        let old = self.belief.replace(belief);
+        if old == belief {
             return;
         }
         let now = Instant::now();
         let age = now.saturating_duration_since(self.changed_at.replace(now));
-        let limit = per_second(statement.limit);
+        let limit = belief.limit_per_second();
         metrics::gauge!("upstream_stated_limit", "upstream" => upstream.to_string())
             .set(limit.unwrap_or(f64::INFINITY));
         metrics::counter!("upstream_statement_changes_total").increment(1);
@@ -78,8 +102,8 @@
         };
         info!(
             upstream:% = upstream, call:? = source.call(), stated_limit:? = limit,
-            old_limit:? = per_second(old.limit), is_leaving = statement.is_leaving,
-            age_ms = age.as_millis() as u64, left_out;
+            old_limit:? = old.limit_per_second(), is_leaving, age_ms = age.as_millis() as u64,
+            left_out;
             "upstream changed what it states of itself"
         );
     }
@@ -94,11 +118,3 @@
         }
     }
 }
-
-/// Returns the requests per second of a stated limit.
-pub(super) fn per_second(limit: StatedLimit) -> Option<f64> {
-    match limit {
-        StatedLimit::Rate(rate) => Some(rate.per_second()),
-        StatedLimit::None | StatedLimit::Unusable => None,
-    }
-}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -78,6 +78,9 @@
         if let Some(start) = spec.start {
             admission.set_cold_for(Duration::from_millis(start.cold_ms), now);
         }
+        if is_listed {
+            admission.await_first_answer(now);
+        }
         let reported = Cell::new((admission.limit(), admission.is_cold(now)));
         let requests =
             metrics::counter!("upstream_requests_total", "upstream" => spec.name.to_string());
@@ -310,10 +313,28 @@
         }
     }
 
-    /// Records what the upstream states of itself in an answer.
-    pub(super) fn record_statement(&self, statement: Statement, source: Source<'_>) {
-        let name = &self.spec.borrow().name;
-        self.statements.record(name, statement, source);
+    /// Records what the upstream states of itself in an answer to a request that was sent at
+    /// `sent_at`.
+    pub(super) fn record_statement(
+        self: &Rc<Self>,
+        statement: Statement,
+        sent_at: Instant,
+        source: Source<'_>,
+    ) {
+        let mut admission = self.admission.borrow_mut();
+        let is_changed = admission.record_stated_limit(statement.limit, sent_at, Instant::now());
+        let limit = admission.stated_limit();
+        drop(admission);
+        let name = self.spec().name.clone();
+        self.statements.record(&name, statement, limit, source);
+        if is_changed {
+            self.dispatch();
+        }
+    }
+
+    /// Returns the time until the upstream may get a health check.
+    pub(super) fn health_check_delay(&self) -> Duration {
+        self.admission.borrow().health_check_delay(Instant::now())
     }
 
     /// Returns what the upstream states of itself.
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -10,7 +10,11 @@
 
 use wagtaillever_coordination::{Config, Service, Upstream, UpstreamName, VmEntry};
 
-use crate::{settings::Settings, sidecar::upstream::LocalUpstream, timeline::Timeline};
+use crate::{
+    settings::Settings,
+    sidecar::{health, upstream::LocalUpstream},
+    timeline::Timeline,
+};
 
 /// Time for which a withdrawn upstream still serves ingresses that apply an older configuration.
 const WITHDRAWAL_GRACE: Duration = Duration::from_secs(5);
@@ -100,6 +104,8 @@
             .borrow_mut()
             .assume_prior_starts(self.process_started);
         upstream.assume_cold();
+        // The first answer tells what the upstream stated to an earlier process.
+        health::start_check(&upstream);
         let entry = Entry {
             upstream,
             expires_at: None,
