Send no new calls to upstreams that state they are leaving

The sidecar refuses new calls from the first answer on that states it, to a call or to a health check, whatever its status. Each ingress also remembers the upstreams whose statement it passed on, as the sidecar beside the upstream may have restarted and not know it. Both memories hold for the start that the platform lists, so neither a lapsed registration nor a store that was restored brings the upstream back; a later start does. If all upstreams of a service are leaving, calls are refused at once.

--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -18,6 +18,7 @@
 use crate::{
     candidates::{Candidate, Candidates, MAX_REMOTE_CHOICES},
     health::{Evidence, HealthChange, HealthStatus},
+    leaving::LeavingUpstreams,
     name::{DomainName, UpstreamName},
 };
 
@@ -55,6 +56,8 @@
     /// Addresses of sidecars to which no connection can be opened at present. They get calls only
     /// if no other upstream is available.
     pub unreachable: &'a HashSet<SocketAddr>,
+    /// Upstreams that stated that they are leaving; they get no new calls.
+    pub leaving: &'a LeavingUpstreams,
     /// Whether the request may run more than once and can therefore serve as a probe.
     pub idempotent: bool,
     /// Target latency of the route in milliseconds, if configured.
@@ -261,8 +264,15 @@
         let fresh = TrackedUpstream::new(0);
         let mut remote = 0;
         let lowest = self.lowest_cost(candidates);
-        let allowed = candidates.iter();
-        for candidate in allowed.filter(|c| !constraints.excluded.contains(&c.upstream.name)) {
+        let mut staying = 0;
+        for candidate in candidates {
+            if constraints.leaving.contains(&candidate.upstream, now) {
+                continue;
+            }
+            staying += 1;
+            if constraints.excluded.contains(&candidate.upstream.name) {
+                continue;
+            }
             let is_remote = candidate.upstream.domain != self.domain;
             if is_remote && remote == MAX_REMOTE_CHOICES {
                 continue;
@@ -308,7 +318,7 @@
         }
         let earliest = ejected.iter().map(|(remaining, ..)| *remaining).min();
         selectable.retry_after = earliest.unwrap_or(DEFAULT_RETRY_AFTER).max(MIN_RETRY_AFTER);
-        self.readmit_ejected(candidates.len(), ejected, &mut selectable);
+        self.readmit_ejected(staying, ejected, &mut selectable);
         selectable
     }
 
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -10,6 +10,7 @@
     balancer: Balancer,
     candidates: Vec<Candidate>,
     unreachable: HashSet<SocketAddr>,
+    leaving: LeavingUpstreams,
     now: Instant,
     rng: SmallRng,
 }
@@ -25,6 +26,7 @@
             balancer: Balancer::new("a".into(), policy),
             candidates: upstreams.iter().map(|&(n, d)| candidate(n, d)).collect(),
             unreachable: HashSet::new(),
+            leaving: LeavingUpstreams::default(),
             now: Instant::now(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -36,9 +38,11 @@
         idempotent: bool,
     ) -> Result<Ticket, NoCandidate> {
         let unreachable = self.unreachable.clone();
+        let leaving = self.leaving.clone();
         self.choose_with(Constraints {
             excluded,
             unreachable: &unreachable,
+            leaving: &leaving,
             idempotent,
             target_ms: None,
         })
@@ -170,6 +174,7 @@
         let constraints = Constraints {
             excluded: &[],
             unreachable: &HashSet::new(),
+            leaving: &LeavingUpstreams::default(),
             idempotent: true,
             target_ms,
         };
@@ -431,3 +436,22 @@
     fixture.unreachable = fixture.candidates.iter().map(|c| c.address).collect();
     assert_eq!(fixture.call_counts(10).values().sum::<usize>(), 10);
 }
+
+/// Load pattern: most upstreams of a service are replaced at once; the last ones fail.
+#[test]
+fn leaving_upstreams_get_no_calls_even_as_the_last_resort() {
+    let names = ["a1", "a2", "a3", "b1"];
+    let upstreams = names.map(|name| (name, &name[..1]));
+    let mut fixture = Fixture::new(&upstreams, ALL_ENABLED, 1);
+    let leaving = fixture.candidates[..3].iter();
+    for candidate in leaving {
+        fixture.leaving.record(&candidate.upstream, fixture.now);
+    }
+    assert_eq!(fixture.call_counts(50).len(), 1);
+    fixture.fail("b1", Evidence::Failed);
+    assert_eq!(fixture.call_counts(50).get("b1"), Some(&50));
+    let last = fixture.candidates[3].clone();
+    fixture.leaving.record(&last.upstream, fixture.now);
+    let refused = fixture.choose_excluding(&[], true).unwrap_err();
+    assert!(!refused.retry_after.is_zero());
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -24,6 +24,7 @@
 mod history;
 mod join;
 mod key;
+mod leaving;
 mod ledger;
 mod listing;
 mod locator;
@@ -75,6 +76,7 @@
     history::{History, Verdict},
     join::{Join, JoinInputs, JoinRule, JoinWait},
     key::{IdempotencyKey, KeyError, key_owner},
+    leaving::LeavingUpstreams,
     ledger::{Claim, ExecutionOutcome, Ledger, LedgerSettings, RecordedAnswer, RequestId},
     listing::{Listing, RegistrationAnswer},
     message::{Contact, Digest, Hello, Message, SnapshotPart, Versions},
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -10,7 +11,7 @@
 use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
     AttemptFailure, AttemptLimit, Attempts, Constraints, Evidence, RequestKind, RetryDecision,
-    Route, Sequence, UpstreamName, key_owner,
+    Route, Sequence, Statement, Upstream, UpstreamName, key_owner,
 };
 
 use crate::{
@@ -54,7 +55,7 @@
 
 /// Upstream to which an attempt is sent.
 struct Destination {
-    upstream: UpstreamName,
+    upstream: Arc<Upstream>,
     address: SocketAddr,
     guard: CallGuard,
 }
@@ -100,7 +101,7 @@
             let recorder = &self.worker.recorder;
             recorder.record_failed_attempt(
                 &self.call_fields(),
-                &destination.upstream,
+                &destination.upstream.name,
                 failure,
                 &refusal,
             );
@@ -150,7 +151,7 @@
             address.ok_or_else(|| did_not_run(RefusalReason::Unreachable, NO_UPSTREAM_RETRY_MS))?;
         let ticket = self.worker.balancer.borrow_mut().begin_call(&owner.name);
         Ok(Destination {
-            upstream: owner.name.clone(),
+            upstream: Arc::clone(owner),
             address,
             guard: CallGuard::new(&self.worker, ticket),
         })
@@ -166,9 +167,11 @@
             routing.candidates.for_service(&self.request.service)
         };
         let unreachable = self.worker.pool.unreachable();
+        let leaving = self.worker.leaving.borrow();
         let constraints = Constraints {
             excluded: &self.tried_upstreams,
             unreachable: &unreachable,
+            leaving: &leaving,
             idempotent: self.request.idempotent,
             target_ms: self.request.route.target_ms,
         };
@@ -181,7 +184,7 @@
             self.worker.recorder.record_probe(&candidate.upstream.name);
         }
         Ok(Destination {
-            upstream: candidate.upstream.name.clone(),
+            upstream: Arc::clone(&candidate.upstream),
             address: candidate.address,
             guard: CallGuard::new(&self.worker, ticket),
         })
@@ -217,7 +220,8 @@
             feedback.load = None;
         }
         self.report_to_balancer(&destination, &feedback);
-        self.tried_upstreams.push(destination.upstream.clone());
+        self.record_statement(&destination, &result);
+        self.tried_upstreams.push(destination.upstream.name.clone());
         (result, destination, feedback)
     }
 
@@ -239,11 +243,35 @@
             if let Some(change) = change {
                 self.worker
                     .recorder
-                    .record_health_change(&destination.upstream, change);
+                    .record_health_change(&destination.upstream.name, change);
             }
         }
     }
 
+    /// Records that an upstream states in its answer that it is leaving. The answer to a call with an
+    /// idempotency key may be that of another upstream.
+    fn record_statement(&self, destination: &Destination, result: &AttemptResult) {
+        let AttemptResult::Replied(reply) = result else {
+            return;
+        };
+        let ReplyHead::Answer { headers, .. } = &reply.head else {
+            return;
+        };
+        let dialect = self.worker.header_rules().dialect;
+        let statement = Statement::read(dialect, |name| {
+            let same = headers.iter().filter(move |(other, _)| other == name);
+            same.map(|(_, value)| value.as_slice())
+        });
+        if !statement.is_leaving || self.request.key.is_some() {
+            return;
+        }
+        let mut leaving = self.worker.leaving.borrow_mut();
+        if leaving.record(&destination.upstream, Instant::now()) {
+            let recorder = &self.worker.recorder;
+            recorder.record_leaving(&self.call_fields(), &destination.upstream.name);
+        }
+    }
+
     fn call_fields(&self) -> CallFields<'_> {
         let request = &self.request;
         CallFields {
@@ -307,7 +335,7 @@
             sequence: request.sequence.0,
             route: request.route.name.to_string(),
             service: request.service.to_string(),
-            upstream: destination.upstream.to_string(),
+            upstream: destination.upstream.name.to_string(),
             stage,
             method: request.method.clone(),
             target: request.target.clone(),
@@ -342,7 +370,8 @@
         };
         let (length, note) = (*length, Sequence(*sequence));
         let dialect = self.worker.header_rules().dialect;
-        let head = answer::response_head(*status, headers, &destination.upstream, note, dialect);
+        let head =
+            answer::response_head(*status, headers, &destination.upstream.name, note, dialect);
         let Some(mut builder) = head else {
             return self.refuse(bad_answer());
         };
@@ -352,7 +381,7 @@
             ..self.call_fields()
         };
         let recorder = &self.worker.recorder;
-        recorder.record_answer(&fields, &destination.upstream, *status);
+        recorder.record_answer(&fields, &destination.upstream.name, *status);
         if self.request.method == "HEAD" {
             return builder.body(empty_body(length));
         }
--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -157,6 +157,18 @@
         self.timeline.record(EventKind::UpstreamProbed { upstream });
     }
 
+    /// Records that an upstream states in its answer that it is leaving, so that it is chosen for no
+    /// further call.
+    pub(super) fn record_leaving(&self, fields: &CallFields<'_>, upstream: &UpstreamName) {
+        metrics::counter!("upstreams_leaving_total").increment(1);
+        if let Some(left_out) = self.take_line() {
+            info!(
+                call = fields.call, upstream:% = upstream, list = fields.list, left_out;
+                "upstream is leaving by its answer"
+            );
+        }
+    }
+
     /// Takes a line from the budget and returns how many lines were left out before it; `None` if
     /// this line must be left out.
     fn take_line(&self) -> Option<u64> {
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -12,8 +12,8 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    Balancer, BalancerPolicy, CallShares, CallerAges, RetryBudget, RetryRates, Route, Sequence,
-    ServiceName, Splitter,
+    Balancer, BalancerPolicy, CallShares, CallerAges, LeavingUpstreams, RetryBudget, RetryRates,
+    Route, Sequence, ServiceName, Splitter,
 };
 
 use crate::{
@@ -56,6 +56,9 @@
     pub(super) pool: Rc<Pool>,
     /// Balancer that chooses upstreams.
     pub(super) balancer: RefCell<Balancer>,
+    /// Upstreams that stated that they are leaving, in answers that this node passed on. Their own
+    /// sidecar may have restarted since and not know it.
+    pub(super) leaving: RefCell<LeavingUpstreams>,
     /// Calls in flight by caller.
     pub(super) caller_shares: RefCell<CallShares>,
     /// Recorder of metrics, log lines and events.
@@ -81,6 +84,7 @@
         let worker = Rc::new(Self {
             pool: Rc::new(Pool::new(settings.address, shared.token.clone())),
             balancer: RefCell::new(Balancer::new(settings.domain.clone(), policy)),
+            leaving: RefCell::default(),
             caller_shares: RefCell::new(CallShares::new(max_calls.max(MIN_CALL_LIMIT))),
             rng: RefCell::new(SmallRng::from_os_rng()),
             recorder: Recorder::new(shared.timeline.clone()),
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -78,7 +78,7 @@
     recorder: &mut impl Recorder,
 ) -> Result<Execution, Refusal> {
     check_invariant("misrouted", upstream.spec().service == call.service);
-    if shared.is_drained() {
+    if shared.is_drained() || upstream.is_leaving() {
         return Err(did_not_run(RefusalReason::Draining));
     }
     let permit = tokio::select! {
--- a/crates/node/src/sidecar/health.rs
+++ b/crates/node/src/sidecar/health.rs
@@ -42,6 +42,9 @@
                 upstream.set_cold_for(cold);
                 break;
             }
+            if upstream.is_leaving() {
+                break;
+            }
             sleep(RETRY_DELAY).await;
         }
         upstream.end_health_check();
--- a/crates/node/src/sidecar/statements.rs
+++ b/crates/node/src/sidecar/statements.rs
@@ -7,7 +7,7 @@
 
 use awc::http::header::HeaderMap;
 use log::{info, warn};
-use wagtaillever_coordination::{Dialect, RequestRate, StatedLimit, Statement, UpstreamName};
+use wagtaillever_coordination::{Dialect, RequestRate, Statement, UpstreamName};
 
 use crate::logging::LineBudget;
 
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Belief {
     /// Limit in force.
-    limit: Option<RequestRate>,
+    pub(super) limit: Option<RequestRate>,
     /// Whether the upstream is leaving.
     pub(super) is_leaving: bool,
 }
@@ -74,19 +74,8 @@
         (self.belief.get(), self.changed_at.get())
     }
 
-    /// Records a statement and the limit that is in force after it.
-    pub(super) fn record(
-        &self,
-        upstream: &UpstreamName,
-        statement: Statement,
-        limit: Option<RequestRate>,
-        source: Source<'_>,
-    ) {
-        if statement.limit == StatedLimit::Unusable {
-            self.report_unusable(upstream, source);
-        }
-        let is_leaving = statement.is_leaving;
-        let belief = Belief { limit, is_leaving };
+    /// Records the belief after an answer.
+    pub(super) fn record(&self, upstream: &UpstreamName, belief: Belief, source: Source<'_>) {
         let old = self.belief.replace(belief);
         if old == belief {
             return;
@@ -102,13 +91,14 @@
         };
         info!(
             upstream:% = upstream, call:? = source.call(), stated_limit:? = limit,
-            old_limit:? = old.limit_per_second(), is_leaving, age_ms = age.as_millis() as u64,
+            old_limit:? = old.limit_per_second(), is_leaving = belief.is_leaving, age_ms = age.as_millis() as u64,
             left_out;
             "upstream changed what it states of itself"
         );
     }
 
-    fn report_unusable(&self, upstream: &UpstreamName, source: Source<'_>) {
+    /// Reports a stated limit that is no rate.
+    pub(super) fn report_unusable(&self, upstream: &UpstreamName, source: Source<'_>) {
         metrics::counter!("upstream_statements_unusable_total").increment(1);
         if let Some(left_out) = self.log_budget.borrow_mut().take(Instant::now()) {
             warn!(
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -12,8 +12,9 @@
 use log::info;
 use tokio::sync::oneshot;
 use wagtaillever_coordination::{
-    Admission, AdmissionRequest, AdmissionSettings, CrashDetector, Dialect, InFlight, Quality,
-    QueueTicket, Rank, Sample, SampleResult, Service, Statement, Upstream,
+    Admission, AdmissionRequest, AdmissionSettings, CrashDetector, Dialect, InFlight,
+    LeavingUpstreams, Quality, QueueTicket, Rank, Sample, SampleResult, Service, StatedLimit,
+    Statement, Upstream,
 };
 
 use crate::{
@@ -23,7 +24,7 @@
         admit::{AdmissionResult, Permit, decision_parts},
         connector::TracedConnector,
         health,
-        statements::{Source, Statements},
+        statements::{Belief, Source, Statements},
     },
     timeline::{EventKind, Timeline},
     wire::Load,
@@ -46,6 +47,7 @@
     admission: RefCell<Admission>,
     quality: RefCell<Quality>,
     statements: Statements,
+    leaving: Rc<RefCell<LeavingUpstreams>>,
     /// Metric of the requests that were started.
     requests: metrics::Counter,
     waiters: RefCell<BTreeMap<QueueTicket, Waiter>>,
@@ -69,6 +71,7 @@
         service: Option<Arc<Service>>,
         settings: &Settings,
         timeline: Timeline,
+        leaving: Rc<RefCell<LeavingUpstreams>>,
     ) -> Self {
         let policies = &settings.policies;
         let now = Instant::now();
@@ -95,6 +98,7 @@
             admission: RefCell::new(admission),
             quality: RefCell::default(),
             statements: Statements::new(now),
+            leaving,
             requests,
             waiters: RefCell::default(),
             crashes: RefCell::new(CrashDetector::new(is_listed)),
@@ -325,13 +329,30 @@
         let is_changed = admission.record_stated_limit(statement.limit, sent_at, Instant::now());
         let limit = admission.stated_limit();
         drop(admission);
-        let name = self.spec().name.clone();
-        self.statements.record(&name, statement, limit, source);
+        let spec = self.spec();
+        if statement.is_leaving {
+            self.leaving.borrow_mut().record(&spec, Instant::now());
+        }
+        let belief = Belief {
+            limit,
+            is_leaving: self.is_leaving(),
+        };
+        if statement.limit == StatedLimit::Unusable {
+            self.statements.report_unusable(&spec.name, source);
+        }
+        self.statements.record(&spec.name, belief, source);
         if is_changed {
             self.dispatch();
         }
     }
 
+    /// Returns whether the upstream stated that it is leaving, so that it must get no new requests.
+    pub(super) fn is_leaving(&self) -> bool {
+        let leaving = self.leaving.borrow();
+        leaving.contains(&self.spec.borrow(), Instant::now())
+            && !mutant::is_enabled(Mutant::IgnoreLeaving)
+    }
+
     /// Returns the time until the upstream may get a health check.
     pub(super) fn health_check_delay(&self) -> Duration {
         self.admission.borrow().health_check_delay(Instant::now())
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -8,7 +8,9 @@
     time::{Duration, Instant},
 };
 
-use wagtaillever_coordination::{Config, Service, Upstream, UpstreamName, VmEntry};
+use wagtaillever_coordination::{
+    Config, LeavingUpstreams, Service, Upstream, UpstreamName, VmEntry,
+};
 
 use crate::{
     settings::Settings,
@@ -26,6 +28,8 @@
     /// Start time of this process.
     process_started: Instant,
     entries: RefCell<BTreeMap<UpstreamName, Entry>>,
+    /// Kept apart from the entries, which end when the platform stops listing an upstream.
+    leaving: Rc<RefCell<LeavingUpstreams>>,
 }
 
 struct Entry {
@@ -41,6 +45,7 @@
             timeline,
             process_started: Instant::now(),
             entries: RefCell::default(),
+            leaving: Rc::default(),
         }
     }
 
@@ -97,7 +102,9 @@
         }
         let timeline = self.timeline.clone();
         let spec = Arc::clone(spec);
-        let upstream = LocalUpstream::new(spec, service.cloned(), &self.settings, timeline);
+        let leaving = Rc::clone(&self.leaving);
+        let upstream =
+            LocalUpstream::new(spec, service.cloned(), &self.settings, timeline, leaving);
         let upstream = Rc::new(upstream);
         upstream
             .admission()
