Apply the cold time that an answer to a call states

An upstream that turns cold later and says so in its answers went on to get warm load. The test an_answer_that_states_a_cold_time_limits_the_next_calls failed before (628 requests in 2 s, 6 allowed). Whether the users' servers state it in answers to calls is not known.

--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -341,7 +341,9 @@
             self.statements.report_unusable(&spec.name, source);
         }
         self.statements.record(&spec.name, belief, source);
-        if is_changed {
+        if let Some(cold) = statement.cold.filter(|cold| !cold.is_zero()) {
+            self.set_cold_for(cold);
+        } else if is_changed {
             self.dispatch();
         }
     }
