Count the wait for the first answer from the first request

An upstream that got no request for a second after a restart of the node beside it was taken as heard, so its first burst could pass a limit that it had stated to the earlier process. The second now begins with the first request. Shown by the test without network, which waits five seconds first; no run of the system has shown the burst.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -3,6 +3,7 @@
 mod adaptive;
 mod alone;
 mod cold;
+mod contact;
 mod link;
 mod queue;
 mod ramp;
@@ -23,6 +24,7 @@
     admission::{
         adaptive::AdaptiveLimit,
         alone::{AloneQueue, MAX_QUEUED_ALONE},
+        contact::Contact,
         link::LinkBacklog,
         ramp::Ramp,
         rank::RankedQueue,
@@ -63,8 +65,7 @@
     active: u32,
     start_count: u64,
     shed_history: u8,
-    /// End of the time in which an upstream that has not answered yet gets one request at a time.
-    unheard_until: Option<Instant>,
+    contact: Contact,
 }
 
 /// Limits and switches of admission control.
@@ -96,9 +97,6 @@
 /// Share of the slack before its target time that a request may spend in the queue. The rest allows
 /// for variation in the duration of the request itself.
 const MAX_SLACK_SHARE: f64 = 0.7;
-/// Longest time for which an upstream that has not answered gets one request at a time: as long as
-/// callers wait for a node to read their requests.
-const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Number of shed requests among the last eight results that indicates a restart.
 const SHED_BURST: u32 = 4;
 
@@ -119,7 +117,7 @@
             active: 0,
             start_count: 0,
             shed_history: 0,
-            unheard_until: None,
+            contact: Contact::default(),
         };
         admission.record_restart(now);
         admission
@@ -328,8 +326,8 @@
 
     /// Limits an upstream of which nothing is known to one request at a time until it has answered,
     /// as an earlier sidecar process may have been told a limit.
-    pub fn await_first_answer(&mut self, now: Instant) {
-        self.unheard_until = Some(now + FIRST_ANSWER_TIMEOUT);
+    pub fn await_first_answer(&mut self) {
+        self.contact = Contact::Unused;
     }
 
     /// Records the limit stated in an answer to a request that was sent at `sent_at`; returns
@@ -340,7 +338,7 @@
         sent_at: Instant,
         now: Instant,
     ) -> bool {
-        self.unheard_until = None;
+        self.contact = Contact::Answered;
         self.rates.record_stated(limit, sent_at, now)
     }
 
@@ -475,8 +473,10 @@
     }
 
     fn has_capacity(&self, now: Instant) -> bool {
-        let is_unheard = self.unheard_until.is_some_and(|until| now < until);
-        let limit = if is_unheard { 1 } else { self.limit() };
+        let limit = match self.contact.is_limited(now) {
+            true => 1,
+            false => self.limit(),
+        };
         self.active < limit && self.rates.can_start(now)
     }
 
@@ -484,6 +484,7 @@
         self.active += 1;
         self.start_count += 1;
         self.rates.record_start(now);
+        self.contact.record_start(now);
     }
 
     fn start(&mut self, now: Instant) {
--- a/crates/coordination/src/admission/tests/stated.rs
+++ b/crates/coordination/src/admission/tests/stated.rs
@@ -156,7 +156,8 @@
 fn an_upstream_that_was_not_heard_gets_one_request_at_a_time() {
     let mut load = Load::new(settings());
     let fixture = &mut load.fixture;
-    fixture.admission.await_first_answer(fixture.now);
+    fixture.admission.await_first_answer();
+    fixture.now += ms(5_000);
     assert_eq!(fixture.submit(1, ms(100)), AdmissionDecision::Start);
     assert_ne!(fixture.submit(1, ms(100)), AdmissionDecision::Start);
     assert_eq!(fixture.admission.next_decision(fixture.now), None);
@@ -166,6 +167,19 @@
     assert_eq!(fixture.submit(1, ms(100)), AdmissionDecision::Start);
 }
 
+/// Load pattern: an upstream hangs when the sidecar process beside it restarts.
+#[test]
+fn an_upstream_that_never_answers_holds_its_calls_for_a_second_only() {
+    let mut load = Load::new(settings());
+    let fixture = &mut load.fixture;
+    fixture.admission.await_first_answer();
+    assert_eq!(fixture.submit(1, ms(3_000)), AdmissionDecision::Start);
+    assert_ne!(fixture.submit(1, ms(3_000)), AdmissionDecision::Start);
+    fixture.now += ms(1_000);
+    let next = fixture.admission.next_decision(fixture.now);
+    assert!(matches!(next, Some(QueueDecision::Start(_))), "{next:?}");
+}
+
 /// Load pattern: an upstream with a limit does not answer health checks for a while.
 #[test]
 fn health_checks_use_up_the_stated_limit() {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -82,7 +82,7 @@
             admission.set_cold_for(Duration::from_millis(start.cold_ms), now);
         }
         if is_listed {
-            admission.await_first_answer(now);
+            admission.await_first_answer();
         }
         let reported = Cell::new((admission.limit(), admission.is_cold(now)));
         let requests =
