Let stand-ins state limits and that they are leaving

The stand-in of an upstream states both in all its answers, as the users' servers do, and counts requests beyond the limit or after its notice of leaving by the bounds of the users' rules. Two mutants show that the checks can fail.

--- a/crates/bench/src/chaos/action.rs
+++ b/crates/bench/src/chaos/action.rs
@@ -52,6 +52,10 @@
     KillUpstream(usize),
     /// Makes an upstream cold without any signal to the nodes.
     ColdUpstream(usize),
+    /// Makes an upstream state a limit on its requests for a time.
+    LimitUpstream(usize),
+    /// Makes an upstream state that it is leaving, then restarts it.
+    LeaveUpstream(usize),
     /// Sends and resends a request that crashes each upstream that runs it.
     CrashRequest,
 }
@@ -88,7 +92,8 @@
             self,
             Self::KillNode(_) | Self::Herd(_) | Self::KillUpstream(_) | Self::CrashRequest
         );
-        cuts || matches!(self, Self::ColdUpstream(_)) || self.can_delay_propagation()
+        cuts || matches!(self, Self::ColdUpstream(_) | Self::LeaveUpstream(_))
+            || self.can_delay_propagation()
     }
 }
 
--- a/crates/bench/src/chaos/invariant.rs
+++ b/crates/bench/src/chaos/invariant.rs
@@ -14,6 +14,8 @@
 pub(crate) const DRAINED_GETS_NO_WORK: &str = "drained-gets-no-work";
 /// A leaving upstream receives no new requests.
 pub(crate) const LEAVING_GETS_NO_WORK: &str = "leaving-gets-no-work";
+/// An upstream receives no more requests than the limit that it states.
+pub(crate) const STATED_LIMIT_KEPT: &str = "stated-limit-kept";
 /// Every answer that a caller takes as complete is complete and belongs to its request.
 pub(crate) const OWN_WHOLE_ANSWER: &str = "own-whole-answer";
 /// A request that was refused as not executed was not executed.
--- a/crates/bench/src/chaos/mutation.rs
+++ b/crates/bench/src/chaos/mutation.rs
@@ -24,7 +24,10 @@
 
 /// Returns all mutants with their scenarios.
 pub(crate) fn mutations() -> Vec<Mutation> {
-    use Action::{BadNote, DrainDomain, GoodNote, KillUpstream, LeaveVm, StopNode};
+    use Action::{
+        BadNote, DrainDomain, GoodNote, KillUpstream, LeaveUpstream, LeaveVm, LimitUpstream,
+        StopNode,
+    };
     let kills = [
         KillUpstream(0),
         KillUpstream(1),
@@ -35,6 +38,8 @@
     // In `examples/ragusa.yaml`, these upstreams serve requests with idempotency keys.
     let keyed = [5, 6, 7, 8].map(KillUpstream);
     let keyed = [keyed, keyed].concat();
+    let limits = [0, 1, 2, 3].map(LimitUpstream);
+    let leaves = [0, 1, 2, 3].map(LeaveUpstream);
     let stops = [StopNode(0), StopNode(1), StopNode(2)];
     vec![
         with_low_load("go_back", invariant::NODES_RUN, &[GoodNote, GoodNote]),
@@ -51,6 +56,8 @@
             invariant::LEAVING_GETS_NO_WORK,
             &[LeaveVm(0), LeaveVm(1)],
         ),
+        with_high_load("ignore_limits", invariant::STATED_LIMIT_KEPT, &limits),
+        with_high_load("ignore_leaving", invariant::LEAVING_GETS_NO_WORK, &leaves),
         with_large_answers("short_answers", invariant::OWN_WHOLE_ANSWER),
         with_low_load("crossed_answers", invariant::OWN_WHOLE_ANSWER, &[]),
         with_high_load("false_did_not_run", invariant::REFUSAL_IS_TRUE, &kills),
--- a/crates/bench/src/chaos/perform.rs
+++ b/crates/bench/src/chaos/perform.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use rand::{seq::IndexedRandom, seq::SliceRandom};
+use rand::{Rng, seq::IndexedRandom, seq::SliceRandom};
 use wagtaillever_coordination::{DrainAction, DrainScope};
 
 use crate::{
@@ -15,6 +15,8 @@
 
 /// Time until a killed upstream restarts.
 const UPSTREAM_DOWNTIME: Duration = Duration::from_millis(500);
+/// Range of a stated limit as a share of the capacity of the upstream.
+const STATED_SHARE: std::ops::Range<f64> = 0.0..0.15;
 /// Number of times that a caller sends a request that crashes upstreams.
 const CRASH_SENDS: u32 = 8;
 /// Time after which a caller abandons such a request.
@@ -72,6 +74,8 @@
                 self.cold_upstreams.insert(vm);
                 self.testbed.upstreams[vm].state().reset_warm_up();
             }
+            Action::LimitUpstream(vm) => self.limit_upstream(vm),
+            Action::LeaveUpstream(vm) => self.testbed.upstreams[vm].state().leave(),
             Action::CrashRequest => self.send_crash_request(),
             Action::Partition { .. }
             | Action::OneWay(_)
@@ -118,6 +122,8 @@
                     node.resume();
                 }
             }
+            Action::LimitUpstream(vm) => self.testbed.upstreams[vm].state().set_limit(None),
+            Action::LeaveUpstream(vm) => self.testbed.upstreams[vm].kill(Some(UPSTREAM_DOWNTIME)),
             _ => {}
         }
         Ok(())
@@ -231,9 +237,16 @@
         self.poll_statuses(&active.killed.clone()).await;
         for &vm in &active.killed {
             self.testbed.fleet.kill(vm);
+            self.testbed.upstreams[vm].state().forget_statements();
         }
     }
 
+    fn limit_upstream(&mut self, vm: usize) {
+        let share = self.rng.random_range(STATED_SHARE);
+        let state = self.testbed.upstreams[vm].state();
+        state.set_limit(Some(share * state.model().capacity()));
+    }
+
     fn stop(&mut self, active: &mut ActiveAction, vm: usize) {
         let is_responsive = self.responsive_nodes().contains(&vm);
         active.has_effect = is_responsive && !self.stopping.contains_key(&vm);
--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -266,6 +266,7 @@
             .expect(invariant::STOP_CUTS_NOTHING, code == Some(0), seen);
         self.stopping.remove(&vm);
         self.testbed.fleet.kill(vm);
+        self.testbed.upstreams[vm].state().forget_statements();
         self.testbed.fleet.start(vm)?;
         let may_cut = self
             .active
@@ -368,6 +369,8 @@
         checks.expect(invariant::ONE_VERDICT, diverging.is_empty(), seen);
         checks.expect_zero(invariant::ROUTED_TO_OWN_SERVICE, audit.misrouted);
         checks.expect_zero(invariant::COLD_UPSTREAM_SPARED, audit.swamped);
+        checks.expect_zero(invariant::STATED_LIMIT_KEPT, audit.over_stated);
+        checks.expect_zero(invariant::LEAVING_GETS_NO_WORK, audit.after_leaving);
         checks.expect_zero(invariant::OWN_WHOLE_ANSWER, audit.wrong);
         checks.expect_zero(invariant::REFUSAL_IS_TRUE, audit.false_did_not_run);
         checks.expect_zero(invariant::AT_MOST_ONCE, audit.ran_twice);
--- a/crates/bench/src/chaos/schedule.rs
+++ b/crates/bench/src/chaos/schedule.rs
@@ -14,6 +14,10 @@
 const STEP_INTERVAL_MS: std::ops::Range<u64> = 100..1_800;
 /// Range of the duration of a step.
 const STEP_DURATION_MS: std::ops::Range<u64> = 1_000..9_000;
+/// Range of the time between two steps in which upstreams state something.
+const STATEMENT_INTERVAL_MS: std::ops::Range<u64> = 1_000..5_000;
+/// Distinguishes the seed of these steps from that of the others.
+const STATEMENT_SEED: u64 = 0x57a7_e3e2;
 /// Probability that an action is scheduled twice at the same time.
 const REPEAT_PROBABILITY: f64 = 0.15;
 /// Number of kinds of invalid notes.
@@ -57,9 +61,31 @@
         }
         at += Duration::from_millis(rng.random_range(STEP_INTERVAL_MS));
     }
+    steps.extend(statement_steps(seed, last, size));
+    steps.sort_by_key(|step| step.begin);
     steps
 }
 
+/// Returns the steps in which upstreams state something of themselves. They have a generator of
+/// their own, so that the other steps of a seed stay the same.
+fn statement_steps(seed: u64, last: Duration, size: FleetSize) -> Vec<Step> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ STATEMENT_SEED);
+    let mut steps = Vec::new();
+    let mut at = FAULT_FREE_START;
+    loop {
+        at += Duration::from_millis(rng.random_range(STATEMENT_INTERVAL_MS));
+        if at >= last {
+            return steps;
+        }
+        let vm = rng.random_range(0..size.vms);
+        let action = match rng.random_bool(0.6) {
+            true => Action::LimitUpstream(vm),
+            false => Action::LeaveUpstream(vm),
+        };
+        steps.push(random_step(&mut rng, at, last, action));
+    }
+}
+
 fn random_step(rng: &mut SmallRng, begin: Duration, last: Duration, action: Action) -> Step {
     let duration = Duration::from_millis(rng.random_range(STEP_DURATION_MS));
     let end = match action.is_instant() {
--- a/crates/bench/src/service/audit.rs
+++ b/crates/bench/src/service/audit.rs
@@ -24,6 +24,10 @@
     pub(crate) misrouted: u64,
     /// Requests that an upstream ran in excess of its slots.
     pub(crate) over_limit: u64,
+    /// Requests that an upstream got in excess of the limit that it stated.
+    pub(crate) over_stated: u64,
+    /// Requests that an upstream got after it had stated that it is leaving.
+    pub(crate) after_leaving: u64,
     /// Number of times that an upstream failed due to overload.
     pub(crate) swamped: u64,
     /// Number of times that a request crashed an upstream.
@@ -64,6 +68,8 @@
     fn add_counts(&mut self, counts: &Counts) {
         self.misrouted += counts.misrouted;
         self.over_limit += counts.over_limit;
+        self.over_stated += counts.over_stated;
+        self.after_leaving += counts.after_leaving;
         self.swamped += counts.overloads;
         self.crashed += counts.crashed;
         self.attempts += counts.shed;
--- a/crates/bench/src/service/fault.rs
+++ b/crates/bench/src/service/fault.rs
@@ -38,6 +38,10 @@
     NodeStop,
     /// An upstream is withdrawn by a release note and then stopped gracefully.
     UpstreamStop,
+    /// Every third upstream states a limit, which falls and then ends.
+    StatedLimit,
+    /// Every third upstream states that it is leaving, and is restarted at the end.
+    StatedLeaving,
     /// Release notes add and withdraw upstreams continuously.
     ConfigChurn,
 }
@@ -53,6 +57,8 @@
                 | Self::DomainReturn
                 | Self::NodeStop
                 | Self::UpstreamStop
+                | Self::StatedLimit
+                | Self::StatedLeaving
                 | Self::ConfigChurn
         )
     }
--- a/crates/bench/src/service/inject.rs
+++ b/crates/bench/src/service/inject.rs
@@ -49,6 +49,8 @@
 const CRASH_DEADLINE: Duration = Duration::from_secs(8);
 /// Bytes after which a connection between failure domains is cut.
 const CUT_BYTES: u64 = 100_000;
+/// Limits that upstreams state one after the other, as shares of their capacity.
+const STATED_SHARES: [f64; 2] = [0.1, 0.02];
 /// Interval between two release notes during configuration churn.
 const CHURN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -104,6 +106,8 @@
             ServiceFault::UpstreamStop => {
                 result.last_new_work_ms = self.stop_upstream(duration).await;
             }
+            ServiceFault::StatedLimit => self.state_limits(duration).await,
+            ServiceFault::StatedLeaving => self.state_leaving(duration).await,
             ServiceFault::ConfigChurn => self.churn_upstreams(end).await,
         }
         Ok(result)
@@ -225,6 +229,27 @@
         }
     }
 
+    /// Makes every third upstream state a limit that falls once, and ends after the duration.
+    async fn state_limits(&self, duration: Duration) {
+        let upstreams = || self.testbed.upstreams.iter().step_by(3);
+        for share in STATED_SHARES {
+            for upstream in upstreams() {
+                let capacity = upstream.state().model().capacity();
+                upstream.state().set_limit(Some(share * capacity));
+            }
+            sleep(duration / STATED_SHARES.len() as u32).await;
+        }
+        upstreams().for_each(|upstream| upstream.state().set_limit(None));
+    }
+
+    /// Makes every third upstream state that it is leaving, and restarts it after the duration.
+    async fn state_leaving(&self, duration: Duration) {
+        let upstreams = || self.testbed.upstreams.iter().step_by(3);
+        upstreams().for_each(|upstream| upstream.state().leave());
+        sleep(duration).await;
+        upstreams().for_each(|upstream| upstream.kill(Some(UPSTREAM_DOWNTIME)));
+    }
+
     async fn stop_nodes(&mut self, end: Instant) -> Result<(), BenchError> {
         let mut vm = 0;
         while Instant::now() < end && vm < self.testbed.upstreams.len() {
--- a/crates/bench/src/service/result.rs
+++ b/crates/bench/src/service/result.rs
@@ -92,6 +92,8 @@
             zero("false_did_not_run", audit.false_did_not_run),
             zero("misrouted", audit.misrouted),
             zero("over_limit", audit.over_limit),
+            zero("over_stated", audit.over_stated),
+            zero("after_leaving", audit.after_leaving),
             zero("swamped", audit.swamped),
             zero("innocent_refused", self.innocent_refused),
             zero("invariants_broken", self.invariants_broken),
--- a/crates/bench/src/upstream.rs
+++ b/crates/bench/src/upstream.rs
@@ -4,6 +4,7 @@
 mod model;
 mod serve;
 mod state;
+mod statement_audit;
 
 pub(crate) use self::{
     control::Upstream,
--- a/crates/bench/src/upstream/control.rs
+++ b/crates/bench/src/upstream/control.rs
@@ -4,7 +4,7 @@
 
 use actix_web::{
     App, HttpServer,
-    dev::{Server, ServerHandle},
+    dev::{Server, ServerHandle, Service},
     web::Data,
 };
 use snafu::ResultExt;
@@ -17,7 +17,7 @@
     error::{BenchError, BindSnafu},
     upstream::{
         UpstreamModel, UpstreamState,
-        serve::{Process, configure, on_connect},
+        serve::{Process, add_statements, configure, on_connect},
     },
 };
 
@@ -163,7 +163,21 @@
 
 fn serve(address: SocketAddr, process: Process) -> io::Result<Server> {
     let shared = Data::new(process.clone());
-    let server = HttpServer::new(move || App::new().app_data(shared.clone()).configure(configure))
+    let app = move || {
+        let state = shared.state.clone();
+        App::new()
+            .app_data(shared.clone())
+            .wrap_fn(move |request, service| {
+                let (state, answer) = (state.clone(), service.call(request));
+                async move {
+                    let mut answer = answer.await?;
+                    add_statements(&state, answer.headers_mut());
+                    Ok(answer)
+                }
+            })
+            .configure(configure)
+    };
+    let server = HttpServer::new(app)
         .on_connect(move |io, data| on_connect(&process, io, data))
         .workers(1)
         .h1_allow_half_closed(false)
--- a/crates/bench/src/upstream/model.rs
+++ b/crates/bench/src/upstream/model.rs
@@ -28,6 +28,10 @@
     pub(crate) down_ms: u64,
     /// Mode of the health and load endpoints.
     pub(crate) health: HealthMode,
+    /// Requests per second that the upstream states to accept.
+    pub(crate) limit_per_s: Option<f64>,
+    /// Whether the upstream states that it is leaving.
+    pub(crate) is_leaving: bool,
 }
 
 impl Default for UpstreamModel {
@@ -43,6 +47,8 @@
             warm_step: 4,
             down_ms: 1_000,
             health: HealthMode::Honest,
+            limit_per_s: None,
+            is_leaving: false,
         }
     }
 }
--- a/crates/bench/src/upstream/serve.rs
+++ b/crates/bench/src/upstream/serve.rs
@@ -12,7 +12,10 @@
     HttpRequest, HttpResponse, HttpResponseBuilder,
     body::SizedStream,
     dev::Extensions,
-    http::{StatusCode, header::HeaderMap},
+    http::{
+        StatusCode,
+        header::{HeaderMap, HeaderName, HeaderValue},
+    },
     web::{self, Data, Payload, Query, ServiceConfig},
 };
 use bytes::Bytes;
@@ -43,6 +46,15 @@
         .default_service(web::to(handle_request));
 }
 
+/// Adds the headers to an answer in which the upstream states what it accepts.
+pub(super) fn add_statements(state: &UpstreamState, headers: &mut HeaderMap) {
+    for (name, value) in state.state_headers() {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+}
+
 /// Counts a new connection and attaches a guard that removes it from the count when it closes.
 pub(super) fn on_connect(process: &Process, _io: &dyn Any, data: &mut Extensions) {
     let is_within_limit = process.state.open_connection();
--- a/crates/bench/src/upstream/state.rs
+++ b/crates/bench/src/upstream/state.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::upstream::{HealthMode, UpstreamModel};
+use crate::upstream::{HealthMode, UpstreamModel, statement_audit::StatementAudit};
 
 /// Shared state of one simulated upstream, kept across its restarts.
 #[derive(Clone)]
@@ -25,6 +25,7 @@
     connections: u32,
     completions: u32,
     grace_until: Option<Instant>,
+    statements: StatementAudit,
     counts: Counts,
 }
 
@@ -47,6 +48,10 @@
     pub(crate) crashed: u64,
     /// Number of requests that were cancelled before they completed.
     pub(crate) cancelled: u64,
+    /// Number of requests in excess of the limit that the upstream stated.
+    pub(crate) over_stated: u64,
+    /// Number of requests that arrived although the upstream had stated that it is leaving.
+    pub(crate) after_leaving: u64,
     /// Highest number of concurrent requests.
     pub(crate) peak: u32,
     /// Start of the last execution.
@@ -92,6 +97,7 @@
             active: 0,
             connections: 0,
             grace_until: None,
+            statements: StatementAudit::default(),
             counts: Counts::default(),
         };
         Self {
@@ -147,6 +153,39 @@
         inner.connections = 0;
         inner.completions = 0;
         inner.grace_until = None;
+        inner.model.limit_per_s = None;
+        inner.model.is_leaving = false;
+        inner.statements = StatementAudit::default();
+    }
+
+    /// Changes the limit that all answers state from now on.
+    pub(crate) fn set_limit(&self, per_second: Option<f64>) {
+        let mut inner = self.inner.lock();
+        let old = std::mem::replace(&mut inner.model.limit_per_s, per_second);
+        if per_second.unwrap_or(f64::INFINITY) < old.unwrap_or(f64::INFINITY) {
+            inner.statements.forget_limit();
+        }
+    }
+
+    /// States in all answers from now on that the upstream is leaving.
+    pub(crate) fn leave(&self) {
+        self.inner.lock().model.is_leaving = true;
+    }
+
+    /// Forgets that the upstream stated anything, because the process that was told has ended.
+    pub(crate) fn forget_statements(&self) {
+        self.inner.lock().statements = StatementAudit::default();
+    }
+
+    /// Returns the headers in which an answer states the limit and that the upstream is leaving.
+    pub(crate) fn state_headers(&self) -> Vec<(&'static str, String)> {
+        let mut inner = self.inner.lock();
+        let (limit, is_leaving) = (inner.model.limit_per_s, inner.model.is_leaving);
+        let now = Instant::now();
+        inner.statements.record_answer(limit, is_leaving, now);
+        let limit = limit.map(|limit| (LIMIT_HEADER, limit.to_string()));
+        let leaving = is_leaving.then(|| (LEAVING_HEADER, "1".to_string()));
+        limit.into_iter().chain(leaving).collect()
     }
 
     /// Counts a crash caused by a request.
@@ -175,6 +214,7 @@
         if !inner.model.has_path(&arrival.path) {
             inner.counts.misrouted += 1;
         }
+        inner.audit_arrival();
         let available_slots = inner.available_slots();
         if inner.is_overloaded(available_slots) {
             inner.counts.overloads += 1;
@@ -217,12 +257,23 @@
     }
 }
 
+/// Header with the requests per second that the upstream accepts.
+const LIMIT_HEADER: &str = "x-limit";
+/// Header that states that the upstream is leaving.
+const LEAVING_HEADER: &str = "x-leaving";
 /// Multiple of its available slots at which a cold upstream crashes.
 const OVERLOAD_FACTOR: u32 = 3;
 /// Time for which an upstream that became cold without a restart does not crash by overload.
 const OVERLOAD_GRACE: Duration = Duration::from_secs(1);
 
 impl Inner {
+    fn audit_arrival(&mut self) {
+        let now = Instant::now();
+        let limit = self.model.limit_per_s;
+        self.counts.over_stated += u64::from(self.statements.exceeds_limit(limit, now));
+        self.counts.after_leaving += u64::from(self.statements.is_after_leaving(now));
+    }
+
     fn is_warm(&self) -> bool {
         self.completions >= self.model.slots * self.model.warm_step.max(1)
     }
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -262,7 +262,8 @@
             let same = headers.iter().filter(move |(other, _)| other == name);
             same.map(|(_, value)| value.as_slice())
         });
-        if !statement.is_leaving || self.request.key.is_some() {
+        let is_ignored = self.request.key.is_some() || mutant::is_enabled(Mutant::IgnoreLeaving);
+        if !statement.is_leaving || is_ignored {
             return;
         }
         let mut leaving = self.worker.leaving.borrow_mut();
--- a/crates/node/src/mutant.rs
+++ b/crates/node/src/mutant.rs
@@ -19,8 +19,10 @@
     NoRamp,
     /// Drain orders are ignored.
     IgnoreDrains,
-    /// Leaving VMs count as live.
+    /// Leaving VMs and upstreams count as live.
     IgnoreLeaving,
+    /// Limits that upstreams state are ignored.
+    IgnoreLimits,
     /// Truncated response bodies end as if they were complete.
     ShortAnswers,
     /// Requests are sent with the headers of the previous request.
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -325,8 +325,12 @@
         sent_at: Instant,
         source: Source<'_>,
     ) {
+        let stated = match mutant::is_enabled(Mutant::IgnoreLimits) {
+            true => StatedLimit::None,
+            false => statement.limit,
+        };
         let mut admission = self.admission.borrow_mut();
-        let is_changed = admission.record_stated_limit(statement.limit, sent_at, Instant::now());
+        let is_changed = admission.record_stated_limit(stated, sent_at, Instant::now());
         let limit = admission.stated_limit();
         drop(admission);
         let spec = self.spec();
