Start upstreams slowly that return after they have left

Cause: it got no requests between its notice and its restart, so the sidecar saw no sign of the restart and kept the limit of the warm process. The log shows the notice at 32.7 s, the first calls at 47.9 s and the crash at 48.0 s. The slow start now begins with the notice, as whatever answers next is a new process. Upstreams that the platform lists with a start time were not affected: each start is a new record.

Test that failed before: an_upstream_that_left_starts_slowly_when_it_returns (limit 4, expected 1). Lines now print call identities without quotes.

--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -107,7 +107,7 @@
                 queued = load.queued, link_ms = link_backlog.as_millis() as u64,
                 priority = summary.priority, target_ms = summary.target_ms,
                 waited_ms = summary.waited_ms, left_ms = summary.left_ms,
-                stated_limit:? = stated.and_then(|(belief, _)| belief.limit_per_second()),
+                stated_limit = stated.and_then(|(belief, _)| belief.limit_per_second()),
                 is_leaving = stated.is_some_and(|(belief, _)| belief.is_leaving),
                 stated_ms = stated.map(|(_, since)| since.elapsed().as_millis() as u64), left_out;
                 "call refused by sidecar"
--- a/crates/node/src/sidecar/statements.rs
+++ b/crates/node/src/sidecar/statements.rs
@@ -43,10 +43,10 @@
     HealthCheck,
 }
 
-impl Source<'_> {
-    fn call(self) -> Option<String> {
+impl<'a> Source<'a> {
+    fn call(self) -> Option<&'a str> {
         match self {
-            Self::Call(call) => Some(call.to_string()),
+            Self::Call(call) => Some(call),
             Self::HealthCheck => None,
         }
     }
@@ -90,8 +90,8 @@
             return;
         };
         info!(
-            upstream:% = upstream, call:? = source.call(), stated_limit:? = limit,
-            old_limit:? = old.limit_per_second(), is_leaving = belief.is_leaving, age_ms = age.as_millis() as u64,
+            upstream:% = upstream, call = source.call(), stated_limit = limit,
+            old_limit = old.limit_per_second(), is_leaving = belief.is_leaving, age_ms = age.as_millis() as u64,
             left_out;
             "upstream changed what it states of itself"
         );
@@ -102,7 +102,7 @@
         metrics::counter!("upstream_statements_unusable_total").increment(1);
         if let Some(left_out) = self.log_budget.borrow_mut().take(Instant::now()) {
             warn!(
-                upstream:% = upstream, call:? = source.call(), left_out;
+                upstream:% = upstream, call = source.call(), left_out;
                 "upstream stated a limit that is no rate; the last one stays in force"
             );
         }
--- a/crates/node/src/sidecar/tests/stated.rs
+++ b/crates/node/src/sidecar/tests/stated.rs
@@ -13,7 +13,7 @@
 use wagtaillever_coordination::{Service, VmState};
 
 use super::{
-    fixture::{Reply, get},
+    fixture::{Fixture, Reply, get},
     listed::ListedFixture,
 };
 use crate::wire::{CallHead, RefusalReason};
@@ -243,6 +243,28 @@
     assert_within(&upstream, told, 2.0);
 }
 
+/// Guards against a cold upstream that is swamped when calls return to it: chaos seed 9101, where an
+/// upstream crashed with seven requests in flight 15 s after it had stated that it is leaving.
+#[actix_rt::test]
+async fn an_upstream_that_left_starts_slowly_when_it_returns() {
+    let (upstream, address) = StatingUpstream::start(&[]);
+    let fixture = Fixture::with_settings(address, "policies: {adaptive: false}", 4).await;
+    let limit = || {
+        let shared = fixture.sidecar.shared.as_ref().unwrap();
+        shared.refresh();
+        let upstream = shared.upstreams().get("u").unwrap();
+        upstream.admission().borrow().limit()
+    };
+    while limit() < 4 {
+        let calls = (0..4).map(|_| fixture.call(get(), b""));
+        join_all(calls).await;
+    }
+    upstream.state(&[("x-leaving", "1")]);
+    let reply = fixture.call(get(), b"").await;
+    assert_matches!(reply, Reply::Complete { status: 200, .. });
+    assert_eq!(limit(), 1);
+}
+
 /// Guards against a limit of another upstream that has the address now.
 #[actix_rt::test]
 async fn a_misdirected_answer_states_nothing_of_the_upstream() {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -334,8 +334,9 @@
         let limit = admission.stated_limit();
         drop(admission);
         let spec = self.spec();
-        if statement.is_leaving {
-            self.leaving.borrow_mut().record(&spec, Instant::now());
+        if statement.is_leaving && self.leaving.borrow_mut().record(&spec, Instant::now()) {
+            // The next requests go to a new process, which is cold.
+            self.admission.borrow_mut().record_restart(Instant::now());
         }
         let belief = Belief {
             limit,
