Check the registration of an upstream that left before it serves again

Cause: lists of VMs are ordered by revision alone, but readers differ in what they list. One that had no contact with the store for a second keeps missing upstreams for 2.2 s, as after an outage. Its next list, caused by a later change elsewhere, had a higher number than the list without the upstream, and the sidecar took it for a new registration.

The sidecar now takes back what the platform confirmed only when the platform confirms the opposite: an upstream that a list shows again is checked at once and refused until the check finds its registration. If the platform does not answer, it serves, as one that is cut off does. A later start or another upstream on the VM begins as listed.

The test an_upstream_that_is_listed_again_serves was wrong in taking any list for a registration; it now demands the check, and a_list_of_another_reader_does_not_bring_back_an_upstream_that_left failed before by its first assertion (Listed after Gone).

--- a/crates/coordination/src/listing.rs
+++ b/crates/coordination/src/listing.rs
@@ -21,6 +21,10 @@
     CutOff,
     /// The platform confirmed that the registration is gone.
     Gone,
+    /// A list shows the upstream again, but the platform has not confirmed it. A reader of the
+    /// platform that had no contact for a while keeps upstreams in its lists that others have
+    /// dropped.
+    Relisted,
 }
 
 /// Result of checking whether an upstream is registered.
@@ -39,18 +43,20 @@
     #[must_use]
     pub fn with_vm_state(self, state: VmState) -> Self {
         match (state, self) {
-            (VmState::Unlisted, Self::Listed) => Self::Doubted,
+            (VmState::Unlisted, Self::Listed | Self::Relisted) => Self::Doubted,
             (VmState::Unlisted, known) => known,
+            (VmState::Live | VmState::Leaving, Self::Gone | Self::Relisted) => Self::Relisted,
             (VmState::Live | VmState::Leaving, _) => Self::Listed,
         }
     }
 
-    /// Returns the next state after a registration check. [`RegistrationAnswer::Registered`] does
-    /// not lead back to [`Self::Listed`]; only the list of VMs does.
+    /// Returns the next state after a registration check. [`Self::Listed`] is reached again only if
+    /// both a list of VMs and the check show the registration.
     #[must_use]
     pub fn with_answer(self, answer: RegistrationAnswer) -> Self {
         match (self, answer) {
-            (Self::Listed, _) => Self::Listed,
+            (Self::Listed, _) | (Self::Relisted, RegistrationAnswer::Registered) => Self::Listed,
+            (Self::Relisted, RegistrationAnswer::Missing) => Self::Relisted,
             (_, RegistrationAnswer::Silent) => Self::CutOff,
             (_, RegistrationAnswer::Registered | RegistrationAnswer::Missing) => Self::Gone,
         }
@@ -62,7 +68,7 @@
         matches!(self, Self::Listed | Self::CutOff)
     }
 
-    /// Returns whether the platform does not list the upstream, so that its registration has to be
+    /// Returns whether the platform may not list the upstream, so that its registration has to be
     /// checked.
     #[must_use]
     pub fn is_unlisted(self) -> bool {
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -122,7 +122,10 @@
         loop {
             let name = shared.unlisted_upstream().await;
             shared.apply_registration_answer(check.query(&name).await);
-            sleep(REGISTRATION_CHECK_INTERVAL).await;
+            tokio::select! {
+                () = sleep(REGISTRATION_CHECK_INTERVAL) => {}
+                () = shared.listing_change() => {}
+            }
         }
     };
     tokio::select! {
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -12,7 +12,9 @@
     sync::Notify,
     time::{self, timeout_at},
 };
-use wagtaillever_coordination::{Dialect, Listing, RegistrationAnswer, UpstreamName, VmState};
+use wagtaillever_coordination::{
+    Dialect, Listing, RegistrationAnswer, UpstreamName, VmEntry, VmState,
+};
 
 use crate::{
     invariant::check_invariant,
@@ -40,6 +42,8 @@
     applied: RefCell<Option<Arc<View>>>,
     leaving: Cell<bool>,
     listing: Cell<Listing>,
+    /// Upstream to which the listing state refers, with its start time.
+    listed_upstream: RefCell<Option<(UpstreamName, u64)>>,
     listing_changed: Notify,
     drained: Cell<bool>,
     log_budget: RefCell<LineBudget>,
@@ -68,6 +72,7 @@
             applied: RefCell::default(),
             leaving: Cell::default(),
             listing: Cell::default(),
+            listed_upstream: RefCell::default(),
             listing_changed: Notify::new(),
             drained: Cell::default(),
             log_budget: RefCell::new(LineBudget::new(Instant::now())),
@@ -201,9 +206,7 @@
         let listed = view.vms.get(&settings.vm);
         let state = listed.map_or(VmState::Live, |entry| entry.state);
         self.leaving.set(state == VmState::Leaving);
-        if self.set_listing(self.listing.get().with_vm_state(state)) {
-            self.listing_changed.notify_one();
-        }
+        self.apply_listing(listed.map(|entry| &**entry));
         let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
         let was_drained = self.drained.replace(is_drained);
         self.update_upstreams(&view);
@@ -219,6 +222,29 @@
         }
     }
 
+    /// Updates the listing state from the platform's entry of this VM. An upstream that is listed
+    /// for the first time starts as listed; one that reappears is checked.
+    fn apply_listing(&self, entry: Option<&VmEntry>) {
+        let Some(entry) = entry else { return };
+        let upstream = entry.upstreams.first();
+        let upstream = upstream.map(|listed| (listed.name.clone(), listed.started));
+        let is_known = upstream.is_none() || *self.listed_upstream.borrow() == upstream;
+        let listing = if is_known {
+            self.listing.get()
+        } else {
+            self.listed_upstream.replace(upstream);
+            Listing::default()
+        };
+        if self.set_listing(listing.with_vm_state(entry.state)) {
+            self.listing_changed.notify_one();
+        }
+    }
+
+    /// Waits until the listing state changes.
+    pub(super) async fn listing_change(&self) {
+        self.listing_changed.notified().await;
+    }
+
     /// Removes upstreams whose withdrawal grace period has passed.
     pub(super) fn sweep(&self) {
         self.update_upstreams(&self.context.view().load());
