Take late reports of other readers for no outage of the store

Cause: a node that begins to read the store knows the last contact of other readers from digests, which come each second. It took a contact 1.0 to 1.4 s old for an outage of a second and kept missing upstreams for 2.2 s. Its list had the number of the other readers' lists, and nodes that took it first, among them the one beside the upstream, listed the upstream until the hold ended.

A reader without a recent answer of its own now subtracts the time by which such reports may be outdated, two intervals of the digests. One that reads all along holds after a second without answers as before, and a real outage of more than 3.2 s is held by new readers too.

Test that failed before: late_reports_of_other_readers_are_no_outage.

--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -22,6 +22,9 @@
 /// Time after an outage for which missing registrations are kept. According to the platform's
 /// documentation, live upstreams register again within about two seconds.
 const RENEWAL_HOLD: Duration = Duration::from_millis(2_200);
+/// Longest time by which the last answer that other readers report can be outdated: two intervals of
+/// the digests between nodes, as a report takes up to two hops.
+const CONTACT_LAG: Duration = Duration::from_millis(2_200);
 /// Time for which an upstream without a registration stays listed as unlisted, so that the node on
 /// its VM can check the registration. Equals the recovery time after a failure that the platform's
 /// documentation requires.
@@ -83,15 +86,18 @@
 
 impl Registrations {
     /// Returns the registrations of a reader that takes over from another one, based on the last
-    /// list of VMs. `silence` is the time since the platform last answered any reader, and
-    /// `restored` the time since the first list after a restoration, if there was one.
+    /// list of VMs. `silence` is the time since the platform last answered any reader, `own_age` the
+    /// time since it answered this one, and `restored` the time since the first list after a
+    /// restoration, if there was one.
     #[must_use]
     pub fn resume(
         list: &VmList,
         silence: Duration,
+        own_age: Option<Duration>,
         restored: Option<Duration>,
         now: Instant,
     ) -> Self {
+        let silence = proven_silence(silence, own_age);
         let left = restored.and_then(|age| RENEWAL_HOLD.checked_sub(age));
         let restored_until = left.map(|left| now + left);
         let mut registrations = Self {
@@ -261,6 +267,16 @@
     }
 }
 
+/// Returns the part of the time since the platform last answered any reader that is not due to late
+/// reports of other readers. A node that has not read for a while knows of them only.
+fn proven_silence(silence: Duration, own_age: Option<Duration>) -> Duration {
+    let has_read = own_age.is_some_and(|own_age| own_age <= silence + CONTACT_LAG);
+    if has_read {
+        return silence;
+    }
+    silence.saturating_sub(CONTACT_LAG)
+}
+
 /// Returns the entry of a VM with at least one registration. Of several upstreams at the same
 /// address, only the one that started last can be running.
 fn vm_entry(records: &[&Record]) -> VmEntry {
--- a/crates/coordination/src/registrations/tests.rs
+++ b/crates/coordination/src/registrations/tests.rs
@@ -86,7 +86,18 @@
     fn taken_over(mut self, restored_ms: u64) -> Self {
         let restored = Some(Duration::from_millis(restored_ms));
         let list = self.registrations.published.clone();
-        self.registrations = Registrations::resume(&list, Duration::ZERO, restored, self.now());
+        self.registrations =
+            Registrations::resume(&list, Duration::ZERO, None, restored, self.now());
+        self
+    }
+
+    /// Replaces the reader by another one, `silence_ms` after the last answer that it knows of and
+    /// `own_ms` after the last one that it got itself.
+    fn resumed(mut self, silence_ms: u64, own_ms: Option<u64>) -> Self {
+        let list = self.registrations.published.clone();
+        let silence = Duration::from_millis(silence_ms);
+        let own_age = own_ms.map(Duration::from_millis);
+        self.registrations = Registrations::resume(&list, silence, own_age, None, self.now());
         self
     }
 
@@ -211,6 +222,36 @@
         .expect_list(&[(A, VmState::Unlisted, &["a"])]);
 }
 
+/// Guards against new work for an upstream that left: sttcs-mesh mix, seed 379389389712, where a new
+/// reader took the age of the reports of others for an outage and kept the upstream in its lists.
+#[test]
+fn late_reports_of_other_readers_are_no_outage() {
+    let listed = || {
+        let a = registration("a", A, 1);
+        case()
+            .answered()
+            .put(a)
+            .expect_list(&[(A, VmState::Live, &["a"])])
+    };
+    let unlisted: &[(&str, VmState, &[&str])] = &[(A, VmState::Unlisted, &["a"])];
+    for own_ms in [None, Some(60_000)] {
+        let resumed = listed().resumed(2_100, own_ms);
+        resumed.answered().remove("a").expect_list(unlisted);
+    }
+}
+
+/// The platform is away for more than a second, and a reader had to start from the beginning.
+#[test]
+fn a_reader_that_resumes_after_an_outage_keeps_what_expired() {
+    let kept: &[(&str, VmState, &[&str])] = &[(A, VmState::Live, &["a"])];
+    for (silence_ms, own_ms) in [(1_300, Some(1_300)), (1_300, Some(2_000)), (4_000, None)] {
+        let a = registration("a", A, 1);
+        let case = case().answered().put(a).expect_list(kept);
+        let resumed = case.resumed(silence_ms, own_ms);
+        resumed.answered().remove("a").expect_list(kept);
+    }
+}
+
 #[test]
 fn of_two_upstreams_at_one_address_the_last_started_one_is_listed() {
     case()
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -36,6 +36,8 @@
     registrations: Registrations,
     rng: SmallRng,
     failures: u32,
+    /// Time at which the store last answered this node.
+    answered_at: Option<Instant>,
 }
 
 impl<S: ConfigStore> StoreReader<S> {
@@ -49,6 +51,7 @@
             registrations: Registrations::default(),
             rng: SmallRng::from_os_rng(),
             failures: 0,
+            answered_at: None,
         }
     }
 
@@ -73,6 +76,12 @@
         }
     }
 
+    async fn record_answer(&mut self) {
+        self.answered_at = Some(Instant::now());
+        self.peers.record_platform_answer().await;
+        self.record_success();
+    }
+
     fn record_success(&mut self) {
         if self.failures > 0 {
             info!(failures = self.failures; "the store answers again");
@@ -116,8 +125,7 @@
         let state = self.store.read().await?;
         let mut after = state.revision;
         self.apply_state(state, asked_at).await;
-        self.peers.record_platform_answer().await;
-        self.record_success();
+        self.record_answer().await;
         while *self.mode.borrow() == PlatformMode::Watch && !self.is_reread_due() {
             let wait = self.watch_wait();
             let asked_at = Instant::now();
@@ -125,8 +133,7 @@
             after = after.max(changes.revision);
             let has_changes = !changes.changes.is_empty();
             self.apply_changes(changes, asked_at).await;
-            self.peers.record_platform_answer().await;
-            self.record_success();
+            self.record_answer().await;
             if has_changes {
                 sleep(watch_pause(asked_at.elapsed())).await;
             }
@@ -141,7 +148,9 @@
         let silence = Duration::from_millis(silence.unwrap_or(0));
         let list = &self.view.load().vms;
         let restored = status.restored_at.map(|at| at.elapsed());
-        self.registrations = Registrations::resume(list, silence, restored, Instant::now());
+        let own_age = self.answered_at.map(|at| at.elapsed());
+        self.registrations =
+            Registrations::resume(list, silence, own_age, restored, Instant::now());
     }
 
     /// Returns whether everything has to be read again because the store was restored.
