--- a/crates/bench/src/upstream/state.rs
+++ b/crates/bench/src/upstream/state.rs
@@ -172,7 +172,7 @@
         self.inner.lock().model.is_leaving = true;
     }
 
-    /// Forgets that the upstream stated anything, because the process that was told has ended.
+    /// Discards the record of statements, because the node that received them has ended.
     pub(crate) fn forget_statements(&self) {
         self.inner.lock().statements = StatementAudit::default();
     }
--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -325,7 +325,7 @@
     }
 
     /// Limits an upstream of which nothing is known to one request at a time until it has answered,
-    /// as an earlier sidecar process may have been told a limit.
+    /// because it may have stated a limit to an earlier sidecar process.
     pub fn await_first_answer(&mut self) {
         self.contact = Contact::Unused;
     }
@@ -389,8 +389,8 @@
         limit.max(1)
     }
 
-    /// Returns how many requests are expected to run at once, taking the limits on
-    /// the rate into account.
+    /// Returns how many requests are expected to run at once, taking the limits on the rate into
+    /// account.
     #[must_use]
     pub fn expected_limit(&self, now: Instant) -> u32 {
         let limit = self.limit();
--- a/crates/node/src/sidecar/statements.rs
+++ b/crates/node/src/sidecar/statements.rs
@@ -91,8 +91,8 @@
         };
         info!(
             upstream:% = upstream, call = source.call(), stated_limit = limit,
-            old_limit = old.limit_per_second(), is_leaving = belief.is_leaving, age_ms = age.as_millis() as u64,
-            left_out;
+            old_limit = old.limit_per_second(), is_leaving = belief.is_leaving,
+            age_ms = age.as_millis() as u64, left_out;
             "upstream changed what it states of itself"
         );
     }
--- a/crates/node/src/sidecar/tests/stated.rs
+++ b/crates/node/src/sidecar/tests/stated.rs
@@ -200,7 +200,7 @@
     listed.assert_served().await;
     let told = Instant::now();
     listed.assert_refused(RefusalReason::Draining).await;
-    // The platform may list the upstream anew before it knows that the upstream leaves.
+    // The platform may list the upstream again before it lists it as leaving.
     listed.set_listing(VmState::Live, false);
     listed.set_listing(VmState::Live, true);
     listed.assert_refused(RefusalReason::Draining).await;
