--- a/crates/bench/src/chaos/action.rs
+++ b/crates/bench/src/chaos/action.rs
@@ -53,7 +53,12 @@
     /// Makes an upstream cold without any signal to the nodes.
     ColdUpstream(usize),
     /// Makes an upstream state a limit on its requests for a time.
-    LimitUpstream(usize),
+    LimitUpstream {
+        /// Index of the VM.
+        vm: usize,
+        /// Limit as a share of the capacity of the upstream, in percent.
+        percent: u8,
+    },
     /// Makes an upstream state that it is leaving, then restarts it.
     LeaveUpstream(usize),
     /// Sends and resends a request that crashes each upstream that runs it.
--- a/crates/bench/src/chaos/mutation.rs
+++ b/crates/bench/src/chaos/mutation.rs
@@ -38,7 +38,7 @@
     // In `examples/ragusa.yaml`, these upstreams serve requests with idempotency keys.
     let keyed = [5, 6, 7, 8].map(KillUpstream);
     let keyed = [keyed, keyed].concat();
-    let limits = [0, 1, 2, 3].map(LimitUpstream);
+    let limits = [0, 1, 2, 3].map(|vm| LimitUpstream { vm, percent: 5 });
     let leaves = [0, 1, 2, 3].map(LeaveUpstream);
     let stops = [StopNode(0), StopNode(1), StopNode(2)];
     vec![
--- a/crates/bench/src/chaos/perform.rs
+++ b/crates/bench/src/chaos/perform.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use rand::{Rng, seq::IndexedRandom, seq::SliceRandom};
+use rand::{seq::IndexedRandom, seq::SliceRandom};
 use wagtaillever_coordination::{DrainAction, DrainScope};
 
 use crate::{
@@ -15,8 +15,6 @@
 
 /// Time until a killed upstream restarts.
 const UPSTREAM_DOWNTIME: Duration = Duration::from_millis(500);
-/// Range of a stated limit as a share of the capacity of the upstream.
-const STATED_SHARE: std::ops::Range<f64> = 0.0..0.15;
 /// Number of times that a caller sends a request that crashes upstreams.
 const CRASH_SENDS: u32 = 8;
 /// Time after which a caller abandons such a request.
@@ -74,7 +72,11 @@
                 self.cold_upstreams.insert(vm);
                 self.testbed.upstreams[vm].state().reset_warm_up();
             }
-            Action::LimitUpstream(vm) => self.limit_upstream(vm),
+            Action::LimitUpstream { vm, percent } => {
+                let state = self.testbed.upstreams[vm].state();
+                let limit = state.model().capacity() * f64::from(percent) / 100.0;
+                state.set_limit(Some(limit));
+            }
             Action::LeaveUpstream(vm) => self.testbed.upstreams[vm].state().leave(),
             Action::CrashRequest => self.send_crash_request(),
             Action::Partition { .. }
@@ -122,7 +124,7 @@
                     node.resume();
                 }
             }
-            Action::LimitUpstream(vm) => self.testbed.upstreams[vm].state().set_limit(None),
+            Action::LimitUpstream { vm, .. } => self.testbed.upstreams[vm].state().set_limit(None),
             Action::LeaveUpstream(vm) => self.testbed.upstreams[vm].kill(Some(UPSTREAM_DOWNTIME)),
             _ => {}
         }
@@ -241,12 +243,6 @@
         }
     }
 
-    fn limit_upstream(&mut self, vm: usize) {
-        let share = self.rng.random_range(STATED_SHARE);
-        let state = self.testbed.upstreams[vm].state();
-        state.set_limit(Some(share * state.model().capacity()));
-    }
-
     fn stop(&mut self, active: &mut ActiveAction, vm: usize) {
         let is_responsive = self.responsive_nodes().contains(&vm);
         active.has_effect = is_responsive && !self.stopping.contains_key(&vm);
--- a/crates/bench/src/chaos/schedule.rs
+++ b/crates/bench/src/chaos/schedule.rs
@@ -16,6 +16,8 @@
 const STEP_DURATION_MS: std::ops::Range<u64> = 1_000..9_000;
 /// Range of the time between two steps in which upstreams state something.
 const STATEMENT_INTERVAL_MS: std::ops::Range<u64> = 1_000..5_000;
+/// Range of a stated limit as a share of the capacity of the upstream, in percent.
+const STATED_PERCENT: std::ops::Range<u8> = 0..15;
 /// Distinguishes the seed of these steps from that of the others.
 const STATEMENT_SEED: u64 = 0x57a7_e3e2;
 /// Probability that an action is scheduled twice at the same time.
@@ -79,7 +81,10 @@
         }
         let vm = rng.random_range(0..size.vms);
         let action = match rng.random_bool(0.6) {
-            true => Action::LimitUpstream(vm),
+            true => Action::LimitUpstream {
+                vm,
+                percent: rng.random_range(STATED_PERCENT),
+            },
             false => Action::LeaveUpstream(vm),
         };
         steps.push(random_step(&mut rng, at, last, action));
