Log the origin of changes and when a node begins to read the platform

The logs could not tell whether a late version was read late or spread late: no line named the neighbour that a node got it from, the age of its last word of the platform, or when and at which position it began to read.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -93,7 +93,8 @@
     quality::Quality,
     registrations::{Registration, Registrations},
     replica::{
-        Identity, LinkId, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy,
+        Identity, LinkId, Origin, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent,
+        ReplicaPolicy,
     },
     report::{
         DomainReport, LaggardReport, NoteReport, NoteVerdict, RefusedReport, SpreadReport,
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -5,6 +5,7 @@
 mod input;
 mod joining;
 mod link;
+mod origin;
 mod output;
 mod plan;
 mod platform;
@@ -15,6 +16,7 @@
 
 pub use self::{
     input::{Identity, PlatformValue, ReplicaPolicy},
+    origin::Origin,
     output::{LinkId, Output, PlatformMode, ReplicaEvent},
 };
 
@@ -220,13 +222,13 @@
             }
             PlatformValue::Vms(list) => self.install_vms(&Arc::new(list), None, now),
             PlatformValue::NoVms => self.vms_missing = true,
-            PlatformValue::Drains(orders) => self.merge_orders(&orders, None, now),
+            PlatformValue::Drains(orders) => self.merge_orders(&orders, &Origin::Platform, None),
         }
     }
 
     /// Applies a drain order of an operator and forwards it to all neighbours.
-    pub fn apply_drain_order(&mut self, order: &DrainOrder, now: Instant) {
-        self.merge_orders(std::slice::from_ref(order), None, now);
+    pub fn apply_drain_order(&mut self, order: &DrainOrder) {
+        self.merge_orders(std::slice::from_ref(order), &Origin::Operator, None);
     }
 
     /// Sends a report to all nodes.
@@ -280,8 +282,9 @@
         if events.is_empty() {
             return;
         }
+        let origin = self.origin_of(from);
         for event in events {
-            self.emit(ReplicaEvent::Fold(event));
+            self.emit(ReplicaEvent::Fold(event, origin.clone()));
         }
         self.raise_highest(self.fold.sequence(), now);
         self.propagate_notes(from, now);
@@ -315,11 +318,12 @@
         self.vms_missing = false;
         let used: BTreeSet<_> = list.vms.iter().map(|entry| entry.address).collect();
         self.dials.retain(|address| used.contains(&address));
-        self.emit(ReplicaEvent::Vms(Arc::clone(list)));
+        let origin = self.origin_of(from);
+        self.emit(ReplicaEvent::Vms(Arc::clone(list), origin));
         self.propagate_vms(from, now);
     }
 
-    fn merge_orders(&mut self, orders: &[DrainOrder], from: Option<LinkId>, _now: Instant) {
+    fn merge_orders(&mut self, orders: &[DrainOrder], origin: &Origin, from: Option<LinkId>) {
         let changed: Vec<_> = orders
             .iter()
             .filter(|order| self.drains.merge(order))
@@ -330,7 +334,7 @@
         }
         self.drains_hash = drains_hash(&self.drains);
         for order in &changed {
-            self.emit(ReplicaEvent::OrderApplied(order.clone()));
+            self.emit(ReplicaEvent::OrderApplied(order.clone(), origin.clone()));
         }
         self.send_to_others(from, &Message::Drains(changed));
     }
@@ -364,6 +368,12 @@
         link.peer.as_ref().map(|peer| peer.vm.clone())
     }
 
+    /// Returns the origin of a value that came in on a link, or from the platform without one.
+    fn origin_of(&self, from: Option<LinkId>) -> Origin {
+        let vm = from.and_then(|id| self.peer_vm(id));
+        vm.map_or(Origin::Platform, Origin::Neighbour)
+    }
+
     fn emit(&mut self, event: ReplicaEvent) {
         self.outputs.push(Output::Event(event));
     }
--- a/crates/coordination/src/replica/output.rs
+++ b/crates/coordination/src/replica/output.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use super::Origin;
 use crate::{
     drain::DrainOrder, fold::FoldEvent, join::JoinRule, message::Message, name::VmName,
     soft_report::SoftReport, vm::VmList,
@@ -28,11 +29,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum ReplicaEvent {
     /// The configuration changed, or a note was refused.
-    Fold(FoldEvent),
+    Fold(FoldEvent, Origin),
     /// A newer list of VMs was installed.
-    Vms(Arc<VmList>),
+    Vms(Arc<VmList>, Origin),
     /// A drain order came into force.
-    OrderApplied(DrainOrder),
+    OrderApplied(DrainOrder, Origin),
     /// A report arrived for the first time.
     Report(SoftReport),
     /// The first hello of a neighbour arrived.
@@ -68,3 +69,15 @@
     /// Reads all keys, then watches for changes.
     Watch,
 }
+
+impl PlatformMode {
+    /// Returns the name of the mode, for logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Off => "off",
+            Self::Vms => "vms",
+            Self::Watch => "watch",
+        }
+    }
+}
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -156,6 +156,13 @@
         Some(now.saturating_duration_since(answer))
     }
 
+    /// Returns the position of this node among the reachable nodes of its failure domain, in the
+    /// order in which they read the platform.
+    #[must_use]
+    pub fn reader_position(&self) -> usize {
+        self.effective_position()
+    }
+
     /// Returns how the node reads the platform.
     #[must_use]
     pub fn platform_mode(&self) -> PlatformMode {
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -37,7 +37,10 @@
                 self.install_vms(&list, Some(id), now);
                 self.plan_links(now, rng);
             }
-            Message::Drains(orders) => self.merge_orders(&orders, Some(id), now),
+            Message::Drains(orders) => {
+                let origin = self.origin_of(Some(id));
+                self.merge_orders(&orders, &origin, Some(id));
+            }
             Message::Reports(reports) => self.merge_reports(&reports, Some(id), now),
             Message::Fleet(reports) => self.receive_fleet(id, &reports, now),
             Message::Pull(after) => self.send_notes_after(id, after, now),
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -392,11 +392,11 @@
             }
             ReplicaEvent::SplitVerdict(vm) => panic!("{vm} has a different configuration"),
             ReplicaEvent::Joined(rule) => node.rule = Some(rule),
-            ReplicaEvent::Fold(FoldEvent::Refused(note, _)) => {
+            ReplicaEvent::Fold(FoldEvent::Refused(note, _), _) => {
                 node.refused.push(note);
                 node.in_force.insert(note, self.now_ms);
             }
-            ReplicaEvent::Fold(FoldEvent::Accepted(note) | FoldEvent::Installed(note)) => {
+            ReplicaEvent::Fold(FoldEvent::Accepted(note) | FoldEvent::Installed(note), _) => {
                 node.in_force.insert(note, self.now_ms);
             }
             _ => {}
--- a/crates/coordination/tests/replica/sim/operations.rs
+++ b/crates/coordination/tests/replica/sim/operations.rs
@@ -27,9 +27,8 @@
     }
 
     pub(crate) fn apply_order(&mut self, number: usize, order: &DrainOrder) {
-        let now = self.now();
         if let Some(replica) = &mut self.nodes[number].replica {
-            replica.apply_drain_order(order, now);
+            replica.apply_drain_order(order);
         }
         self.process_outputs(number);
     }
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -17,7 +17,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    Config, DrainList, DrainOrder, FoldEvent, Identity, JoinRule, LinkId, Message, Output,
+    Config, DrainList, DrainOrder, FoldEvent, Identity, JoinRule, LinkId, Message, Origin, Output,
     PlatformMode, PlatformValue, Replica, ReplicaEvent, ReplicaPolicy, Sequence, SoftReport,
     Verdict,
 };
@@ -174,7 +174,7 @@
             }
             Input::PlatformAnswered => replica.record_platform_answer(now),
             Input::DrainOrder(order, reply) => {
-                replica.apply_drain_order(&order, now);
+                replica.apply_drain_order(&order);
                 let _ = reply.send(replica.drains().clone());
             }
             Input::Verdict(sequence, reply) => {
@@ -205,19 +205,19 @@
 
     fn handle_event(&mut self, event: ReplicaEvent) {
         match event {
-            ReplicaEvent::Fold(event) => self.handle_fold_event(event),
-            ReplicaEvent::Vms(list) => {
-                info!(list = list.number, vms = list.vms.len(); "installed a list of VMs");
+            ReplicaEvent::Fold(event, origin) => self.handle_fold_event(event, &origin),
+            ReplicaEvent::Vms(list, origin) => {
+                info!(list = list.number, vms = list.vms.len(), from:% = origin, contact_ms = self.contact_ms(); "installed a list of VMs");
                 self.view.set_vms(list);
                 if self.replica.restored_at() != self.handle.status().restored_at {
                     // A reader that takes over has to know of the restoration at once.
                     self.publish_status(Instant::now());
                 }
             }
-            ReplicaEvent::OrderApplied(order) => {
+            ReplicaEvent::OrderApplied(order, origin) => {
                 self.view
                     .set_drains(Arc::new(self.replica.drains().clone()));
-                info!(order = order.number, scope:? = order.scope, action:? = order.action; "applied a drain order");
+                info!(order = order.number, scope:? = order.scope, action:? = order.action, from:% = origin, contact_ms = self.contact_ms(); "applied a drain order");
                 self.timeline.record(EventKind::OrderApplied { order });
             }
             ReplicaEvent::Report(report) => self.handle.publish_report(report),
@@ -228,7 +228,7 @@
             ReplicaEvent::Unreachable(vm) => debug!("VM {vm} is unreachable"),
             ReplicaEvent::PlatformMode(mode) => self.set_platform_mode(mode),
             ReplicaEvent::PlatformLost => {
-                warn!("the platform no longer answers any reachable node");
+                warn!(contact_ms = self.contact_ms(), neighbours = self.links.len(); "the platform no longer answers any reachable node");
                 self.timeline.record(EventKind::PlatformLost);
             }
             ReplicaEvent::PlatformFound => {
@@ -251,7 +251,13 @@
         }
     }
 
-    fn handle_fold_event(&mut self, event: FoldEvent) {
+    /// Returns the time in milliseconds since the platform last answered a reachable reader.
+    fn contact_ms(&self) -> Option<u64> {
+        let age = self.replica.platform_age(Instant::now())?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    fn handle_fold_event(&mut self, event: FoldEvent, origin: &Origin) {
         if let FoldEvent::Refused(note, reason) = &event {
             self.refused_notes.push_front((*note, Arc::clone(reason)));
             self.refused_notes.truncate(MAX_REFUSED_NOTES);
@@ -268,7 +274,7 @@
             FoldEvent::Installed(note) => EventKind::SnapshotInstalled { note },
             FoldEvent::Refused(note, reason) => EventKind::NoteRefused { note, reason },
         };
-        info!(note = self.replica.config().sequence.0; "configuration changed");
+        info!(note = self.replica.config().sequence.0, from:% = origin, contact_ms = self.contact_ms(); "configuration changed");
         self.timeline.record(event);
     }
 
@@ -298,7 +304,11 @@
     }
 
     fn set_platform_mode(&mut self, mode: PlatformMode) {
-        let was_relay = *self.handle.mode().borrow() == PlatformMode::Watch;
+        let old = *self.handle.mode().borrow();
+        let was_relay = old == PlatformMode::Watch;
+        let position = self.replica.reader_position();
+        info!(mode = mode.name(), old = old.name(), position, contact_ms = self.contact_ms(), neighbours = self.links.len(); "changed how this node reads the platform");
+        metrics::counter!("platform_mode_changes_total", "mode" => mode.name()).increment(1);
         self.handle.set_mode(mode);
         let is_relay = mode == PlatformMode::Watch;
         if is_relay && !was_relay {
@@ -330,7 +340,7 @@
             fleet: replica.fleet(),
             neighbours: replica.neighbours(),
             highest: replica.highest_sequence(),
-            platform_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            platform_age_ms: self.contact_ms(),
             restored_at: replica.restored_at(),
             is_relay: replica.platform_mode() == PlatformMode::Watch,
             joined: self.join_rule,
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -93,7 +93,8 @@
         self.failures += 1;
         metrics::counter!("platform_reads_total", "result" => "failed").increment(1);
         if self.failures.is_power_of_two() {
-            warn!(failures = self.failures; "read of the store failed: {err}");
+            let silent_ms = self.answered_at.map(|at| at.elapsed().as_millis());
+            warn!(failures = self.failures, silent_ms:? = silent_ms; "read of the store failed: {err}");
         }
         let mut delay = RETRY_BACKOFF.delay(self.failures, &mut self.rng);
         if let StoreFailure::Busy { after } = S::failure(err) {
