Test that changes are in force in time whoever reads the platform

A simulation publishes notes, orders and lists of VMs while readers of the platform lose it, are paused or restart, at 12 and at 294 nodes, and checks that each node that has reached the platform for 3 s has each change after 2 s.

--- a/crates/coordination/tests/replica/main.rs
+++ b/crates/coordination/tests/replica/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod apply_bound;
 mod chaos;
 mod event;
 mod model;
--- a/crates/coordination/tests/replica/model.rs
+++ b/crates/coordination/tests/replica/model.rs
@@ -22,6 +22,10 @@
     /// Whether the current process has watched the platform.
     pub(crate) has_watched: bool,
     pub(crate) highest_served: Sequence,
+    /// Time at which the platform last answered a read of the current process.
+    pub(crate) answered_at: Option<u64>,
+    /// Time before which a failed read is not repeated.
+    pub(crate) retry_at: u64,
 }
 
 #[derive(Default)]
@@ -32,6 +36,8 @@
     pub(crate) is_down: bool,
     /// Failure domains that cannot reach the platform.
     pub(crate) blocked: BTreeSet<DomainName>,
+    /// Nodes that cannot reach the platform, with the time in milliseconds that a failed read takes.
+    pub(crate) unreachable: BTreeMap<usize, u64>,
     /// Number of notes that a stale platform returns; `None` if it is current.
     pub(crate) stale_notes: Option<usize>,
     /// Number of reads in each second.
@@ -51,6 +57,8 @@
             mode: PlatformMode::Off,
             has_watched: false,
             highest_served: Sequence::ZERO,
+            answered_at: None,
+            retry_at: 0,
         }
     }
 }
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -38,6 +38,9 @@
     pub(crate) seeds: Vec<usize>,
     /// Pairs of failure domains (from, to) between which messages are dropped.
     pub(crate) blocked: BTreeSet<(DomainName, DomainName)>,
+    /// Time in milliseconds for which a read of the platform waits for a change. Without it, reads
+    /// answer at once.
+    pub(crate) watch_wait: Option<u64>,
     /// Number of notes delivered over links.
     pub(crate) notes_sent: usize,
     epoch: Instant,
@@ -78,6 +81,7 @@
             policy: ReplicaPolicy::default(),
             seeds: Vec::new(),
             blocked: BTreeSet::new(),
+            watch_wait: None,
             notes_sent: 0,
             epoch: Instant::now(),
             now_ms: 0,
@@ -116,6 +120,8 @@
         node.process = process;
         node.mode = PlatformMode::Off;
         node.has_watched = false;
+        node.answered_at = None;
+        node.retry_at = 0;
         node.rule = None;
         node.in_force.clear();
         let first = self.rng.random_range(0..100);
@@ -221,18 +227,25 @@
             return;
         }
         self.schedule(POLL_MS, EventKind::Poll(number, process));
+        let failed_read_ms = self.platform.unreachable.get(&number).copied();
         let node = &self.nodes[number];
-        let is_reachable =
-            !self.platform.is_down && !self.platform.blocked.contains(&node.entry.domain);
-        if node.mode == PlatformMode::Off {
+        let is_reachable = !self.platform.is_down
+            && !self.platform.blocked.contains(&node.entry.domain)
+            && failed_read_ms.is_none();
+        let mode = node.mode;
+        if mode == PlatformMode::Off || self.now_ms < node.retry_at {
+            return;
+        }
+        if is_reachable && self.is_watch_pending(number) {
             return;
         }
         *self.platform.reads.entry(self.now_ms / 1000).or_default() += 1;
         if !is_reachable {
+            self.nodes[number].retry_at = self.now_ms + failed_read_ms.unwrap_or(0);
             return;
         }
+        self.nodes[number].answered_at = Some(self.now_ms);
         let now = self.now();
-        let mode = node.mode;
         let platform = &self.platform;
         let Some(replica) = &mut self.nodes[number].replica else {
             return;
@@ -253,6 +266,24 @@
         self.process_outputs(number);
     }
 
+    /// Returns whether a watch of the platform by a node waits because nothing has changed.
+    fn is_watch_pending(&self, number: usize) -> bool {
+        let node = &self.nodes[number];
+        let (Some(wait), Some(answered_at)) = (self.watch_wait, node.answered_at) else {
+            return false;
+        };
+        let Some(replica) = &node.replica else {
+            return false;
+        };
+        let is_current = replica.config().sequence.0 >= self.platform.notes.len() as u64
+            && replica.vms().number >= self.platform.vms.number
+            && self.platform.drains.iter().all(|order| {
+                let mut known = replica.drains().iter();
+                known.any(|known| known.number >= order.number)
+            });
+        is_current && self.now_ms < answered_at + wait
+    }
+
     fn deliver(&mut self, id: LinkId, message: Message) {
         let Some(end) = self.links.get(&id) else {
             return;
--- a/crates/coordination/tests/replica/sim/operations.rs
+++ b/crates/coordination/tests/replica/sim/operations.rs
@@ -1,6 +1,6 @@
 //! Operations and faults that tests apply to a simulation.
 
-use wagtaillever_coordination::DrainOrder;
+use wagtaillever_coordination::{DrainAction, DrainOrder, DrainScope};
 
 use super::Sim;
 use crate::event::EventKind;
@@ -33,6 +33,22 @@
         self.process_outputs(number);
     }
 
+    /// Publishes an order to drain a failure domain through the platform.
+    pub(crate) fn publish_order(&mut self, domain: &str) {
+        let numbers = self.platform.drains.iter().map(|order| order.number);
+        let number = numbers.max().unwrap_or(0) + 1;
+        self.platform.drains = vec![DrainOrder {
+            number,
+            scope: DrainScope::Domain(domain.into()),
+            action: DrainAction::Drain,
+        }];
+    }
+
+    /// Publishes a newer list of the same VMs.
+    pub(crate) fn publish_vms(&mut self) {
+        self.platform.vms.number += 1;
+    }
+
     /// Drops all messages from one failure domain to another.
     pub(crate) fn block(&mut self, from: &str, to: &str) {
         self.blocked.insert((from.into(), to.into()));
