Replace readers that get no answer within half of the bound on changes

Callers saw: requests refused with 404, or run by an older version, more than 2 s after the store had acknowledged a configuration.

Cause: an answer of the platform counted as fresh for 6 s, and the first other node read a second after that, whatever the required bound. Nodes that reached the platform waited for readers that did not, were silent, refused, paused or cut off. At most eight nodes of a failure domain could take over at all.

Change: the times follow from the bound (settings apply_s and drain_s, filled in from the platform's). Watches wait 0.3 of it; a reader reports each answer along the links; after 0.4 without one a node opens a second uplink, after 0.5 all nodes probe the platform in waves that double, at the lowest price of a call, and one that gets an answer while no reader does begins to read. A reader that fails for as long again goes back to probes. Pulls change neighbours after a quarter of the bound, and a node asks the neighbour with the newest contact for pushes. In an outage only the relays read; others probe each 1.5 s.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 //! replayed from a seed.
 
 mod admission;
+mod apply_timing;
 mod backoff;
 mod balancer;
 mod base;
@@ -56,6 +57,7 @@
         Admission, AdmissionDecision, AdmissionRequest, AdmissionSettings, QueueDecision,
         QueueTicket, Rank, Rejection, RejectionCause, Sample, SampleResult, StartMark,
     },
+    apply_timing::ApplyTiming,
     backoff::{Backoff, retry_after},
     balancer::{Balancer, BalancerPolicy, Constraints, NoCandidate, ReportedLoad, Ticket},
     base::{Base, BaseIndex, Publication},
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -97,12 +97,7 @@
     ) -> Self {
         let drains = DrainList::default();
         Self {
-            readers: Readers::new(
-                !identity.seeds.is_empty(),
-                policy.consistent_reads,
-                now,
-                rng,
-            ),
+            readers: Readers::new(!identity.seeds.is_empty(), &policy, now, rng),
             root_report: summary::RootReport::new(identity.incarnation, now),
             identity,
             policy,
--- a/crates/coordination/src/replica/input.rs
+++ b/crates/coordination/src/replica/input.rs
@@ -1,8 +1,9 @@
 //! Inputs of a replica.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
+    apply_timing::ApplyTiming,
     config::Config,
     drain::DrainOrder,
     name::{DomainName, VmName},
@@ -10,6 +11,9 @@
     vm::{Incarnation, VmList},
 };
 
+/// Bound within which a change must be in force if no shorter one is required: the stated target.
+const DEFAULT_APPLY_BOUND: Duration = Duration::from_secs(8);
+
 /// Identity of a replica.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -23,7 +27,7 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-/// Mechanisms that experiments can disable.
+/// Requirements on a replica, and mechanisms that experiments can disable.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplicaPolicy {
     /// Whether only relays read the platform.
@@ -34,6 +38,8 @@
     pub digest: bool,
     /// Whether reads of the platform are never older than a configuration in force on any node.
     pub consistent_reads: bool,
+    /// Times that follow from the bound within which a change must be in force.
+    pub timing: ApplyTiming,
 }
 
 impl Default for ReplicaPolicy {
@@ -43,6 +49,7 @@
             delta: true,
             digest: true,
             consistent_reads: false,
+            timing: ApplyTiming::new(DEFAULT_APPLY_BOUND),
         }
     }
 }
--- a/crates/coordination/src/replica/link.rs
+++ b/crates/coordination/src/replica/link.rs
@@ -39,6 +39,10 @@
     pub(super) pull_due: Option<Instant>,
     /// When the next digest is due.
     pub(super) digest_due: Instant,
+    /// Time of the newest answer of the platform that the neighbour reported.
+    pub(super) contact_known: Option<Instant>,
+    /// Time of the newest answer of the platform that was reported to the neighbour.
+    pub(super) contact_sent: Option<Instant>,
     /// Whether this node asks the neighbour to push notes.
     pub(super) push_requested: bool,
     /// Stamp of the newest report of each tree root that was sent or received on the link.
@@ -72,6 +76,8 @@
             drains_sent: None,
             pull_due: None,
             digest_due: now,
+            contact_known: None,
+            contact_sent: None,
             push_requested: false,
             report_stamps: BTreeMap::new(),
             parts: Vec::new(),
--- a/crates/coordination/src/replica/output.rs
+++ b/crates/coordination/src/replica/output.rs
@@ -68,6 +68,8 @@
     Vms,
     /// Reads all keys, then watches for changes.
     Watch,
+    /// Probes whether the platform answers, because no known reader gets answers.
+    Probe,
 }
 
 impl PlatformMode {
@@ -78,6 +80,7 @@
             Self::Off => "off",
             Self::Vms => "vms",
             Self::Watch => "watch",
+            Self::Probe => "probe",
         }
     }
 }
--- a/crates/coordination/src/replica/plan.rs
+++ b/crates/coordination/src/replica/plan.rs
@@ -150,7 +150,7 @@
 
     fn plan_parents(&mut self, wanted: &mut BTreeSet<LinkId>, now: Instant) {
         let candidates = Arc::clone(&self.parents);
-        let count = if self.is_platform_fresh() { 1 } else { 2 };
+        let count = if self.is_platform_suspect(now) { 2 } else { 1 };
         let selection = self.select_links(&candidates, count, now);
         wanted.extend(selection.links.iter().copied());
         self.uplinks = selection.links;
@@ -270,11 +270,34 @@
         selection
     }
 
-    /// Requests pushes from the preferred uplink only; from none if this node reads the platform.
-    fn update_push_requests(&mut self, now: Instant) {
+    /// Returns the neighbour that has to push changes: the preferred uplink, or one that knows a
+    /// newer answer of the platform if the uplink reports none; no neighbour if this node reads the
+    /// platform.
+    fn push_source(&self, now: Instant) -> Option<LinkId> {
         let is_reader = self.is_relay() && self.readers.is_fresh(&self.identity.vm, now);
-        let first = self.uplinks.first().copied();
-        let first = first.filter(|_| !is_reader && self.policy.relay);
+        if is_reader || !self.policy.relay {
+            return None;
+        }
+        let max_age = self.policy.timing.fresh_age();
+        let contact = |id: &LinkId| {
+            let link = self.links.get(id).filter(|link| link.peer.is_some())?;
+            let at = link.contact_known?;
+            (now.saturating_duration_since(at) < max_age).then_some(at)
+        };
+        let current = self.links.iter().find(|(_, link)| link.push_requested);
+        let current = current.map(|(id, _)| *id);
+        let preferred = self.uplinks.iter().copied().chain(current);
+        let newest = || self.links.keys().copied().max_by_key(|id| contact(id));
+        let mut fresh = preferred.filter(|id| contact(id).is_some());
+        let source = fresh
+            .next()
+            .or_else(|| newest().filter(|id| contact(id).is_some()));
+        source.or_else(|| self.uplinks.first().copied())
+    }
+
+    /// Requests pushes from one neighbour only.
+    fn update_push_requests(&mut self, now: Instant) {
+        let first = self.push_source(now);
         let mut changed = Vec::new();
         for (id, link) in &mut self.links {
             let push = Some(*id) == first;
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -1,69 +1,60 @@
 //! Decides which nodes read the platform.
 
 use std::{
-    cmp::Reverse,
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use rand::Rng;
 
-use super::{PlatformMode, Replica, ReplicaEvent};
-use crate::{message::Contact, name::VmName, overlay::RELAYS_PER_DOMAIN};
+use super::{PlatformMode, Replica, ReplicaEvent, ReplicaPolicy};
+use crate::{
+    apply_timing::ApplyTiming, message::Contact, name::VmName, overlay::RELAYS_PER_DOMAIN,
+};
 
-/// Maximum number of linked nodes of a failure domain that read the platform during an outage.
+/// Number of nodes of a failure domain that share the platform's read rate.
 pub(super) const MAX_READERS: usize = 8;
-/// Age from which a contact with the platform is no longer fresh.
-const MAX_FRESH_AGE: Duration = Duration::from_secs(6);
-/// Time without a fresh contact before the first node after the relays reads the platform.
-const TAKEOVER_DELAY: Duration = Duration::from_secs(1);
-/// Additional delay for each further position.
-const TAKEOVER_DELAY_STEP: Duration = Duration::from_millis(300);
-/// Delay before a node without neighbours reads the platform.
-const ISOLATED_TAKEOVER_DELAY: Duration = Duration::from_secs(5);
+/// Time for which a contact with the platform is remembered.
+const CONTACT_RETENTION: Duration = Duration::from_secs(12);
 /// Time for which a reader at a lower position must be fresh before a node that took over stops.
 const HANDBACK_DELAY: Duration = Duration::from_secs(3);
 /// Time for which a node must hold the position of a relay before it reads the platform while others
 /// read it. Positions change often while VMs start or are replaced.
 const RELAY_PROMOTION_DELAY: Duration = Duration::from_secs(1);
-/// Maximum delay before a node without seeds reads the list of VMs; also the range of the jitter
-/// added to `ISOLATED_TAKEOVER_DELAY`.
+/// Maximum delay before a node without seeds reads the list of VMs.
 const MAX_VMS_DELAY_MS: u64 = 2_000;
 /// Maximum delay on a platform where reading the list is cheap.
 const MAX_CHEAP_VMS_DELAY_MS: u64 = 400;
 /// Range of the additional delay of a node with seeds; a quarter of the drawn value is used.
 const SEEDS_VMS_DELAY_MS: u64 = 4_000;
-/// Maximum number of contacts in a digest.
-const MAX_DIGEST_CONTACTS: usize = 1;
 
 /// Known readers of the platform and when it last answered.
 #[derive(Clone, Debug)]
 pub(super) struct Readers {
     mode: PlatformMode,
+    timing: ApplyTiming,
     contacts: BTreeMap<VmName, (u32, Instant)>,
-    /// When `is_fresh` last changed.
-    state_since: Instant,
     is_fresh: bool,
     /// Time since which a reader at a lower position has been fresh.
     better_since: Option<Instant>,
-    has_taken_over: bool,
+    /// When this node took over from the relays.
+    takeover: Option<Instant>,
     /// Time since which the list of VMs has been known.
     listed_since: Option<Instant>,
     /// Time since which this node has held the position of a relay.
     relay_since: Option<Instant>,
     vms_due: Instant,
-    jitter: Duration,
     last_answer: Option<Instant>,
 }
 
 impl Readers {
     pub(super) fn new(
         has_seeds: bool,
-        has_cheap_reads: bool,
+        policy: &ReplicaPolicy,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Self {
-        let limit = if has_cheap_reads {
+        let limit = if policy.consistent_reads {
             MAX_CHEAP_VMS_DELAY_MS
         } else {
             MAX_VMS_DELAY_MS
@@ -74,15 +65,14 @@
         }
         Self {
             mode: PlatformMode::Off,
+            timing: policy.timing,
             contacts: BTreeMap::new(),
-            state_since: now,
             is_fresh: false,
             better_since: None,
-            has_taken_over: false,
+            takeover: None,
             listed_since: None,
             relay_since: None,
             vms_due: now + Duration::from_millis(delay),
-            jitter: Duration::from_millis(rng.random_range(0..MAX_VMS_DELAY_MS)),
             last_answer: None,
         }
     }
@@ -90,36 +80,47 @@
     /// Returns whether the platform answered a node recently.
     pub(super) fn is_fresh(&self, vm: &VmName, now: Instant) -> bool {
         let contact = self.contacts.get(vm);
-        contact.is_some_and(|(_, at)| now.saturating_duration_since(*at) < MAX_FRESH_AGE)
+        contact.is_some_and(|(_, at)| self.is_fresh_at(*at, now))
     }
 
-    /// Returns the newest fresh contacts, for a digest.
-    pub(super) fn newest_contacts(&self, now: Instant) -> Vec<Contact> {
-        let mut fresh: Vec<_> = self
-            .contacts
-            .iter()
-            .filter(|(vm, _)| self.is_fresh(vm, now))
-            .collect();
-        fresh.sort_by_key(|(_, (_, at))| Reverse(*at));
-        fresh.truncate(MAX_DIGEST_CONTACTS);
+    fn is_fresh_at(&self, answered: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(answered) < self.timing.fresh_age()
+    }
+
+    /// Returns the contacts for a digest: the newest one, and the one of the reader that all others
+    /// hand back to.
+    pub(super) fn digest_contacts(&self, now: Instant) -> Vec<Contact> {
+        let fresh = || {
+            self.contacts
+                .iter()
+                .filter(|(vm, _)| self.is_fresh(vm, now))
+        };
+        let newest = fresh().max_by_key(|(_, (_, at))| *at);
+        let first = fresh().min_by_key(|(vm, (position, _))| (*position, *vm));
+        let first = first.filter(|(vm, _)| newest.is_none_or(|(other, _)| other != *vm));
         let contact = |(vm, (position, at)): (&VmName, &(u32, Instant))| {
-            let age = now.saturating_duration_since(*at).as_millis();
+            // Rounded up, so that a contact doesn't become younger on its way.
+            let age = now.saturating_duration_since(*at).as_millis() + 1;
             Contact {
                 position: *position,
                 vm: vm.clone(),
                 age_ms: u32::try_from(age).unwrap_or(u32::MAX),
             }
         };
-        fresh.into_iter().map(contact).collect()
+        newest.into_iter().chain(first).map(contact).collect()
     }
 
-    /// Records a contact of another reader.
-    pub(super) fn record_contact(&mut self, contact: &Contact, now: Instant) {
+    /// Records a contact of another reader and returns its time.
+    pub(super) fn record_contact(&mut self, contact: &Contact, now: Instant) -> Option<Instant> {
         let age = Duration::from_millis(u64::from(contact.age_ms));
-        let Some(at) = now.checked_sub(age) else {
-            return;
-        };
+        let at = now.checked_sub(age)?;
         self.record(contact.vm.clone(), contact.position, at);
+        Some(at)
+    }
+
+    /// Returns when the platform last answered any reachable reader.
+    pub(super) fn last_answer(&self) -> Option<Instant> {
+        self.last_answer
     }
 
     fn record(&mut self, vm: VmName, position: u32, at: Instant) {
@@ -136,8 +137,19 @@
             .any(|(other, (at, _))| (*at, other) < (position, vm) && self.is_fresh(other, now))
     }
 
-    fn has_fresh_contact(&self, now: Instant) -> bool {
-        self.contacts.keys().any(|vm| self.is_fresh(vm, now))
+    /// Returns when a node probes the platform, unless a reader reports an answer before.
+    fn probe_due(&self, position: usize) -> Option<Instant> {
+        let stale = self.last_answer.map(|at| at + self.timing.fresh_age());
+        let first = self.listed_since? + self.timing.first_answer();
+        let due = stale.map_or(first, |stale| stale.max(self.listed_since.unwrap_or(stale)));
+        Some(due + self.timing.probe_delay(position))
+    }
+
+    /// Returns whether the platform has not answered this node for long after it took over.
+    fn has_failed(&self, vm: &VmName, now: Instant) -> bool {
+        let answered = self.contacts.get(vm).map(|(_, at)| *at);
+        let since = self.takeover.max(answered);
+        since.is_some_and(|at| now.saturating_duration_since(at) > self.timing.fresh_age() * 2)
     }
 }
 
@@ -147,6 +159,29 @@
         let position = self.effective_position();
         let position = u32::try_from(position).unwrap_or(u32::MAX);
         self.readers.record(self.identity.vm.clone(), position, now);
+        self.report_contact(None, now);
+    }
+
+    /// Records that the platform answered a probe of this node. The node begins to read the platform
+    /// if no reader has got an answer meanwhile.
+    pub fn record_platform_probe(&mut self, now: Instant) {
+        if self.readers.mode != PlatformMode::Probe {
+            return;
+        }
+        self.update_freshness(now);
+        if !self.readers.is_fresh {
+            self.readers.better_since = None;
+            self.readers.takeover = Some(now);
+        }
+        self.plan_platform(now);
+    }
+
+    /// Returns when the node next has to decide whether it probes the platform.
+    pub(super) fn platform_due(&self) -> Option<Instant> {
+        if self.readers.mode != PlatformMode::Off || self.overlay.is_empty() {
+            return None;
+        }
+        self.readers.probe_due(self.effective_position())
     }
 
     /// Returns the time since the platform answered any reachable reader.
@@ -179,6 +214,13 @@
         self.readers.is_fresh
     }
 
+    /// Returns whether the platform may no longer answer any reachable reader.
+    pub(super) fn is_platform_suspect(&self, now: Instant) -> bool {
+        let max_age = self.policy.timing.suspect_age();
+        let age = self.platform_age(now);
+        age.is_none_or(|age| age >= max_age)
+    }
+
     pub(super) fn plan_platform(&mut self, now: Instant) {
         self.update_freshness(now);
         let mode = self.choose_mode(now);
@@ -193,13 +235,13 @@
         let readers = &mut self.readers;
         readers
             .contacts
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < MAX_FRESH_AGE * 2);
-        let is_fresh = readers.has_fresh_contact(now);
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < CONTACT_RETENTION);
+        let last = readers.last_answer;
+        let is_fresh = last.is_some_and(|at| readers.is_fresh_at(at, now));
         if is_fresh == readers.is_fresh {
             return;
         }
         readers.is_fresh = is_fresh;
-        readers.state_since = now;
         self.emit(if is_fresh {
             ReplicaEvent::PlatformFound
         } else {
@@ -222,14 +264,21 @@
         self.readers.listed_since.get_or_insert(now);
         let position = self.effective_position();
         if position < RELAYS_PER_DOMAIN {
-            self.readers.has_taken_over = false;
+            self.readers.takeover = None;
             return self.relay_mode(now);
         }
         self.readers.relay_since = None;
         self.update_takeover(position, now);
-        if self.readers.has_taken_over {
+        if self.readers.takeover.is_some() {
             return PlatformMode::Watch;
         }
+        let is_due = self
+            .readers
+            .probe_due(position)
+            .is_some_and(|due| due <= now);
+        if is_due && !self.readers.is_fresh {
+            return PlatformMode::Probe;
+        }
         PlatformMode::Off
     }
 
@@ -245,40 +294,25 @@
         PlatformMode::Off
     }
 
+    /// Ends the reading of a node that is not a relay if the platform no longer answers it, or if a
+    /// reader at a lower position gets answers again.
     fn update_takeover(&mut self, position: usize, now: Instant) {
-        if self.readers.has_taken_over {
-            self.update_handback(position, now);
+        if self.readers.takeover.is_none() {
             return;
         }
-        self.readers.better_since = None;
-        if self.readers.is_fresh {
+        let vm = &self.identity.vm;
+        if self.readers.has_failed(vm, now) {
+            self.readers.takeover = None;
             return;
         }
-        let expected_since = self
-            .readers
-            .listed_since
-            .max(Some(self.readers.state_since));
-        let outage = expected_since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let is_isolated = self.neighbours().is_empty();
-        let steps = u32::try_from(position - RELAYS_PER_DOMAIN).unwrap_or(u32::MAX);
-        let delay = TAKEOVER_DELAY + TAKEOVER_DELAY_STEP.saturating_mul(steps.min(64));
-        let is_due = position < MAX_READERS && outage > delay;
-        let is_isolated_due = is_isolated && outage > ISOLATED_TAKEOVER_DELAY + self.readers.jitter;
-        self.readers.has_taken_over = is_due || is_isolated_due;
-    }
-
-    fn update_handback(&mut self, position: usize, now: Instant) {
         let position = u32::try_from(position).unwrap_or(u32::MAX);
-        let has_better_reader = self
-            .readers
-            .has_better_reader(position, &self.identity.vm, now);
-        if !has_better_reader {
+        if !self.readers.has_better_reader(position, vm, now) {
             self.readers.better_since = None;
             return;
         }
         let since = *self.readers.better_since.get_or_insert(now);
         if now.saturating_duration_since(since) > HANDBACK_DELAY {
-            self.readers.has_taken_over = false;
+            self.readers.takeover = None;
         }
     }
 }
--- a/crates/coordination/src/replica/propagation.rs
+++ b/crates/coordination/src/replica/propagation.rs
@@ -17,8 +17,6 @@
 const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay of a pull while the missing notes are expected to be pushed.
 const PULL_DELAY: Duration = Duration::from_millis(40);
-/// Time after which a pull is repeated.
-const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum time before data that a neighbour still lacks is sent again.
 const RESEND_INTERVAL: Duration = Duration::from_secs(2);
 /// Age of a link before the list of VMs is sent to a neighbour that did not request pushes.
@@ -42,7 +40,9 @@
     #[must_use]
     pub fn next_tick_delay(&self, now: Instant) -> Duration {
         let pulls = self.links.values().filter_map(|link| link.pull_due);
-        let next = pulls.min().map(|due| due.saturating_duration_since(now));
+        let others = self.platform_due().into_iter();
+        let next = pulls.chain(others).filter(|due| *due > now).min();
+        let next = next.map(|due| due.saturating_duration_since(now));
         next.unwrap_or(MAX_TICK_INTERVAL)
             .clamp(Duration::from_millis(5), MAX_TICK_INTERVAL)
     }
@@ -54,11 +54,42 @@
             incarnation: self.identity.incarnation,
             digest: self.digest(id, now),
         };
+        self.record_report(id);
         self.send(id, Message::Hello(hello));
     }
 
+    /// Records that the newest answer of the platform is being reported to a neighbour.
+    fn record_report(&mut self, id: LinkId) {
+        let newest = self.readers.last_answer();
+        if let Some(link) = self.links.get_mut(&id) {
+            link.contact_sent = link.contact_sent.max(newest);
+        }
+    }
+
+    /// Reports the newest answer of the platform to the neighbours that know only older ones, as
+    /// each node has to notice in time that readers get no answers.
+    pub(super) fn report_contact(&mut self, from: Option<LinkId>, now: Instant) {
+        let Some(newest) = self.readers.last_answer() else {
+            return;
+        };
+        let gap = self.policy.timing.report_gap();
+        let is_due = |link: &Link| {
+            let known = link.contact_sent.max(link.contact_known);
+            link.peer.is_some() && known.is_none_or(|known| known + gap <= newest)
+        };
+        let due = self
+            .links
+            .iter()
+            .filter(|(id, link)| Some(**id) != from && is_due(link));
+        let due: Vec<_> = due.map(|(id, _)| *id).collect();
+        for id in due {
+            self.send_digest(id, now);
+        }
+    }
+
     pub(super) fn send_digest(&mut self, id: LinkId, now: Instant) {
         let digest = self.digest(id, now);
+        self.record_report(id);
         self.send(id, Message::Digest(digest));
     }
 
@@ -70,7 +101,7 @@
             serving: self.is_serving,
             relay: self.is_relay(),
             push: self.links.get(&id).is_some_and(|link| link.push_requested),
-            contacts: self.readers.newest_contacts(now),
+            contacts: self.readers.digest_contacts(now),
             subtree: is_uplink.then(|| self.subtree()),
         }
     }
@@ -256,9 +287,10 @@
         let Some(id) = best.map(|(id, _)| *id) else {
             return;
         };
-        self.pull_deadline = Some(now + PULL_TIMEOUT);
+        let timeout = self.policy.timing.pull_timeout();
+        self.pull_deadline = Some(now + timeout);
         if let Some(link) = self.links.get_mut(&id) {
-            link.pull_due = Some(now + PULL_TIMEOUT);
+            link.pull_due = Some(now + timeout);
         }
         self.send(id, Message::Pull(own));
     }
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -130,9 +130,7 @@
     }
 
     fn receive_digest(&mut self, id: LinkId, digest: Digest, now: Instant) {
-        for contact in &digest.contacts {
-            self.readers.record_contact(contact, now);
-        }
+        self.record_contacts(id, &digest, now);
         let theirs = digest.have;
         self.compare_config(id, &digest);
         self.raise_highest(theirs.highest.max(theirs.sequence), now);
@@ -158,6 +156,19 @@
         self.repair_drains(id, theirs, own, now);
     }
 
+    /// Records the answers of the platform that a neighbour reports, and passes them on.
+    fn record_contacts(&mut self, id: LinkId, digest: &Digest, now: Instant) {
+        let contacts = digest.contacts.iter();
+        let times: Vec<_> = contacts
+            .filter_map(|contact| self.readers.record_contact(contact, now))
+            .collect();
+        let newest = times.into_iter().max();
+        if let Some(link) = self.links.get_mut(&id) {
+            link.contact_known = link.contact_known.max(newest);
+        }
+        self.report_contact(Some(id), now);
+    }
+
     /// Reports a neighbour whose configuration differs at the same sequence.
     fn compare_config(&mut self, id: LinkId, digest: &Digest) {
         let is_same_sequence = digest.have.sequence == self.fold.sequence();
--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -24,6 +24,9 @@
     /// Reads only the registrations; they may be some seconds old.
     fn read_registrations(&mut self) -> impl Future<Output = Result<StoreState, Self::Error>>;
 
+    /// Asks for any answer at the lowest cost; it may be some seconds old.
+    fn probe(&mut self) -> impl Future<Output = Result<(), Self::Error>>;
+
     /// Returns whether an upstream is registered now.
     fn is_registered(
         &mut self,
--- a/crates/coordination/tests/replica/apply_bound.rs
+++ b/crates/coordination/tests/replica/apply_bound.rs
@@ -1,7 +1,9 @@
 //! Changes are in force in time at every node that can reach the platform, whoever reads it.
 
+use std::time::Duration;
+
 use rand::{Rng, seq::SliceRandom};
-use wagtaillever_coordination::Replica;
+use wagtaillever_coordination::{ApplyTiming, PlatformMode, Replica};
 
 use crate::sim::Sim;
 
@@ -17,6 +19,8 @@
 /// Mean time after which a refused read is repeated.
 const REFUSED_READ_MS: u64 = 500;
 const TROUBLE_MS: u64 = 8_000;
+/// Number of nodes of a failure domain that share the platform's read rate.
+const MAX_DOMAIN_READERS: usize = 8;
 
 const SMALL_FLEET: &[(&str, usize)] = &[("a", 4), ("b", 4), ("c", 4)];
 const LARGE_FLEET: &[(&str, usize)] = &[("a", 59), ("b", 59), ("c", 59), ("d", 59), ("e", 58)];
@@ -58,7 +62,9 @@
     fn new(seed: u64, fleet: &[(&str, usize)]) -> Self {
         let mut sim = Sim::new(seed, fleet);
         sim.policy.consistent_reads = true;
-        sim.watch_wait = Some(2_000);
+        sim.policy.timing = ApplyTiming::new(Duration::from_millis(APPLY_BOUND_MS));
+        let wait = sim.policy.timing.watch_wait().as_millis();
+        sim.watch_wait = Some(u64::try_from(wait).unwrap());
         sim.publish_service();
         sim.start_all();
         sim.run_until(20_000, |sim| sim.all_serve() && sim.all_have(1));
@@ -201,6 +207,23 @@
         }
     }
 
+    /// Cuts all nodes off from the platform.
+    fn cut_off_all(&mut self, read_ms: u64) {
+        self.cut_off((0..self.sim.nodes.len()).collect(), read_ms);
+    }
+
+    /// Forgets which nodes have read the platform, except for those that read it now.
+    fn forget_readers(&mut self) {
+        for node in &mut self.sim.nodes {
+            node.has_watched = node.mode == PlatformMode::Watch;
+        }
+    }
+
+    fn readers_so_far(&self) -> usize {
+        let nodes = self.sim.nodes.iter();
+        nodes.filter(|node| node.has_watched).count()
+    }
+
     fn end_trouble(&mut self) {
         self.sim.platform.unreachable.clear();
         self.sim.blocked.clear();
@@ -220,8 +243,11 @@
     ]
 }
 
+/// Plays `seeds` seeds, or as many times that number as `APPLY_BOUND_FACTOR` says.
 fn play(fleet: &[(&str, usize)], trouble: Trouble, seeds: u64) {
-    for seed in 0..seeds {
+    let factor = std::env::var("APPLY_BOUND_FACTOR").ok();
+    let factor: u64 = factor.and_then(|text| text.parse().ok()).unwrap_or(1);
+    for seed in 0..seeds * factor {
         let mut play = Play::new(seed, fleet);
         for _ in 0..2 {
             let span = play.sim.rng.random_range(2_000..5_000);
@@ -297,3 +323,47 @@
     play(SMALL_FLEET, Trouble::DomainIsolated, 10);
     play(LARGE_FLEET, Trouble::DomainIsolated, 1);
 }
+
+// Guards against a fleet of which all nodes begin to read when a few readers get no answer.
+#[test]
+fn few_nodes_replace_all_readers_that_lose_the_platform() {
+    for read_ms in [SILENT_READ_MS, REFUSED_READ_MS] {
+        let mut play = Play::new(1, LARGE_FLEET);
+        play.forget_readers();
+        let readers = play.readers();
+        play.cut_off(readers, read_ms);
+        play.run_for(TROUBLE_MS);
+        let count = play.readers_so_far();
+        let limit = LARGE_FLEET.len() * MAX_DOMAIN_READERS;
+        assert!(count <= limit, "{count} readers");
+    }
+}
+
+// Guards against calls that grow with the fleet while the platform answers nobody, and when it
+// answers again.
+#[test]
+fn calls_stay_bounded_while_the_platform_answers_nobody() {
+    for read_ms in [SILENT_READ_MS, REFUSED_READ_MS] {
+        let mut play = Play::new(2, LARGE_FLEET);
+        play.forget_readers();
+        let begin = play.sim.now_ms() / 1_000 + 1;
+        play.cut_off_all(read_ms);
+        play.run_for(TROUBLE_MS);
+        play.end_trouble();
+        play.run_for(6_000);
+        let end = play.sim.now_ms() / 1_000;
+        let limit = LARGE_FLEET.len() * MAX_DOMAIN_READERS;
+        for second in begin..end {
+            let platform = &play.sim.platform;
+            let reads = platform.reads.get(&second).copied().unwrap_or(0);
+            let probes = platform.probes.get(&second).copied().unwrap_or(0);
+            assert!(
+                reads <= 2 * limit as u64,
+                "{reads} reads in second {second}"
+            );
+            assert!(probes <= play.sim.nodes.len() as u64, "{probes} probes");
+        }
+        assert!(play.readers_so_far() <= limit, "{}", play.readers_so_far());
+        assert_eq!(play.late.first(), None);
+    }
+}
--- a/crates/coordination/tests/replica/model.rs
+++ b/crates/coordination/tests/replica/model.rs
@@ -42,6 +42,8 @@
     pub(crate) stale_notes: Option<usize>,
     /// Number of reads in each second.
     pub(crate) reads: BTreeMap<u64, u64>,
+    /// Number of probes in each second.
+    pub(crate) probes: BTreeMap<u64, u64>,
 }
 
 impl Node {
--- a/crates/coordination/tests/replica/sim.rs
+++ b/crates/coordination/tests/replica/sim.rs
@@ -236,6 +236,10 @@
         if mode == PlatformMode::Off || self.now_ms < node.retry_at {
             return;
         }
+        if mode == PlatformMode::Probe {
+            self.probe_platform(number, is_reachable);
+            return;
+        }
         if is_reachable && self.is_watch_pending(number) {
             return;
         }
@@ -266,6 +270,17 @@
         self.process_outputs(number);
     }
 
+    fn probe_platform(&mut self, number: usize, is_reachable: bool) {
+        *self.platform.probes.entry(self.now_ms / 1000).or_default() += 1;
+        let interval = self.policy.timing.probe_interval().as_millis();
+        self.nodes[number].retry_at = self.now_ms + u64::try_from(interval).unwrap();
+        let now = self.now();
+        if let Some(replica) = self.nodes[number].replica.as_mut().filter(|_| is_reachable) {
+            replica.record_platform_probe(now);
+        }
+        self.process_outputs(number);
+    }
+
     /// Returns whether a watch of the platform by a node waits because nothing has changed.
     fn is_watch_pending(&self, number: usize) -> bool {
         let node = &self.nodes[number];
@@ -418,6 +433,9 @@
         let node = &mut self.nodes[number];
         match event {
             ReplicaEvent::PlatformMode(mode) => {
+                if node.mode == PlatformMode::Probe {
+                    node.retry_at = self.now_ms;
+                }
                 node.mode = mode;
                 node.has_watched |= mode == PlatformMode::Watch;
             }
--- a/crates/node/src/peers/core.rs
+++ b/crates/node/src/peers/core.rs
@@ -54,6 +54,8 @@
     PlatformValues(Vec<PlatformValue>, oneshot::Sender<ReaderState>),
     /// The platform answered, and all values it holds were passed to the replica.
     PlatformAnswered,
+    /// The platform answered a probe.
+    PlatformProbed,
     /// A drain order from an operator; the orders in force are sent back.
     DrainOrder(DrainOrder, oneshot::Sender<DrainList>),
     /// A query for the verdict on a note.
@@ -93,6 +95,7 @@
             delta: settings.policies.delta,
             digest: settings.policies.digest,
             consistent_reads: settings.protocol.has_consistent_reads(),
+            timing: settings.limits.timing(),
         };
         let mut rng = SmallRng::from_os_rng();
         let link_context = LinkContext {
@@ -173,6 +176,7 @@
                 let _ = reply.send(reader_state(replica));
             }
             Input::PlatformAnswered => replica.record_platform_answer(now),
+            Input::PlatformProbed => replica.record_platform_probe(now),
             Input::DrainOrder(order, reply) => {
                 replica.apply_drain_order(&order);
                 let _ = reply.send(replica.drains().clone());
@@ -355,7 +359,7 @@
 fn is_state_update(input: &Input) -> bool {
     match input {
         Input::Message(_, message) => matches!(message, Message::Hello(_) | Message::Digest(_)),
-        Input::PlatformAnswered => true,
+        Input::PlatformAnswered | Input::PlatformProbed => true,
         _ => false,
     }
 }
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -125,6 +125,11 @@
         let _ = self.inputs.send(Input::PlatformAnswered).await;
     }
 
+    /// Records that the platform answered a probe.
+    pub(crate) async fn record_platform_probe(&self) {
+        let _ = self.inputs.send(Input::PlatformProbed).await;
+    }
+
     pub(super) fn set_status(&self, status: PeersStatus) {
         *self.status.lock() = Arc::new(status);
     }
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -19,6 +19,11 @@
 /// Minimum length of the token if the admin interface is reachable from other machines.
 const MIN_TOKEN_BYTES: usize = 16;
 
+/// Range in seconds of the bounds on changes. Readers of the platform are replaced within half of the
+/// bound, which has to be several times the time of an answer.
+const MIN_APPLY_S: f64 = 0.5;
+const MAX_APPLY_S: f64 = 3_600.0;
+
 impl Settings {
     /// Checks the rules that the types of the fields do not enforce.
     pub(super) fn check(&self) -> Result<(), InvalidField> {
@@ -111,6 +116,8 @@
         ensure(limits.body_bytes > 0, "limits.body_bytes", above_zero)?;
         ensure(limits.stop_ms > 0, "limits.stop_ms", above_zero)?;
         ensure(limits.skew_ms > 0, "limits.skew_ms", above_zero)?;
+        check_bound("limits.apply_s", limits.apply_s)?;
+        check_bound("limits.drain_s", limits.drain_s)?;
         let is_positive_rate = limits
             .link_mbps
             .is_none_or(|rate| rate.is_finite() && rate > 0.0);
@@ -139,6 +146,13 @@
     }
 }
 
+fn check_bound(field: &'static str, bound: Option<f64>) -> Result<(), InvalidField> {
+    let range = MIN_APPLY_S..=MAX_APPLY_S;
+    let is_valid = bound.is_none_or(|seconds| range.contains(&seconds));
+    let reason = format!("must be {MIN_APPLY_S} to {MAX_APPLY_S} seconds");
+    ensure(is_valid, field, reason)
+}
+
 fn check_targets(
     field: &'static str,
     targets: &[SocketAddr],
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -1,6 +1,9 @@
 //! Limits of a node.
 
+use std::time::Duration;
+
 use serde::Deserialize;
+use wagtaillever_coordination::ApplyTiming;
 
 /// Limits of a node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -13,6 +16,11 @@
     /// Time in milliseconds for which a stopping node still accepts calls while callers are
     /// notified of the stop. By default, it refuses calls immediately.
     pub notice_ms: u64,
+    /// Time in seconds within which a change must be in force on each node that can reach the
+    /// platform; 8 s by default.
+    pub apply_s: Option<f64>,
+    /// Time in seconds within which an upstream that leaves must get no new work, if it is shorter.
+    pub drain_s: Option<f64>,
     /// Maximum difference in milliseconds between the clocks of callers and nodes.
     pub skew_ms: u64,
     /// Bandwidth of the VM's link in megabits per second, if known. Large answers are then queued
@@ -23,9 +31,18 @@
     pub cold_overage: f64,
 }
 
+/// Bound on changes if the settings have none: the stated target.
+const DEFAULT_APPLY_S: f64 = 8.0;
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 impl Limits {
+    /// Returns the times of readers that follow from the shortest bound on changes.
+    pub(crate) fn timing(&self) -> ApplyTiming {
+        let apply_s = self.apply_s.unwrap_or(DEFAULT_APPLY_S);
+        let bound = self.drain_s.map_or(apply_s, |drain_s| drain_s.min(apply_s));
+        ApplyTiming::new(Duration::from_secs_f64(bound))
+    }
+
     /// Returns the bandwidth of the VM's link in bytes per second, if known.
     pub(crate) fn link_rate(&self) -> Option<u64> {
         let rate = self.link_mbps? * BYTES_PER_MEGABIT;
@@ -49,6 +66,8 @@
             body_bytes: 32 << 20,
             stop_ms: 30_000,
             notice_ms: 0,
+            apply_s: None,
+            drain_s: None,
             skew_ms: 2_000,
             link_mbps: None,
             cold_overage: 1.0,
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -220,6 +220,29 @@
     assert_eq!(settings.limits.link_rate(), None);
 }
 
+#[test]
+fn the_shorter_bound_sets_how_long_a_watch_waits() {
+    let wait = |limits: &str| {
+        let text = format!("{VALID}limits: {limits}\n");
+        let settings = Case { text }.parse_valid();
+        settings.limits.timing().watch_wait().as_millis()
+    };
+    assert_eq!(wait("{apply_s: 2}"), 600);
+    assert_eq!(wait("{apply_s: 3, drain_s: 2.5}"), 750);
+    assert_eq!(wait("{apply_s: 2, drain_s: 3}"), 600);
+    assert_eq!(wait("{apply_s: , drain_s: }"), 2_000);
+    assert_eq!(wait("{}"), 2_000);
+}
+
+#[test]
+fn bounds_on_changes_must_be_possible() {
+    for (field, value) in [("apply_s", "0"), ("apply_s", ".nan"), ("drain_s", "-1")] {
+        let text = format!("{VALID}limits:\n  {field}: {value}\n");
+        let reason = format!("limits.{field}: must be 0.5 to 3600 seconds");
+        Case { text }.assert_refused("10", &reason);
+    }
+}
+
 #[test]
 fn cold_overage_must_not_lower_the_stated_rate() {
     let text = format!("{VALID}limits:\n  cold_overage: 0.9\n");
@@ -249,6 +272,8 @@
         ("bounds.budget_window_s", "10"),
         ("limits.link_mbps", "28.0"),
         ("bounds.cold_overage", "1.5"),
+        ("bounds.config_apply_s", "2"),
+        ("bounds.drain_s", "2"),
     ];
     for (field, value) in fields {
         text = text.replace(&format!("{{{{{field}}}}}"), value);
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -36,10 +36,11 @@
         Box::pin(async move {
             let peers: PeersHandle = context.registry().find("peers")?;
             let settings = context.settings();
+            let timing = settings.limits.timing();
             let reader = match settings.protocol {
                 Protocol::Notes => {
                     let client = PlatformClient::new(settings.address, settings.platform.clone());
-                    Reader::new(client, peers).run().boxed_local()
+                    Reader::new(client, peers, timing).run().boxed_local()
                 }
                 Protocol::Store => {
                     let view = context.view().clone();
@@ -50,7 +51,9 @@
                     );
                     let check = RegistrationCheck::new(store.clone());
                     context.registry().publish("registrations", check);
-                    StoreReader::new(store, peers, view).run().boxed_local()
+                    StoreReader::new(store, peers, view, timing)
+                        .run()
+                        .boxed_local()
                 }
             };
             let token = context.shutdown_token();
--- a/crates/node/src/source/client.rs
+++ b/crates/node/src/source/client.rs
@@ -15,10 +15,6 @@
 
 /// Timeout of a read.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time for which the platform holds a watch open while there is no change.
-pub(super) const WATCH_WAIT_MS: u64 = 2_000;
-/// Timeout of a watch.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer body.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Delay after a refusal that states none.
@@ -105,16 +101,18 @@
         Ok((Some(value), store_revision))
     }
 
-    /// Waits for changes after a revision.
+    /// Waits for changes after a revision, at most for `wait`.
     ///
     /// # Errors
     ///
     /// Returns an error if the platform does not answer, refuses the request or answers with an
     /// error.
-    pub(super) async fn watch(&self, after: u64) -> Result<Changes, SourceError> {
+    pub(super) async fn watch(&self, after: u64, wait: Duration) -> Result<Changes, SourceError> {
         let address = self.address()?;
-        let url = format!("http://{address}/v1/watch?after={after}&wait_ms={WATCH_WAIT_MS}");
-        let answer = self.client.get(url).timeout(WATCH_TIMEOUT).send().await;
+        let wait_ms = wait.as_millis();
+        let url = format!("http://{address}/v1/watch?after={after}&wait_ms={wait_ms}");
+        let timeout = wait + READ_TIMEOUT;
+        let answer = self.client.get(url).timeout(timeout).send().await;
         let mut answer = check_status(answer)?;
         let body = answer.body().limit(MAX_ANSWER_BYTES).await;
         let body = body.map_err(|err| unavailable(&err))?;
--- a/crates/node/src/source/reader.rs
+++ b/crates/node/src/source/reader.rs
@@ -4,13 +4,16 @@
 
 use log::{debug, warn};
 use rand::{SeedableRng, rngs::SmallRng};
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 use wagtaillever_coordination::{
-    Backoff, Base, BaseIndex, Config, PlatformMode, PlatformValue, ReadBudget,
+    ApplyTiming, Backoff, Base, BaseIndex, Config, PlatformMode, PlatformValue, ReadBudget,
 };
 
 use super::{
-    client::{Change, PlatformClient, Value, WATCH_WAIT_MS},
+    client::{Change, PlatformClient, Value},
     error::SourceError,
     value::{bad_value, parse_value},
 };
@@ -35,11 +38,12 @@
     rng: SmallRng,
     failures: u32,
     highest_revision: u64,
+    timing: ApplyTiming,
 }
 
 impl Reader {
     /// Returns a reader that passes values to the peers service.
-    pub(super) fn new(client: PlatformClient, peers: PeersHandle) -> Self {
+    pub(super) fn new(client: PlatformClient, peers: PeersHandle, timing: ApplyTiming) -> Self {
         Self {
             mode: peers.mode(),
             client,
@@ -48,6 +52,7 @@
             rng: SmallRng::from_os_rng(),
             failures: 0,
             highest_revision: 0,
+            timing,
         }
     }
 
@@ -67,6 +72,7 @@
                 }
                 PlatformMode::Vms => self.read_vm_list().await,
                 PlatformMode::Watch => self.watch().await,
+                PlatformMode::Probe => self.probe().await,
             };
             if let Err(err) = result {
                 self.back_off(&err).await;
@@ -90,6 +96,25 @@
         }
     }
 
+    /// Probes whether the platform answers this node, then waits until the next probe is due.
+    async fn probe(&mut self) -> Result<(), SourceError> {
+        let started = Instant::now();
+        match timeout(self.timing.probe_timeout(), self.get("vms")).await {
+            Ok(Ok(_)) => self.peers.record_platform_probe().await,
+            Ok(Err(err)) => return Err(err),
+            Err(_) => debug!("the platform did not answer a probe"),
+        }
+        let wait = self
+            .timing
+            .probe_interval()
+            .saturating_sub(started.elapsed());
+        tokio::select! {
+            () = sleep(wait) => {}
+            _ = self.mode.changed() => self.mode.mark_unchanged(),
+        }
+        Ok(())
+    }
+
     async fn read_vm_list(&mut self) -> Result<(), SourceError> {
         let (value, _) = self.get("vms").await?;
         self.apply_vm_list(value).await?;
@@ -114,9 +139,9 @@
         self.peers.record_platform_answer().await;
         let mut stale_answers = 0;
         while *self.mode.borrow() == PlatformMode::Watch {
-            let reads = 1.0 + Duration::from_millis(WATCH_WAIT_MS).as_secs_f64();
-            self.acquire_reads(reads).await;
-            let changes = self.client.watch(after).await?;
+            let wait = self.timing.watch_wait();
+            self.acquire_reads(1.0 + wait.as_secs_f64()).await;
+            let changes = self.client.watch(after, wait).await?;
             if changes.revision < after {
                 stale_answers += 1;
                 if stale_answers >= MAX_STALE_ANSWERS {
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -3,12 +3,15 @@
 
 use std::time::{Duration, Instant};
 
-use log::{info, warn};
-use rand::{SeedableRng, rngs::SmallRng};
-use tokio::{sync::watch, time::sleep};
+use log::{debug, info, warn};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 use wagtaillever_coordination::{
-    Backoff, ConfigStore, PlatformMode, PlatformValue, Registrations, StoreChange, StoreChanges,
-    StoreFailure, StoreState, UnusableValue, era_of, watch_pause,
+    ApplyTiming, Backoff, ConfigStore, PlatformMode, PlatformValue, Registrations, StoreChange,
+    StoreChanges, StoreFailure, StoreState, UnusableValue, era_of, watch_pause,
 };
 
 use crate::{peers::PeersHandle, view::ViewCell};
@@ -19,10 +22,6 @@
     first: Duration::from_millis(100),
     limit: Duration::from_millis(800),
 };
-/// Maximum time for which a watch waits for changes. Including the time for its answer, it is well
-/// below the 6 s for which an answer of the platform counts as fresh, so that a watch without an
-/// answer is detected in time.
-const MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Interval between reads of the registrations by a node that knows no other node yet: a third of
 /// the interval at which upstreams renew theirs.
 const LIST_INTERVAL: Duration = Duration::from_millis(500);
@@ -38,11 +37,12 @@
     failures: u32,
     /// Time at which the store last answered this node.
     answered_at: Option<Instant>,
+    timing: ApplyTiming,
 }
 
 impl<S: ConfigStore> StoreReader<S> {
     /// Returns a reader that passes values to the peers service.
-    pub(super) fn new(store: S, peers: PeersHandle, view: ViewCell) -> Self {
+    pub(super) fn new(store: S, peers: PeersHandle, view: ViewCell, timing: ApplyTiming) -> Self {
         Self {
             store,
             mode: peers.mode(),
@@ -52,6 +52,7 @@
             rng: SmallRng::from_os_rng(),
             failures: 0,
             answered_at: None,
+            timing,
         }
     }
 
@@ -68,6 +69,10 @@
                 }
                 PlatformMode::Vms => self.read_registrations_only().await,
                 PlatformMode::Watch => self.read_and_watch().await,
+                PlatformMode::Probe => {
+                    self.probe().await;
+                    continue;
+                }
             };
             match result {
                 Ok(()) => self.record_success(),
@@ -106,6 +111,29 @@
         }
     }
 
+    /// Probes whether the store answers this node, then waits until the next probe is due.
+    async fn probe(&mut self) {
+        let started = Instant::now();
+        let answer = timeout(self.timing.probe_timeout(), self.store.probe()).await;
+        let result = match &answer {
+            Ok(Ok(())) => "answered",
+            Ok(Err(_)) => "failed",
+            Err(_) => "timed-out",
+        };
+        metrics::counter!("platform_probes_total", "result" => result).increment(1);
+        match answer {
+            Ok(Ok(())) => self.peers.record_platform_probe().await,
+            Ok(Err(err)) => debug!("probe of the store failed: {err}"),
+            Err(_) => debug!("the store did not answer a probe"),
+        }
+        let interval = self.timing.probe_interval();
+        let wait = interval.mul_f64(self.rng.random_range(0.8..1.0));
+        tokio::select! {
+            () = sleep(wait.saturating_sub(started.elapsed())) => {}
+            _ = self.mode.changed() => self.mode.mark_unchanged(),
+        }
+    }
+
     /// Reads only the registrations, which list the other nodes.
     async fn read_registrations_only(&mut self) -> Result<(), S::Error> {
         let asked_at = Instant::now();
@@ -165,10 +193,10 @@
         let held = self.registrations.hold_until();
         let ends = held.into_iter().chain(self.registrations.restored_until());
         let Some(until) = ends.min() else {
-            return MAX_WATCH_WAIT;
+            return self.timing.watch_wait();
         };
         let left = until.saturating_duration_since(Instant::now());
-        left.clamp(Duration::from_millis(1), MAX_WATCH_WAIT)
+        left.clamp(Duration::from_millis(1), self.timing.watch_wait())
     }
 
     async fn apply_state(&mut self, mut state: StoreState, asked_at: Instant) {
