Repair lost drain orders within the bound on changes

Cause: all orders are sent again on a link only 2 s after they were last sent, even if there are newer ones, which is as long as the bound itself.

In the simulation the orders of a new link overtake its hello and are dropped.

Change: orders that differ from those last sent are sent at once, the same ones again after a quarter of the bound.

--- a/crates/coordination/src/replica/link.rs
+++ b/crates/coordination/src/replica/link.rs
@@ -33,8 +33,8 @@
     pub(super) last_push: Option<Instant>,
     /// When the list of VMs was last sent.
     pub(super) vms_sent: Option<Instant>,
-    /// When all drain orders were last sent.
-    pub(super) drains_sent: Option<Instant>,
+    /// When all drain orders were last sent, and their hash.
+    pub(super) drains_sent: Option<(Instant, u64)>,
     /// When the next pull of missing notes is due.
     pub(super) pull_due: Option<Instant>,
     /// When the next digest is due.
--- a/crates/coordination/src/replica/propagation.rs
+++ b/crates/coordination/src/replica/propagation.rs
@@ -240,13 +240,17 @@
         own: Versions,
         now: Instant,
     ) {
+        let resend = self.policy.timing.pull_timeout();
         let Some(link) = self.links.get_mut(&id) else {
             return;
         };
-        if theirs.drains == own.drains || !may_resend(link.drains_sent, now) {
+        let is_sent = link.drains_sent.is_some_and(|(at, sent)| {
+            sent == own.drains && now.saturating_duration_since(at) < resend
+        });
+        if theirs.drains == own.drains || is_sent {
             return;
         }
-        link.drains_sent = Some(now);
+        link.drains_sent = Some((now, own.drains));
         let orders: Vec<_> = self.drains.iter().collect();
         if !orders.is_empty() {
             self.send(id, Message::Drains(orders));
