Announce lists of VMs to neighbours that take no pushes

Callers saw nothing yet; an upstream that leaves could get new work, and a new one none, from nodes behind a relay that the platform does not answer.

Cause: lists of VMs were pushed on request only, and a reader requests no pushes. A relay that had just lost the platform got the next list with a digest, up to a second later, and at most one each 2 s.

Change: other neighbours are told the number. A node that is still behind after a tenth of the bound, in which a reader gets the list itself, asks for it; a newer list is not held back by the time since the last one.

--- a/crates/coordination/src/apply_timing.rs
+++ b/crates/coordination/src/apply_timing.rs
@@ -82,4 +82,10 @@
     pub(crate) fn pull_timeout(self) -> Duration {
         self.bound.mul_f64(0.25)
     }
+
+    /// Returns the time that a reader allows its own watch to show a list of VMs that a neighbour
+    /// has announced.
+    pub(crate) fn list_delay(self) -> Duration {
+        self.bound.mul_f64(0.1)
+    }
 }
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -78,6 +78,8 @@
     join_wait: Option<JoinWait>,
     is_serving: bool,
     pull_deadline: Option<Instant>,
+    /// Time at which a newer list of VMs is requested, and from which neighbour.
+    list_pull: Option<(Instant, LinkId)>,
     unsent_reports: BTreeSet<(DomainName, VmName)>,
     root_report: summary::RootReport,
     fleet_due: Instant,
@@ -121,6 +123,7 @@
             join_wait: Some(JoinWait::Alone),
             is_serving: false,
             pull_deadline: None,
+            list_pull: None,
             unsent_reports: BTreeSet::new(),
             fleet_due: now,
             children_due: now + Duration::from_secs(2),
@@ -240,6 +243,7 @@
         self.try_join(now);
         self.send_digests(now, rng);
         self.send_pulls(now);
+        self.send_list_pull(now);
         self.send_fleet(now);
         self.reports.expire(now);
         self.fleet.expire(now);
--- a/crates/coordination/src/replica/link.rs
+++ b/crates/coordination/src/replica/link.rs
@@ -31,8 +31,8 @@
     pub(super) sent: Sequence,
     /// When notes or a snapshot were last sent.
     pub(super) last_push: Option<Instant>,
-    /// When the list of VMs was last sent.
-    pub(super) vms_sent: Option<Instant>,
+    /// When the list of VMs was last sent, and its number.
+    pub(super) vms_sent: Option<(Instant, u64)>,
     /// When all drain orders were last sent, and their hash.
     pub(super) drains_sent: Option<(Instant, u64)>,
     /// When the next pull of missing notes is due.
--- a/crates/coordination/src/replica/propagation.rs
+++ b/crates/coordination/src/replica/propagation.rs
@@ -40,7 +40,7 @@
     #[must_use]
     pub fn next_tick_delay(&self, now: Instant) -> Duration {
         let pulls = self.links.values().filter_map(|link| link.pull_due);
-        let others = self.platform_due().into_iter();
+        let others = self.platform_due().into_iter().chain(self.list_due());
         let next = pulls.chain(others).filter(|due| *due > now).min();
         let next = next.map(|due| due.saturating_duration_since(now));
         next.unwrap_or(MAX_TICK_INTERVAL)
@@ -205,19 +205,53 @@
     pub(super) fn propagate_vms(&mut self, from: Option<LinkId>, now: Instant) {
         let number = self.vms.number;
         let behind = self.links.iter().filter(|(id, link)| {
-            let theirs = link.versions().vms;
-            let is_due = !self.policy.digest || self.wants_push(**id);
-            Some(**id) != from && link.peer.is_some() && theirs < number && is_due
+            Some(**id) != from && link.peer.is_some() && link.versions().vms < number
         });
         let behind: Vec<_> = behind.map(|(id, _)| *id).collect();
         for id in behind {
-            self.send_vms(id, now);
+            if !self.policy.digest || self.wants_push(id) {
+                self.send_vms(id, now);
+            } else {
+                let versions = self.versions();
+                self.send(id, Message::Announce(versions));
+            }
+        }
+    }
+
+    /// Schedules a request for a newer list of VMs that a neighbour has. A reader of the platform
+    /// normally gets the list from there before the request is due.
+    pub(super) fn schedule_list_pull(&mut self, id: LinkId, now: Instant) {
+        let due = now + self.policy.timing.list_delay();
+        self.list_pull.get_or_insert((due, id));
+    }
+
+    fn list_due(&self) -> Option<Instant> {
+        self.list_pull.map(|(due, _)| due)
+    }
+
+    /// Requests a newer list of VMs by asking the neighbour that has it for pushes.
+    pub(super) fn send_list_pull(&mut self, now: Instant) {
+        let Some((due, id)) = self.list_pull else {
+            return;
+        };
+        let is_behind = |link: &Link| link.versions().vms > self.vms.number;
+        if !self.links.get(&id).is_some_and(is_behind) {
+            self.list_pull = None;
+            return;
+        }
+        if due > now {
+            return;
+        }
+        self.list_pull = None;
+        if let Some(link) = self.links.get_mut(&id) {
+            link.push_requested = true;
         }
+        self.send_digest(id, now);
     }
 
     fn send_vms(&mut self, id: LinkId, now: Instant) {
         if let Some(link) = self.links.get_mut(&id) {
-            link.vms_sent = Some(now);
+            link.vms_sent = Some((now, self.vms.number));
         }
         self.send(id, Message::Vms(Arc::clone(&self.vms)));
     }
@@ -226,7 +260,10 @@
         let is_push_wanted = self.wants_push(id);
         let is_due = self.links.get(&id).is_some_and(|link| {
             let age = now.saturating_duration_since(link.opened);
-            may_resend(link.vms_sent, now) && (is_push_wanted || age >= VMS_SEND_DELAY)
+            let is_newer = link.vms_sent.is_none_or(|(_, sent)| sent < own.vms);
+            let may_resend = may_resend(link.vms_sent.map(|(at, _)| at), now);
+            let may_send = is_newer && is_push_wanted;
+            may_send || (may_resend && (is_push_wanted || age >= VMS_SEND_DELAY))
         });
         if theirs.vms < own.vms && is_due {
             self.send_vms(id, now);
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -153,6 +153,9 @@
         }
         self.repair_notes(id, theirs, now);
         self.repair_vms(id, theirs, own, now);
+        if theirs.vms > own.vms {
+            self.schedule_list_pull(id, now);
+        }
         self.repair_drains(id, theirs, own, now);
     }
 
@@ -200,6 +203,9 @@
         if theirs.sequence > self.fold.sequence() {
             self.schedule_pull(id, now);
         }
+        if theirs.vms > self.vms.number {
+            self.schedule_list_pull(id, now);
+        }
     }
 
     fn receive_notes(&mut self, id: LinkId, notes: Vec<(Sequence, Arc<[u8]>)>, now: Instant) {
