Ask upstreams whether they are cold while no reader gets answers

Callers saw: an upstream that had turned cold got 54 and 49 requests in a second, 44 allowed (FAILBACK), and one fell over.

Cause: that an upstream turns cold without a restart reaches the node beside it by way of readers of the platform only, like configurations and orders. Here none of the running nodes could reach the platform for seven seconds, so replacing readers does not help.

Change: after 0.75 of the bound on changes without an answer to any reader the sidecar sends its upstream a health check each 300 ms, whose answer states the cold time. It stops with the first answer of the platform.

--- a/crates/coordination/src/apply_timing.rs
+++ b/crates/coordination/src/apply_timing.rs
@@ -60,6 +60,13 @@
         self.bound.mul_f64(0.04) * wave
     }
 
+    /// Returns whether the platform may know newer states of upstreams than this node, given the age
+    /// of its last answer to a reachable reader.
+    #[must_use]
+    pub fn is_outdated(self, age: Option<Duration>) -> bool {
+        age.is_none_or(|age| age >= self.first_answer())
+    }
+
     /// Returns the time between two probes of a node.
     #[must_use]
     pub fn probe_interval(self) -> Duration {
--- a/crates/coordination/src/apply_timing/tests.rs
+++ b/crates/coordination/src/apply_timing/tests.rs
@@ -25,6 +25,16 @@
     }
 }
 
+#[test]
+fn states_of_upstreams_are_outdated_only_after_other_nodes_could_read() {
+    let timing = ApplyTiming::new(Duration::from_secs(2));
+    assert!(timing.is_outdated(None));
+    assert!(timing.is_outdated(Some(Duration::from_millis(1_500))));
+    assert!(!timing.is_outdated(Some(timing.fresh_age())));
+    let waves = timing.fresh_age() + timing.probe_delay(100_000);
+    assert!(!timing.is_outdated(Some(waves)));
+}
+
 #[test]
 fn each_wave_has_at_most_twice_as_many_nodes_as_all_before() {
     let timing = ApplyTiming::new(Duration::from_secs(2));
--- a/crates/node/src/peers/handle.rs
+++ b/crates/node/src/peers/handle.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Returns a handle without a replica, to which the platform has never answered.
+    #[cfg(test)]
+    pub(crate) fn detached() -> Self {
+        Self::new(mpsc::channel(1).0)
+    }
+
     /// Returns the status of the exchange with other nodes.
     pub(crate) fn status(&self) -> Arc<PeersStatus> {
         Arc::clone(&self.status.lock())
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -55,6 +55,9 @@
 /// the time for which a VM must reach the platform to count as connected by the users'
 /// documentation.
 const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between health checks while no reader of the platform gets answers. A cold upstream may
+/// get the load of a warm one for that long.
+const OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between checks for queued requests that are due and for crashes to report.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -73,6 +76,7 @@
             actix_rt::spawn(run_maintenance(Rc::clone(&shared)));
             if let Ok(peers) = context.registry().find::<PeersHandle>("peers") {
                 actix_rt::spawn(receive_reports(Rc::clone(&shared), peers.reports()));
+                actix_rt::spawn(poll_health(Rc::clone(&shared), peers));
             }
             if let Ok(check) = context
                 .registry()
@@ -134,6 +138,27 @@
     }
 }
 
+/// Checks whether the upstreams of this VM are cold while no reader of the platform gets answers,
+/// which normally tell it.
+async fn poll_health(shared: Rc<Shared>, peers: PeersHandle) {
+    let token = shared.context().shutdown_token();
+    let timing = shared.context().settings().limits.timing();
+    let poll = async {
+        loop {
+            sleep(OUTAGE_CHECK_INTERVAL).await;
+            let age = peers.status().platform_age_ms.map(Duration::from_millis);
+            if timing.is_outdated(age) {
+                let upstreams = shared.upstreams().all();
+                upstreams.iter().for_each(health::start_check);
+            }
+        }
+    };
+    tokio::select! {
+        () = token.cancelled() => {}
+        () = poll => {}
+    }
+}
+
 /// Merges the reports of other nodes until the node stops.
 async fn receive_reports(shared: Rc<Shared>, mut reports: broadcast::Receiver<SoftReport>) {
     let token = shared.context().shutdown_token();
--- a/crates/node/src/sidecar/health.rs
+++ b/crates/node/src/sidecar/health.rs
@@ -37,8 +37,10 @@
         for _ in 0..MAX_CHECKS {
             sleep(upstream.health_check_delay()).await;
             if let Some(cold) = remaining_cold_time(&upstream, &path).await {
-                let name = upstream.spec().name.clone();
-                info!(upstream:% = name, cold_ms = cold.as_millis() as u64; "upstream reported its remaining cold time");
+                if upstream.is_cold() || !cold.is_zero() {
+                    let name = upstream.spec().name.clone();
+                    info!(upstream:% = name, cold_ms = cold.as_millis() as u64; "upstream reported its remaining cold time");
+                }
                 upstream.set_cold_for(cold);
                 break;
             }
--- a/crates/node/src/sidecar/tests/fixture.rs
+++ b/crates/node/src/sidecar/tests/fixture.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     kernel::{Context, Service},
+    peers::PeersHandle,
     settings::Settings,
     sidecar::Sidecar,
     transport::{Connection, FrameReader, FrameWriter, Transport, connect},
@@ -49,7 +50,20 @@
 
     /// Starts the sidecar of a VM with extra settings and a configuration.
     pub(super) async fn for_vm(vm: &str, extra_settings: &str, config: Arc<Config>) -> Self {
+        Self::with_peers(vm, extra_settings, config, None).await
+    }
+
+    /// Starts the sidecar of a VM, with a handle of the exchange with other nodes.
+    pub(super) async fn with_peers(
+        vm: &str,
+        extra_settings: &str,
+        config: Arc<Config>,
+        peers: Option<PeersHandle>,
+    ) -> Self {
         let (context, transport) = start_transport(vm, extra_settings).await;
+        if let Some(peers) = peers {
+            context.registry().publish("peers", peers);
+        }
         let mut sidecar = Sidecar::default();
         sidecar.start(&context).await.unwrap();
         context.view().set_config(config);
--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -7,6 +7,7 @@
 
 use super::fixture::{Fixture, Reply, config_of, get, raw_upstream};
 use crate::{
+    peers::PeersHandle,
     view::Phase,
     wire::{Outcome, Refusal, RefusalReason},
 };
@@ -30,9 +31,19 @@
 
     /// Starts a sidecar in front of the upstream of a service at an address.
     pub(super) async fn for_address(address: SocketAddr, service: Service) -> Self {
+        Self::with_peers(address, service, None).await
+    }
+
+    /// Starts a sidecar in front of the upstream of a service while the platform answers no reader.
+    pub(super) async fn with_silent_platform(address: SocketAddr, service: Service) -> Self {
+        Self::with_peers(address, service, Some(PeersHandle::detached())).await
+    }
+
+    async fn with_peers(address: SocketAddr, service: Service, peers: Option<PeersHandle>) -> Self {
         let mut config = Config::clone(&config_of(1, 4, &[]));
         config.services.insert("s".into(), Arc::new(service));
-        let fixture = Fixture::for_vm("vm-1", "protocol: store\n", Arc::new(config)).await;
+        let config = Arc::new(config);
+        let fixture = Fixture::with_peers("vm-1", "protocol: store\n", config, peers).await;
         let mut listed = Self {
             fixture,
             address,
--- a/crates/node/src/sidecar/tests/stated.rs
+++ b/crates/node/src/sidecar/tests/stated.rs
@@ -27,6 +27,8 @@
 #[derive(Default)]
 struct State {
     headers: Vec<(&'static str, &'static str)>,
+    /// Further headers of the answers to health checks.
+    health: Vec<(&'static str, &'static str)>,
     status: u16,
     /// Arrival of each request other than health checks.
     arrivals: Vec<Instant>,
@@ -69,7 +71,8 @@
             status => status,
         };
         let mut answer = HttpResponse::build(status.try_into().unwrap());
-        for &header in &state.headers {
+        let health = state.health.iter().filter(|_| request.path() == "/health");
+        for &header in state.headers.iter().chain(health) {
             answer.insert_header(header);
         }
         answer.body("hello")
@@ -80,6 +83,11 @@
         self.state.lock().unwrap().headers = headers.to_vec();
     }
 
+    /// Changes the further headers of the answers to health checks from now on.
+    fn state_in_health(&self, headers: &[(&'static str, &'static str)]) {
+        self.state.lock().unwrap().health = headers.to_vec();
+    }
+
     fn fail(&self, status: u16) {
         self.state.lock().unwrap().status = status;
     }
@@ -243,6 +251,31 @@
     assert_within(&upstream, told, 2.0);
 }
 
+/// Guards against a cold upstream that is swamped because only the platform tells that it is cold, and
+/// no reader gets answers.
+#[actix_rt::test]
+async fn an_upstream_that_turns_cold_is_limited_while_the_platform_is_silent() {
+    let (upstream, address) = StatingUpstream::start(&[]);
+    let service = Service {
+        health: Some("/health".into()),
+        cold_per_second: Some(5),
+        cold_ms: 0,
+        ..Service::with_name("s".into())
+    };
+    let start = Instant::now();
+    let listed = ListedFixture::with_silent_platform(address, service).await;
+    listed.assert_served().await;
+    while upstream.checks_from(start) == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(100)).await;
+    upstream.state_in_health(&[("cold-ms", "30000")]);
+    sleep(Duration::from_secs(1)).await;
+    let cold = Instant::now();
+    keep_calling(&listed, Duration::from_secs(2)).await;
+    assert_within(&upstream, cold, 5.0);
+}
+
 /// Guards against a cold upstream that is swamped when calls return to it: chaos seed 9101, where an
 /// upstream crashed with seven requests in flight 15 s after it had stated that it is leaving.
 #[actix_rt::test]
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -360,6 +360,11 @@
             && !mutant::is_enabled(Mutant::IgnoreLeaving)
     }
 
+    /// Returns whether the upstream counts as cold.
+    pub(super) fn is_cold(&self) -> bool {
+        self.admission.borrow().is_cold(Instant::now())
+    }
+
     /// Returns the time until the upstream may get a health check.
     pub(super) fn health_check_delay(&self) -> Duration {
         self.admission.borrow().health_check_delay(Instant::now())
