Pass contacts on together with the sequence that their reader knew

A node reported a newer answer of the platform to its neighbours before it had taken over the highest sequence of the digest that brought the answer, so the report could make them fresh without telling them that they are behind. Found by reading; no test shows it, as the announcement follows within milliseconds in the simulation.

--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -130,10 +130,11 @@
     }
 
     fn receive_digest(&mut self, id: LinkId, digest: Digest, now: Instant) {
-        self.record_contacts(id, &digest, now);
         let theirs = digest.have;
         self.compare_config(id, &digest);
+        // A contact is passed on together with the sequence that its reader knew.
         self.raise_highest(theirs.highest.max(theirs.sequence), now);
+        self.record_contacts(id, &digest, now);
         let highest = self.highest;
         let own = self.versions();
         let is_repairing = self.policy.digest;
