--- a/crates/coordination/src/apply_timing.rs
+++ b/crates/coordination/src/apply_timing.rs
@@ -7,6 +7,8 @@
 
 use crate::overlay::RELAYS_PER_DOMAIN;
 
+/// Bound within which a change must be in force if no other one is required: the stated target.
+const DEFAULT_BOUND: Duration = Duration::from_secs(8);
 /// Longest wait of a watch, which the platform's answer may exceed by its own delay.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Highest wave, which nodes at all later positions share.
@@ -30,6 +32,12 @@
         Self { bound }
     }
 
+    /// Returns the bound.
+    #[must_use]
+    pub fn bound(self) -> Duration {
+        self.bound
+    }
+
     /// Returns the maximum time for which a watch waits for a change. Its answers show the other
     /// nodes that the platform is being read.
     #[must_use]
@@ -96,3 +104,9 @@
         self.bound.mul_f64(0.1)
     }
 }
+
+impl Default for ApplyTiming {
+    fn default() -> Self {
+        Self::new(DEFAULT_BOUND)
+    }
+}
--- a/crates/coordination/src/replica/input.rs
+++ b/crates/coordination/src/replica/input.rs
@@ -1,6 +1,6 @@
 //! Inputs of a replica.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
     apply_timing::ApplyTiming,
@@ -11,9 +11,6 @@
     vm::{Incarnation, VmList},
 };
 
-/// Bound within which a change must be in force if no shorter one is required: the stated target.
-const DEFAULT_APPLY_BOUND: Duration = Duration::from_secs(8);
-
 /// Identity of a replica.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -49,7 +46,7 @@
             delta: true,
             digest: true,
             consistent_reads: false,
-            timing: ApplyTiming::new(DEFAULT_APPLY_BOUND),
+            timing: ApplyTiming::default(),
         }
     }
 }
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -31,14 +31,13 @@
     pub cold_overage: f64,
 }
 
-/// Bound on changes if the settings have none: the stated target.
-const DEFAULT_APPLY_S: f64 = 8.0;
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 impl Limits {
     /// Returns the times of readers that follow from the shortest bound on changes.
     pub(crate) fn timing(&self) -> ApplyTiming {
-        let apply_s = self.apply_s.unwrap_or(DEFAULT_APPLY_S);
+        let default = ApplyTiming::default().bound().as_secs_f64();
+        let apply_s = self.apply_s.unwrap_or(default);
         let bound = self.drain_s.map_or(apply_s, |drain_s| drain_s.min(apply_s));
         ApplyTiming::new(Duration::from_secs_f64(bound))
     }
