--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -139,9 +139,11 @@
 
     /// Returns when a node probes the platform, unless a reader reports an answer before.
     fn probe_due(&self, position: usize) -> Option<Instant> {
-        let stale = self.last_answer.map(|at| at + self.timing.fresh_age());
-        let first = self.listed_since? + self.timing.first_answer();
-        let due = stale.map_or(first, |stale| stale.max(self.listed_since.unwrap_or(stale)));
+        let listed = self.listed_since?;
+        let due = match self.last_answer {
+            Some(answered) => listed.max(answered + self.timing.fresh_age()),
+            None => listed + self.timing.first_answer(),
+        };
         Some(due + self.timing.probe_delay(position))
     }
 
