--- a/crates/coordination/tests/replica/apply_bound.rs
+++ b/crates/coordination/tests/replica/apply_bound.rs
@@ -12,12 +12,13 @@
 const APPLY_BOUND_MS: u64 = 2_000;
 /// Time without disruption after which a node has to keep the bound.
 const CALM_MS: u64 = 3_000;
-/// Time between two changes.
+/// Scale of the time between two changes, which is drawn from 0.5 to 6 times it.
 const CHANGE_INTERVAL_MS: u64 = 300;
 /// Time that a read of a platform that does not answer takes.
 const SILENT_READ_MS: u64 = 1_500;
 /// Mean time after which a refused read is repeated.
 const REFUSED_READ_MS: u64 = 500;
+/// Duration of a disruption.
 const TROUBLE_MS: u64 = 8_000;
 /// Number of nodes of a failure domain that share the platform's read rate.
 const MAX_DOMAIN_READERS: usize = 8;
