--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -34,6 +34,7 @@
         "cold-rate" => cold_rate(&record, is_troubled),
         "stop" => stop(&record, is_troubled),
         "foreign" => foreign(&record, is_troubled),
+        "mirror" => mirror(&record, is_troubled),
         "drill" => drill(&record, is_troubled),
         "crashes" => crashes(&record, is_troubled),
         _ => Err(format!("unknown case {name}")),
@@ -285,6 +286,109 @@
     Ok(if most > BOUND { BROKEN } else { HELD })
 }
 
+/// CONFIG: another writer puts entries with missing fields beside those of a service's servers.
+fn mirror(record: &Record, is_troubled: bool) -> Result<i32, String> {
+    let machines = [
+        ("ragusa", "conti"),
+        ("modica", "conti"),
+        ("vittoria", "fatture"),
+        ("ragusa", "fatture"),
+    ];
+    let mut fleet = Fleet::new(&machines, record).ok_or("no free loopback addresses")?;
+    let store = Store::start(fleet.store).map_err(|err| err.to_string())?;
+    let first = Route {
+        name: "emissione",
+        kind: "unsafe",
+        service: "fatture",
+        timeout_s: "1.2",
+        target_s: "0.4",
+    };
+    let later = Route {
+        name: "saldo",
+        kind: "safe",
+        service: "conti",
+        timeout_s: "1",
+        target_s: "0.3",
+    };
+    let services = ["conti", "fatture"];
+    store.put("op/config", &config(7, &[first], &services, COLD));
+    let warm = [
+        "slots=12",
+        "work_ms=90",
+        "heartbeat_ms=1500",
+        "register_ms=0",
+    ];
+    start(&mut fleet, &warm)?;
+    store.put("op/config", &config(9, &[first, later], &services, COLD));
+    record.line("the operator adds the route r-saldo with version 9");
+    sleep_s(4.0);
+    let targets: Vec<_> = fleet.machines.iter().map(|it| it.outbound()).collect();
+    let make = move |number: u64| match number % 3 {
+        0 => request(&first, &number.to_string(), 2500),
+        _ => request(&later, &number.to_string(), 2000),
+    };
+    let traffic = Traffic::start(targets, 90.0, make, record);
+    sleep_s(5.0);
+    if is_troubled {
+        for index in 0..2 {
+            let key = format!("servers/i-000{index}");
+            let entry = store.get(&key).ok_or("a server has no entry")?;
+            let entry = without_fields(&entry, &["version", "cold_remaining_s", "sequence"]);
+            let mirror = format!("servers/mirror-i-000{index}");
+            store.put(&mirror, &entry);
+            record.line(&format!("another writer writes {mirror}: {entry}"));
+        }
+    }
+    sleep_s(5.0);
+    let steady = now_ms();
+    record.line("steady state from here on");
+    sleep_s(20.0);
+    let outcomes = traffic.end();
+    judge_routes(&outcomes, steady, "/emissione/", "/saldo/", record)
+}
+
+/// Returns the text of an entry without some of its fields.
+fn without_fields(entry: &str, names: &[&str]) -> String {
+    let fields = entry.trim_matches(['{', '}']).split(',');
+    let is_kept = |field: &&str| {
+        !names
+            .iter()
+            .any(|name| field.starts_with(&format!("\"{name}\"")))
+    };
+    format!(
+        "{{{}}}",
+        fields.filter(is_kept).collect::<Vec<_>>().join(",")
+    )
+}
+
+/// Compares how often requests on a route that was added later and on a first one were served.
+fn judge_routes(
+    outcomes: &[Outcome],
+    steady: f64,
+    first: &str,
+    later: &str,
+    record: &Record,
+) -> Result<i32, String> {
+    let share = |prefix: &str| {
+        let sent = outcomes.iter();
+        let sent = sent.filter(|it| it.sent_ms > steady && it.path.starts_with(prefix));
+        let (served, not): (Vec<_>, Vec<_>) =
+            sent.partition(|it| it.status == Some(200) && it.has_signature);
+        (served.len(), served.len() + not.len())
+    };
+    let (first, later) = (share(first), share(later));
+    let text = format!(
+        "in steady state, on the route that was added later {} of {} requests were served, on the \
+         first route {} of {}",
+        later.0, later.1, first.0, first.1
+    );
+    record.line(&text);
+    println!("{text}");
+    let ratio = |(served, all): (usize, usize)| served as f64 / all.max(1) as f64;
+    let is_broken = later.1 >= 20 && ratio(later) < 0.25 * ratio(first);
+    Ok(if is_broken { BROKEN } else { HELD })
+}
+
 /// CONFIG: the servers of a service crash together while they run the same reading request.
 fn crashes(record: &Record, is_troubled: bool) -> Result<i32, String> {
     const PER_S: f64 = 180.0;
@@ -352,24 +456,7 @@
     record.line("steady state from here on");
     sleep_s(30.0);
     let outcomes = traffic.end();
-    let share = |prefix: &str| {
-        let sent = outcomes.iter();
-        let sent = sent.filter(|it| it.sent_ms > steady && it.path.starts_with(prefix));
-        let (served, not): (Vec<_>, Vec<_>) =
-            sent.partition(|it| it.status == Some(200) && it.has_signature);
-        (served.len(), served.len() + not.len())
-    };
-    let (first, later) = (share("/emissione/"), share("/listino/"));
-    let text = format!(
-        "in steady state, on the route that was added later {} of {} requests were served, on the \
-         first route {} of {}",
-        later.0, later.1, first.0, first.1
-    );
-    record.line(&text);
-    println!("{text}");
-    let ratio = |(served, all): (usize, usize)| served as f64 / all.max(1) as f64;
-    let is_broken = later.1 >= 20 && ratio(later) < 0.25 * ratio(first);
-    Ok(if is_broken { BROKEN } else { HELD })
+    judge_routes(&outcomes, steady, "/emissione/", "/listino/", record)
 }
 
 /// DRAIN: a server leaves without a word, and the store comes back from a copy that still has it.
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -20,6 +20,7 @@
 
 #[derive(Clone)]
 struct Item {
+    text: String,
     value: String,
     revision: u64,
     create_rev: u64,
@@ -74,6 +75,7 @@
         let revision = state.revision;
         let create_rev = state.items.get(key).map_or(revision, |it| it.create_rev);
         let item = Item {
+            text: value.into(),
             value: base64(value.as_bytes()),
             revision,
             create_rev,
@@ -84,6 +86,12 @@
         self.changed.notify_all();
     }
 
+    /// Returns what a key holds.
+    pub fn get(&self, key: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        state.items.get(key).map(|item| item.text.clone())
+    }
+
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         let mut state = self.state.lock().unwrap();
