Show that bytes past the length of an answer reach another caller as a success

Seen: an upstream sends further bytes some milliseconds after a complete answer. Where they look like an HTTP answer, the next caller whose request uses the connection gets them with status 200, without the upstream's signature.

Cause: an answer without the call's ID is taken for the answer to the call, and nothing asks for the signature before a success is passed on.

--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -35,6 +35,7 @@
         "stop" => stop(&record, is_troubled),
         "foreign" => foreign(&record, is_troubled),
         "mirror" => mirror(&record, is_troubled),
+        "past-length" => past_length(&record, is_troubled),
         "drill" => drill(&record, is_troubled),
         "crashes" => crashes(&record, is_troubled),
         _ => Err(format!("unknown case {name}")),
@@ -286,6 +287,101 @@
     Ok(if most > BOUND { BROKEN } else { HELD })
 }
 
+/// MIXED: additional bytes follow a complete answer of a server, late.
+fn past_length(record: &Record, is_troubled: bool) -> Result<i32, String> {
+    const CLIENTS: usize = 40;
+    const SECONDS: f64 = 20.0;
+    let machines = [
+        ("ragusa", "ricevute"),
+        ("modica", "ricevute"),
+        ("vittoria", "conti"),
+    ];
+    let mut fleet = Fleet::new(&machines, record).ok_or("no free loopback addresses")?;
+    let store = Store::start(fleet.store).map_err(|err| err.to_string())?;
+    let route = Route {
+        name: "archivio",
+        kind: "download",
+        service: "ricevute",
+        timeout_s: "1",
+        target_s: "0.3",
+    };
+    store.put(
+        "op/config",
+        &config(7, &[route], &["conti", "ricevute"], COLD),
+    );
+    let sound = [
+        "slots=12",
+        "work_ms=72",
+        "heartbeat_ms=1500",
+        "register_ms=0",
+    ];
+    start(&mut fleet, &sound)?;
+    if is_troubled {
+        fleet.kill_server(0);
+        sleep_s(1.0);
+        let garbling = [&sound[..], &["garble=0.03"]].concat();
+        fleet.start_server(0, "i-1000", &garbling)?;
+        record.line("server i-1000 sends additional bytes after 3 in 100 of its answers");
+        sleep_s(5.0);
+    }
+    let is_ended = Arc::new(AtomicBool::new(false));
+    let outcomes = Arc::new(Mutex::new(Vec::new()));
+    let clients = (0..CLIENTS).map(|client| {
+        let target = fleet.machines[client % fleet.machines.len()].outbound();
+        let (ended, kept, record) = (Arc::clone(&is_ended), Arc::clone(&outcomes), record.clone());
+        thread::spawn(move || {
+            for number in 0u64.. {
+                if ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                let request = request(&route, &format!("{client}-{number}"), 2000);
+                if let Some(outcome) = client::send(target, &request, &record) {
+                    kept.lock().unwrap().push(outcome);
+                }
+            }
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    sleep_s(SECONDS);
+    is_ended.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let additional = fleet.server_events(0).into_iter();
+    let additional = additional
+        .filter(|(_, event, _)| event == "additional")
+        .count();
+    let outcomes = outcomes.lock().unwrap();
+    let mut mixed = 0;
+    for outcome in outcomes
+        .iter()
+        .filter(|outcome| outcome.status == Some(200))
+    {
+        let own = format!("answer to {}", outcome.id);
+        if outcome.has_signature && outcome.body == own.as_bytes() {
+            continue;
+        }
+        mixed += 1;
+        record.line_at(
+            outcome.ended_ms,
+            &format!(
+                "the client of {} gets 200, signed: {}, with the body {:?}",
+                outcome.id,
+                outcome.has_signature,
+                String::from_utf8_lossy(&outcome.body)
+            ),
+        );
+    }
+    let text = format!(
+        "{mixed} of {} requests got a success that is not the server's answer; additional bytes \
+         followed {additional} answers",
+        outcomes.len()
+    );
+    record.line(&text);
+    println!("{text}");
+    Ok(if mixed > 0 { BROKEN } else { HELD })
+}
+
 /// CONFIG: another writer puts entries with missing fields beside those of a service's servers.
 fn mirror(record: &Record, is_troubled: bool) -> Result<i32, String> {
     let machines = [
@@ -466,30 +562,30 @@
     // Three heartbeat intervals.
     const LAPSE_S: f64 = 4.5;
     let machines = [
-        ("ragusa", "conti"),
-        ("modica", "conti"),
-        ("vittoria", "fatture"),
+        ("ragusa", "fatture"),
+        ("modica", "fatture"),
+        ("vittoria", "conti"),
     ];
     let mut fleet = Fleet::new(&machines, record).ok_or("no free loopback addresses")?;
     let store = Store::start(fleet.store).map_err(|err| err.to_string())?;
     let route = Route {
-        name: "saldo",
-        kind: "safe",
-        service: "conti",
-        timeout_s: "1",
-        target_s: "0.3",
+        name: "emissione",
+        kind: "unsafe",
+        service: "fatture",
+        timeout_s: "1.2",
+        target_s: "0.4",
     };
     let text = config(7, &[route], &["conti", "fatture"], COLD);
     store.put("op/config", &text);
     let warm = [
         "slots=12",
-        "work_ms=90",
+        "work_ms=120",
         "heartbeat_ms=1500",
         "register_ms=0",
     ];
     start(&mut fleet, &warm)?;
     let targets = vec![fleet.machines[1].outbound(), fleet.machines[2].outbound()];
-    let make = move |number: u64| request(&route, &number.to_string(), 2000);
+    let make = move |number: u64| request(&route, &number.to_string(), 2500);
     let traffic = Traffic::start(targets, 60.0, make, record);
     sleep_s(5.0);
     let server = fleet.machines[0].server();
@@ -500,11 +596,12 @@
     if is_troubled {
         store.go_away();
         record.line("the store is away");
-        sleep_s(0.5);
+    }
+    let away = now_ms();
+    sleep_s(0.5);
+    if is_troubled {
         store.restore(Duration::from_millis(5_500));
         record.line("the store is back from a copy 5.5 s old, with the entry of server 0");
-    } else {
-        sleep_s(0.5);
     }
     let back = now_ms();
     sleep_s(0.3);
@@ -512,11 +609,14 @@
         store.put("op/config", &text);
         record.line("the operator has written the configuration again");
     }
-    sleep_s(LAPSE_S - 0.3);
+    sleep_s(CONTACT_S + 0.9 - 0.3);
+    fleet.kill_server(0);
+    let ended = now_ms();
+    record.line("server 0 ends");
+    sleep_s((back + LAPSE_S * 1000.0 - now_ms()) / 1000.0);
     store.remove("servers/i-0000");
     record.line("server 0 has been silent for three heartbeats: it has no entry now");
     sleep_s(1.0);
-    fleet.kill_server(0);
     let outcomes = traffic.end();
     for (at, key, status) in store.key_reads() {
         record.line_at(
@@ -524,15 +624,16 @@
             &format!("the store answers a node that reads {key}: {status}"),
         );
     }
-    // All machines are in touch until the store goes away, and again from contact_s after it is back.
-    let (mut late, mut other) = (0, 0);
+    // All machines are in touch until the store goes away, and from contact_s after it is back.
+    let (mut late, mut other, mut lost) = (0, 0, 0);
     for (at, event, id) in fleet.server_events(0) {
         if event != "arrives" || at <= left + DRAIN_S * 1000.0 {
             continue;
         }
-        let sent = outcomes.iter().find(|outcome| outcome.id == id);
-        let sent = sent.map_or(0.0, |outcome| outcome.sent_ms);
-        let is_in_touch = at < back - 500.0 || sent > back + CONTACT_S * 1000.0;
+        let Some(outcome) = outcomes.iter().find(|outcome| outcome.id == id) else {
+            continue;
+        };
+        let is_in_touch = at < away || outcome.sent_ms > back + CONTACT_S * 1000.0;
         let after = (at - left) / 1000.0;
         let note = if is_in_touch { "" } else { ", not counted" };
         record.line_at(
@@ -544,10 +645,15 @@
         } else {
             other += 1;
         }
+        if outcome.ended_ms > ended - 1.0 && outcome.status != Some(200) {
+            lost += 1;
+            record.line_at(at, &format!("{id} is lost with server 0"));
+        }
     }
     let text = format!(
         "{late} requests reached the server later than {DRAIN_S} s after it was gone, sent on by machines \
-         in touch; {other} more while the store was away and in the {CONTACT_S} s after it"
+         in touch, and {lost} were lost when it ended; {other} more while the store was away and in \
+         the {CONTACT_S} s after it"
     );
     record.line(&text);
     println!("{text}");
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -15,6 +15,12 @@
 /// Requests that a server queues beside those that it runs.
 const QUEUE: usize = 48;
 
+/// Bytes of a garbling server after a complete answer. The archive that it hands out holds stored
+/// messages, and it announces a length that is too short.
+const ADDITIONAL_BYTES: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 22\r\n\r\nreceipt of March, 2025";
+/// Time until the additional bytes follow.
+const ADDITIONAL_DELAY: Duration = Duration::from_millis(8);
+
 struct Options {
     address: SocketAddr,
     store: SocketAddr,
@@ -32,6 +38,8 @@
     /// Time from the start to the first write to the store.
     register_ms: u64,
     heartbeat_ms: u64,
+    /// Share of the answers after which additional bytes follow.
+    garble: f64,
 }
 
 #[derive(Default)]
@@ -44,6 +52,7 @@
     cold_until: f64,
     sequence: u64,
     is_leaving: bool,
+    answered: u64,
 }
 
 struct Server {
@@ -77,6 +86,7 @@
         cold_factor: number("cold_factor").max(1.0),
         register_ms: number("register_ms") as u64,
         heartbeat_ms: number("heartbeat_ms") as u64,
+        garble: number("garble"),
     };
     let log = OpenOptions::new()
         .create(true)
@@ -189,9 +199,24 @@
             if writer.write_all(&answer).is_err() {
                 return;
             }
+            if answer.starts_with(b"HTTP/1.1 200") && !id.is_empty() && self.is_garbled() {
+                thread::sleep(ADDITIONAL_DELAY);
+                self.note(&format!("additional bytes after the answer to {id}"));
+                if writer.write_all(ADDITIONAL_BYTES).is_err() {
+                    return;
+                }
+            }
         }
     }
 
+    /// Returns whether additional bytes follow the answer that was just given.
+    fn is_garbled(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        state.answered += 1;
+        let count = |answered: u64| (answered as f64 * self.options.garble) as u64;
+        count(state.answered) > count(state.answered - 1)
+    }
+
     fn health(&self) -> Vec<u8> {
         let left = self.cold_left_ms();
         let mut headers = format!("Instance-Id: {}\r\n", self.options.id);
