Show that a late second copy of a rejection makes a false "not run"

Seen: an upstream rejects part of its requests and gives some answers twice, the second copy late. Unsafe requests that the upstream runs are answered 503, or run at a second upstream as well.

Cause: an answer without the call's ID is taken for the answer to the call, also when it states that the request did not run.

--- a/review/stand-ins/cases.rs
+++ b/review/stand-ins/cases.rs
@@ -35,6 +35,7 @@
         "stop" => stop(&record, is_troubled),
         "foreign" => foreign(&record, is_troubled),
         "mirror" => mirror(&record, is_troubled),
+        "second-copy" => second_copy(&record, is_troubled),
         "past-length" => past_length(&record, is_troubled),
         "drill" => drill(&record, is_troubled),
         "crashes" => crashes(&record, is_troubled),
@@ -287,31 +288,31 @@
     Ok(if most > BOUND { BROKEN } else { HELD })
 }
 
-/// MIXED: additional bytes follow a complete answer of a server, late.
-fn past_length(record: &Record, is_troubled: bool) -> Result<i32, String> {
-    const CLIENTS: usize = 40;
+/// REFUSED: a server rejects part of its requests and gives some of its answers twice.
+fn second_copy(record: &Record, is_troubled: bool) -> Result<i32, String> {
+    const CLIENTS: usize = 36;
     const SECONDS: f64 = 20.0;
     let machines = [
-        ("ragusa", "ricevute"),
-        ("modica", "ricevute"),
+        ("ragusa", "fatture"),
+        ("modica", "fatture"),
         ("vittoria", "conti"),
     ];
     let mut fleet = Fleet::new(&machines, record).ok_or("no free loopback addresses")?;
     let store = Store::start(fleet.store).map_err(|err| err.to_string())?;
     let route = Route {
-        name: "archivio",
-        kind: "download",
-        service: "ricevute",
-        timeout_s: "1",
-        target_s: "0.3",
+        name: "emissione",
+        kind: "unsafe",
+        service: "fatture",
+        timeout_s: "1.2",
+        target_s: "0.4",
     };
     store.put(
         "op/config",
-        &config(7, &[route], &["conti", "ricevute"], COLD),
+        &config(7, &[route], &["conti", "fatture"], COLD),
     );
     let sound = [
         "slots=12",
-        "work_ms=72",
+        "work_ms=120",
         "heartbeat_ms=1500",
         "register_ms=0",
     ];
@@ -319,16 +320,67 @@
     if is_troubled {
         fleet.kill_server(0);
         sleep_s(1.0);
-        let garbling = [&sound[..], &["garble=0.03"]].concat();
-        fleet.start_server(0, "i-1000", &garbling)?;
-        record.line("server i-1000 sends additional bytes after 3 in 100 of its answers");
+        let troubled = [&sound[..], &["shed=0.45", "extra=0.03"]].concat();
+        fleet.start_server(0, "i-1000", &troubled)?;
+        record.line("server i-1000 rejects 45 in 100 requests and gives 3 in 100 answers twice");
         sleep_s(5.0);
     }
+    let outcomes = press(&fleet, route, CLIENTS, SECONDS, record);
+    let mut runs: BTreeMap<String, Vec<(f64, usize)>> = BTreeMap::new();
+    let (mut sheds, mut copies) = (0, 0);
+    for server in 0..fleet.machines.len() {
+        for (at, event, id) in fleet.server_events(server) {
+            match event.as_str() {
+                "runs" => runs.entry(id).or_default().push((at, server)),
+                "sheds" => sheds += 1,
+                "additional" => copies += 1,
+                _ => {}
+            }
+        }
+    }
+    let (mut twice, mut refused) = (0, 0);
+    for outcome in &outcomes {
+        let Some(run) = runs.get(&outcome.id) else {
+            continue;
+        };
+        if run.len() > 1 {
+            twice += 1;
+            record.line(&format!("{} runs more than once:", outcome.id));
+        }
+        if outcome.status == Some(503) {
+            refused += 1;
+            record.line(&format!("{} is answered 503 and has run:", outcome.id));
+        }
+        if run.len() > 1 || outcome.status == Some(503) {
+            for (at, server) in run {
+                record.line_at(*at, &format!("{} runs at server {server}", outcome.id));
+            }
+        }
+    }
+    let text = format!(
+        "{refused} of {} unsafe requests were answered 503 and had run, {twice} ran more than once; \
+         server 0 rejected {sheds} requests and gave {copies} answers twice",
+        outcomes.len()
+    );
+    record.line(&text);
+    println!("{text}");
+    Ok(if refused > 0 { BROKEN } else { HELD })
+}
+
+/// Has clients on all machines send one request after the other, each on a new connection.
+fn press(
+    fleet: &Fleet,
+    route: Route,
+    clients: usize,
+    seconds: f64,
+    record: &Record,
+) -> Vec<Outcome> {
     let is_ended = Arc::new(AtomicBool::new(false));
     let outcomes = Arc::new(Mutex::new(Vec::new()));
-    let clients = (0..CLIENTS).map(|client| {
+    let clients = (0..clients).map(|client| {
         let target = fleet.machines[client % fleet.machines.len()].outbound();
-        let (ended, kept, record) = (Arc::clone(&is_ended), Arc::clone(&outcomes), record.clone());
+        let (ended, kept) = (Arc::clone(&is_ended), Arc::clone(&outcomes));
+        let record = record.clone();
         thread::spawn(move || {
             for number in 0u64.. {
                 if ended.load(Ordering::Relaxed) {
@@ -342,16 +394,57 @@
         })
     });
     let clients: Vec<_> = clients.collect();
-    sleep_s(SECONDS);
+    sleep_s(seconds);
     is_ended.store(true, Ordering::Relaxed);
     for client in clients {
         let _ = client.join();
     }
+    let outcomes = std::mem::take(&mut *outcomes.lock().unwrap());
+    outcomes
+}
+
+/// MIXED: additional bytes follow a complete answer of a server, late.
+fn past_length(record: &Record, is_troubled: bool) -> Result<i32, String> {
+    const CLIENTS: usize = 40;
+    const SECONDS: f64 = 20.0;
+    let machines = [
+        ("ragusa", "ricevute"),
+        ("modica", "ricevute"),
+        ("vittoria", "conti"),
+    ];
+    let mut fleet = Fleet::new(&machines, record).ok_or("no free loopback addresses")?;
+    let store = Store::start(fleet.store).map_err(|err| err.to_string())?;
+    let route = Route {
+        name: "archivio",
+        kind: "download",
+        service: "ricevute",
+        timeout_s: "1",
+        target_s: "0.3",
+    };
+    store.put(
+        "op/config",
+        &config(7, &[route], &["conti", "ricevute"], COLD),
+    );
+    let sound = [
+        "slots=12",
+        "work_ms=72",
+        "heartbeat_ms=1500",
+        "register_ms=0",
+    ];
+    start(&mut fleet, &sound)?;
+    if is_troubled {
+        fleet.kill_server(0);
+        sleep_s(1.0);
+        let garbling = [&sound[..], &["garble=0.03"]].concat();
+        fleet.start_server(0, "i-1000", &garbling)?;
+        record.line("server i-1000 sends additional bytes after 3 in 100 of its answers");
+        sleep_s(5.0);
+    }
+    let outcomes = press(&fleet, route, CLIENTS, SECONDS, record);
     let additional = fleet.server_events(0).into_iter();
     let additional = additional
         .filter(|(_, event, _)| event == "additional")
         .count();
-    let outcomes = outcomes.lock().unwrap();
     let mut mixed = 0;
     for outcome in outcomes
         .iter()
--- a/review/stand-ins/server.rs
+++ b/review/stand-ins/server.rs
@@ -40,6 +40,10 @@
     heartbeat_ms: u64,
     /// Share of the answers after which additional bytes follow.
     garble: f64,
+    /// Share of the answers after which a second copy follows.
+    extra: f64,
+    /// Share of the requests that are rejected although there is room.
+    shed: f64,
 }
 
 #[derive(Default)]
@@ -52,6 +56,7 @@
     cold_until: f64,
     sequence: u64,
     is_leaving: bool,
+    asked: u64,
     answered: u64,
 }
 
@@ -87,6 +92,8 @@
         register_ms: number("register_ms") as u64,
         heartbeat_ms: number("heartbeat_ms") as u64,
         garble: number("garble"),
+        extra: number("extra"),
+        shed: number("shed"),
     };
     let log = OpenOptions::new()
         .create(true)
@@ -199,24 +206,29 @@
             if writer.write_all(&answer).is_err() {
                 return;
             }
-            if answer.starts_with(b"HTTP/1.1 200") && !id.is_empty() && self.is_garbled() {
-                thread::sleep(ADDITIONAL_DELAY);
-                self.note(&format!("additional bytes after the answer to {id}"));
-                if writer.write_all(ADDITIONAL_BYTES).is_err() {
-                    return;
-                }
+            if id.is_empty() {
+                continue;
+            }
+            let number = {
+                let mut state = self.state.lock().unwrap();
+                state.answered += 1;
+                state.answered
+            };
+            let additional = if is_chosen(number, self.options.garble) {
+                ADDITIONAL_BYTES
+            } else if is_chosen(number, self.options.extra) {
+                &answer
+            } else {
+                continue;
+            };
+            thread::sleep(ADDITIONAL_DELAY);
+            self.note(&format!("additional bytes after the answer to {id}"));
+            if writer.write_all(additional).is_err() {
+                return;
             }
         }
     }
 
-    /// Returns whether additional bytes follow the answer that was just given.
-    fn is_garbled(&self) -> bool {
-        let mut state = self.state.lock().unwrap();
-        state.answered += 1;
-        let count = |answered: u64| (answered as f64 * self.options.garble) as u64;
-        count(state.answered) > count(state.answered - 1)
-    }
-
     fn health(&self) -> Vec<u8> {
         let left = self.cold_left_ms();
         let mut headers = format!("Instance-Id: {}\r\n", self.options.id);
@@ -246,6 +258,13 @@
                 std::process::exit(1);
             }
         }
+        state.asked += 1;
+        if is_chosen(state.asked, self.options.shed) {
+            // As the page of messages prints it, without `Request-Id`.
+            drop(state);
+            self.note(&format!("sheds {id}"));
+            return reply("503 Service Unavailable", "", "Not-Executed: 1\r\n", b"");
+        }
         if state.running >= self.options.slots && state.waiting >= QUEUE {
             return reply("503 Service Unavailable", id, "Not-Executed: 1\r\n", b"");
         }
@@ -276,6 +295,12 @@
     }
 }
 
+/// Returns whether an item is one of a share of all, spread evenly.
+fn is_chosen(number: u64, share: f64) -> bool {
+    let count = |number: u64| (number as f64 * share) as u64;
+    count(number) > count(number - 1)
+}
+
 fn reply(status: &str, id: &str, headers: &str, body: &[u8]) -> Vec<u8> {
     let id = match id {
         "" => String::new(),
