Add an experiment that stops nodes under callers that keep their connections

`wagtaillever-bench stops` starts real nodes, keeps callers on connections that they use until they are closed, draws work times from the users' sheet of the large deployment and stops nodes some at a time, with a kill after the grace period. It counts what a stop lost by the users' rule LOST. With `--disturbed`, a second SIGTERM or a SIGHUP comes during a stop, beside notes and outages of the platform.

The other experiments stop nodes with the default settings, a stop of 30 s, so they never saw the lengths that are deployed.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -11,7 +11,7 @@
     admin::AdminClient,
     event::{Event, EventKind},
     node::NodeProcess,
-    options::{FleetOptions, PLATFORM_CALLS_PER_S},
+    options::{FleetOptions, PLATFORM_CALLS_PER_S, StopLimits},
     usage::Usage,
 };
 
--- a/crates/bench/src/fleet/node.rs
+++ b/crates/bench/src/fleet/node.rs
@@ -101,7 +101,7 @@
     }
 
     /// Sends a signal; the process is not reaped yet, so its id can't belong to another one.
-    fn signal(&self, signal: Signal) {
+    pub(crate) fn signal(&self, signal: Signal) {
         if let Ok(id) = i32::try_from(self.child.id()) {
             let _ = kill(Pid::from_raw(id), signal);
         }
--- a/crates/bench/src/fleet/options.rs
+++ b/crates/bench/src/fleet/options.rs
@@ -1,5 +1,6 @@
 //! Options of a fleet.
 
+use serde::Serialize;
 use wagtaillever_node::Policies;
 
 use crate::deployment::Deployment;
@@ -7,6 +8,15 @@
 /// Bearer token of the nodes' admin interfaces.
 pub(super) const TOKEN: &str = "bench";
 
+/// Limits of the nodes that set the length of a planned stop.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct StopLimits {
+    /// Time for which a stopping node still accepts calls, in milliseconds.
+    pub(crate) notice_ms: u64,
+    /// Longest time for which it then waits for calls in flight, in milliseconds.
+    pub(crate) stop_ms: u64,
+}
+
 /// Options of a fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct FleetOptions {
@@ -21,6 +31,8 @@
     pub(crate) proxied: bool,
     /// Names of the mutants that the nodes enable; requires a build with the feature `mutants`.
     pub(crate) mutants: Vec<&'static str>,
+    /// Limits of planned stops; `None` keeps the defaults of the nodes.
+    pub(crate) stop_limits: Option<StopLimits>,
     /// Log filter of the nodes.
     pub(crate) log_filter: String,
 }
@@ -38,6 +50,7 @@
             policies: Policies::default(),
             proxied: true,
             mutants: Vec::new(),
+            stop_limits: None,
             log_filter: "info".into(),
         }
     }
--- a/crates/bench/src/fleet/settings.rs
+++ b/crates/bench/src/fleet/settings.rs
@@ -7,7 +7,7 @@
 use wagtaillever_node::Policies;
 
 use crate::{
-    fleet::options::{FleetOptions, TOKEN},
+    fleet::options::{FleetOptions, StopLimits, TOKEN},
     layout::Layout,
 };
 
@@ -29,6 +29,8 @@
     policies: &'a Policies,
     #[serde(skip_serializing_if = "<[_]>::is_empty")]
     mutants: &'a [&'static str],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    limits: Option<StopLimits>,
     log: &'a str,
 }
 
@@ -52,6 +54,7 @@
         seeds: seeds(layout, vm),
         policies: &options.policies,
         mutants: &options.mutants,
+        limits: options.stop_limits,
         log: &options.log_filter,
     };
     serde_yaml_ng::to_string(&file).expect("settings serialise")
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,7 @@
 mod proxy;
 mod report;
 mod service;
+mod stops;
 mod subcommand;
 mod upstream;
 
--- a/crates/bench/src/subcommand.rs
+++ b/crates/bench/src/subcommand.rs
@@ -7,6 +7,7 @@
 mod platform;
 mod report;
 mod service;
+mod stops;
 
 use std::process::ExitCode;
 
@@ -23,6 +24,8 @@
     Converge(converge::Converge),
     /// Puts a deployment under load and measures latency, goodput and errors of calls.
     Service(service::Service),
+    /// Stops nodes in turn while callers keep using their connections.
+    Stops(stops::Stops),
     /// Writes an HTML page with plots of JSON results.
     Report(report::Report),
     /// Runs a random schedule of faults and checks the invariants.
@@ -43,6 +46,7 @@
             Self::Demo(demo) => demo.run().await,
             Self::Converge(converge) => converge.run().await,
             Self::Service(service) => service.run().await,
+            Self::Stops(stops) => stops.run().await,
             Self::Report(report) => report.run().await,
             Self::Chaos(chaos) => chaos.run().await,
             Self::Mutants(mutants) => mutants.run().await,
