--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -15,7 +15,7 @@
     logging,
     mutant::{self, Mutant},
     peers::{Peers, PeersHandle},
-    settings::Settings,
+    settings::{Limits, Settings},
     sidecar::Sidecar,
     source::Source,
     stall::StallWatch,
@@ -122,22 +122,26 @@
 async fn run_until_stopped(
     context: &Context,
     lifecycle: Lifecycle<Starting>,
-    stop: impl Future<Output = ()>,
+    stop: impl Future<Output = Option<&'static str>>,
 ) -> Result<(), NodeError> {
     let peers: PeersHandle = context.registry().find("peers")?;
     let lifecycle = lifecycle.enter_joining();
     tokio::pin!(stop);
     tokio::select! {
-        () = &mut stop => {
+        signal = &mut stop => {
+            info!(signal; "stop requested before the node accepted calls");
             lifecycle.enter_stopping();
             return Ok(());
         }
         _ = peers.wait_until_joined() => {}
     }
     let lifecycle = lifecycle.enter_serving();
-    stop.await;
+    let signal = stop.await;
     let lifecycle = lifecycle.enter_leaving();
-    let notice_ms = context.settings().limits.notice_ms;
+    let Limits {
+        notice_ms, stop_ms, ..
+    } = context.settings().limits;
+    info!(signal, notice_ms, stop_ms; "stop requested");
     tokio::time::sleep(Duration::from_millis(notice_ms)).await;
     lifecycle.enter_stopping();
     Ok(())
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -10,6 +10,7 @@
 mod guards;
 mod handler;
 mod keepalive;
+mod open_calls;
 mod pool;
 mod record;
 mod refusal;
@@ -27,7 +28,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    ingress::{server::Server, worker::SharedState},
+    ingress::{open_calls::OpenCalls, server::Server, worker::SharedState},
     kernel::{BindSnafu, Context, Service, StartError},
     stall::StallHandle,
 };
@@ -52,6 +53,7 @@
                 view: context.view().clone(),
                 timeline: context.timeline().clone(),
                 stall: context.registry().find::<StallHandle>("stall")?,
+                open_calls: OpenCalls::default(),
                 token: context.shutdown_token(),
             };
             let server = Server::start(shared).context(BindSnafu { address })?;
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -30,7 +30,7 @@
     /// The sidecar's transport refused the stream before it reached a service.
     StreamRefused,
     /// The stream broke after the call head was sent.
-    Broken,
+    Broken(BreakCause),
     /// The deadline passed.
     TimedOut {
         /// Whether the call head was sent.
@@ -38,6 +38,53 @@
     },
 }
 
+/// Why a stream broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BreakCause {
+    /// The sidecar did not answer pings.
+    NoPong,
+    /// The connection to the sidecar was lost.
+    ConnectionLost,
+    /// The sidecar reset the stream.
+    Reset,
+    /// The stream ended before the head of a reply.
+    Ended,
+    /// The head of the reply can't be decoded.
+    Undecodable,
+}
+
+impl BreakCause {
+    /// Returns the cause as used in logs.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::NoPong => "no-pong",
+            Self::ConnectionLost => "connection-lost",
+            Self::Reset => "reset",
+            Self::Ended => "ended",
+            Self::Undecodable => "undecodable",
+        }
+    }
+
+    fn of(err: &TransportError) -> Self {
+        match err {
+            TransportError::Broken { source } if source.is_reset() => Self::Reset,
+            TransportError::Broken { .. } => Self::ConnectionLost,
+            TransportError::Decode { .. } | TransportError::TooLarge { .. } => Self::Undecodable,
+            _ => Self::Ended,
+        }
+    }
+}
+
+impl AttemptResult {
+    /// Returns why the stream broke, if it did.
+    pub(super) fn break_cause(&self) -> Option<BreakCause> {
+        match self {
+            Self::Broken(cause) => Some(*cause),
+            _ => None,
+        }
+    }
+}
+
 /// Head of a sidecar's reply and what is needed to stream its body.
 pub(super) struct Reply {
     pub(super) head: ReplyHead,
@@ -107,7 +154,9 @@
         biased;
         reply = reply => reply,
         // An idempotent call can be resent instead of waiting for a suspected sidecar.
-        () = channel.wait_suspected(), if head.idempotent => Err(TransportError::Ended),
+        () = channel.wait_suspected(), if head.idempotent => {
+            return AttemptResult::Broken(BreakCause::NoPong);
+        }
     };
     match reply {
         Ok((head, reader)) => AttemptResult::Replied(Reply {
@@ -117,7 +166,7 @@
             channel,
         }),
         Err(err) if is_stream_refused(&err) => AttemptResult::StreamRefused,
-        Err(_) => AttemptResult::Broken,
+        Err(err) => AttemptResult::Broken(BreakCause::of(&err)),
     }
 }
 
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -22,6 +22,7 @@
         feedback::{Feedback, feedback},
         fingerprint::fingerprint,
         guards::{CallGuard, Permit},
+        open_calls::OpenCall,
         record::CallFields,
         refusal::{
             NO_UPSTREAM_RETRY_MS, bad_answer, did_not_run, no_upstream, with_earliest_retry,
@@ -75,25 +76,29 @@
 
     /// Makes attempts until an upstream answers or no further attempt is allowed, and returns the
     /// response. The permit is held until the end of the response body.
-    pub(super) async fn run(mut self, permit: Permit) -> HttpResponse {
+    pub(super) async fn run(mut self, permit: Permit, open_call: OpenCall) -> HttpResponse {
         let service = self.request.service.clone();
         let now = Instant::now();
         self.worker
             .with_budget(&service, |budget, _| budget.count_call(now));
         if let Err(refusal) = self.read_fingerprint().await {
-            return self.refuse(refusal);
+            return self.refuse(refusal, open_call);
         }
         let mut last_refusal: Option<Refusal> = None;
         loop {
             let destination = match self.destination() {
                 Ok(destination) => destination,
-                Err(refusal) => return self.refuse(last_refusal.unwrap_or(refusal)),
+                Err(refusal) => {
+                    return self.refuse(last_refusal.unwrap_or(refusal), open_call);
+                }
             };
+            open_call.record_attempt(&destination.upstream.name);
             let (result, destination, feedback) = self.run_attempt(destination).await;
+            let broken_by = result.break_cause();
             if let AttemptResult::Replied(reply) = result
                 && feedback.failure.is_none()
             {
-                return self.forward_answer(reply, destination, permit);
+                return self.forward_answer(reply, destination, permit, open_call);
             }
             let failure = feedback.failure.unwrap_or(AttemptFailure::Indeterminate);
             self.attempts.record(failure);
@@ -103,15 +108,16 @@
                 &self.call_fields(),
                 &destination.upstream.name,
                 failure,
+                broken_by,
                 &refusal,
             );
             let refusal = with_earliest_retry(last_refusal, refusal);
             drop(destination);
             if !self.prepare_retry(failure).await {
-                return self.refuse(refusal);
+                return self.refuse(refusal, open_call);
             }
             if failure == AttemptFailure::Stale && !self.reroute(feedback.sequence).await {
-                return self.refuse(refusal);
+                return self.refuse(refusal, open_call);
             }
             last_refusal = Some(refusal);
         }
@@ -358,6 +364,7 @@
         reply: Reply,
         destination: Destination,
         permit: Permit,
+        open_call: OpenCall,
     ) -> HttpResponse {
         let ReplyHead::Answer {
             status,
@@ -367,14 +374,14 @@
             ..
         } = &reply.head
         else {
-            return self.refuse(bad_answer());
+            return self.refuse(bad_answer(), open_call);
         };
         let (length, note) = (*length, Sequence(*sequence));
         let dialect = self.worker.header_rules().dialect;
         let head =
             answer::response_head(*status, headers, &destination.upstream.name, note, dialect);
         let Some(mut builder) = head else {
-            return self.refuse(bad_answer());
+            return self.refuse(bad_answer(), open_call);
         };
         answer::add_call_id(&mut builder, &self.request.call_id, dialect);
         let fields = CallFields {
@@ -384,19 +391,23 @@
         let recorder = &self.worker.recorder;
         recorder.record_answer(&fields, &destination.upstream.name, *status);
         if self.request.method == "HEAD" {
+            open_call.finish();
             return builder.body(empty_body(length));
         }
         if is_bodiless(*status) {
+            open_call.finish();
             return builder.finish();
         }
         let idle_timeout = Duration::from_millis(self.request.route.timeout_ms);
-        let body = reply_body(reply, length, idle_timeout, destination.guard, permit);
+        open_call.record_answer();
+        let guards = (destination.guard, permit, open_call);
+        let body = reply_body(reply, length, idle_timeout, guards);
         builder.body(body)
     }
 
     /// Returns the final response to a call that no upstream answered. If any attempt may have run
     /// the request, the outcome is unknown even if the last attempt did not run it.
-    fn refuse(&self, mut refusal: Refusal) -> HttpResponse {
+    fn refuse(&self, mut refusal: Refusal, open_call: OpenCall) -> HttpResponse {
         if refusal.outcome == Outcome::DidNotRun && !self.attempts.has_not_run() {
             refusal.outcome = Outcome::Unknown;
         }
@@ -414,6 +425,7 @@
         let dialect = self.worker.header_rules().dialect;
         let mut builder = answer::refusal_response(&refusal, dialect);
         answer::add_call_id(&mut builder, &self.request.call_id, dialect);
+        open_call.finish();
         builder.finish()
     }
 }
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -52,7 +52,7 @@
             Evidence::Failed,
             RefusalReason::NotReady,
         ),
-        AttemptResult::Broken => no_reply(
+        AttemptResult::Broken(_) => no_reply(
             AttemptFailure::Broken,
             Evidence::Failed,
             RefusalReason::Broken,
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -1,6 +1,6 @@
 //! HTTP handler for requests of callers.
 
-use std::{rc::Rc, time::Instant};
+use std::{rc::Rc, sync::Arc, time::Instant};
 
 use actix_web::{
     HttpRequest, HttpResponse, HttpResponseBuilder,
@@ -72,8 +72,12 @@
             return rejection(dialect, reason, 0).finish();
         }
     };
+    let open_calls = &worker.shared.open_calls;
+    let open_call = open_calls.open(Arc::clone(&call.call_id), arrived);
     let body = RequestBody::new(payload, call.length);
-    let mut response = Dispatch::new(&worker, call, body).run(permit).await;
+    let mut response = Dispatch::new(&worker, call, body)
+        .run(permit, open_call)
+        .await;
     if worker.routing().view.phase != Phase::Serving {
         let head = response.head_mut();
         head.set_connection_type(ConnectionType::Close);
--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -11,7 +11,10 @@
 };
 
 use crate::{
-    ingress::answer::{outcome_text, reason_text},
+    ingress::{
+        answer::{outcome_text, reason_text},
+        attempt::BreakCause,
+    },
     logging::LineBudget,
     timeline::{EventKind, Timeline},
     wire::{Outcome, Refusal},
@@ -84,6 +87,7 @@
         fields: &CallFields<'_>,
         upstream: &UpstreamName,
         failure: AttemptFailure,
+        broken_by: Option<BreakCause>,
         refusal: &Refusal,
     ) {
         let reason = reason_text(refusal.reason);
@@ -92,6 +96,7 @@
             info!(
                 call = fields.call, upstream:% = upstream, attempt = fields.attempts, reason,
                 outcome = outcome_text(refusal.outcome), is_arrived = failure.may_have_arrived(),
+                broken_by = broken_by.map(BreakCause::as_str),
                 list = fields.list, left_out;
                 "attempt failed"
             );
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -17,6 +17,7 @@
         attempt::{Reply, with_upload},
         channel::Channel,
         guards::{CallGuard, Permit},
+        open_calls::OpenCall,
     },
     mutant::{self, Mutant},
     transport::FrameReader,
@@ -42,6 +43,7 @@
     upload: Option<LocalBoxFuture<'static, ()>>,
     remaining: Option<u64>,
     idle_timeout: Duration,
+    open_call: OpenCall,
     _guards: (CallGuard, Permit, Rc<Channel>),
 }
 
@@ -50,14 +52,14 @@
     reply: Reply,
     length: Option<u64>,
     idle_timeout: Duration,
-    guard: CallGuard,
-    permit: Permit,
+    (guard, permit, open_call): (CallGuard, Permit, OpenCall),
 ) -> BoxBody {
     let body = ReplyBody {
         reader: reply.reader,
         upload: reply.upload,
         remaining: length,
         idle_timeout,
+        open_call,
         _guards: (guard, permit, reply.channel),
     };
     let length = length.filter(|_| !mutant::is_enabled(Mutant::ShortAnswers));
@@ -81,8 +83,14 @@
     let mut body = body?;
     match body.next_chunk().await {
         Ok(Some(chunk)) => Some((Ok(chunk), Some(body))),
-        Ok(None) => None,
-        Err(err) => Some((Err(err), None)),
+        Ok(None) => {
+            body.open_call.finish();
+            None
+        }
+        Err(err) => {
+            body.open_call.break_off();
+            Some((Err(err), None))
+        }
     }
 }
 
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -9,6 +9,7 @@
 use crate::{
     ingress::{
         handler::handle,
+        open_calls::OpenCalls,
         worker::{SharedState, Worker},
     },
     kernel::stop_server,
@@ -28,6 +29,7 @@
 pub(super) struct Server {
     handle: ServerHandle,
     stop_delay: Duration,
+    open_calls: OpenCalls,
     /// Addresses on which the server listens.
     pub(super) addresses: Vec<SocketAddr>,
 }
@@ -41,6 +43,7 @@
     pub(super) fn start(shared: SharedState) -> io::Result<Self> {
         let address = shared.settings.callers;
         let notice = Duration::from_millis(shared.settings.limits.notice_ms);
+        let open_calls = shared.open_calls.clone();
         let stop_seconds = shared.settings.limits.stop_ms.div_ceil(1000);
         let app = move || {
             let worker = web::Data::new(Rc::clone(&Worker::spawn(shared.clone())));
@@ -64,6 +67,7 @@
         Ok(Self {
             handle,
             stop_delay: STOP_NOTICE.saturating_sub(notice),
+            open_calls,
             addresses,
         })
     }
@@ -72,7 +76,8 @@
     /// and waits for the calls in flight. Calls still running at the deadline are cut.
     pub(super) async fn stop(self, deadline: Instant) {
         tokio::time::sleep(self.stop_delay).await;
-        info!("no longer accepting callers on {:?}", self.addresses);
+        info!(calls = self.open_calls.len(); "no longer accepting callers on {:?}", self.addresses);
         stop_server(&self.handle, deadline).await;
+        self.open_calls.record_cut();
     }
 }
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     ingress::{
+        open_calls::OpenCalls,
         pool::{self, Pool},
         record::Recorder,
         request::{CallerRequest, HeaderRules},
@@ -44,6 +45,8 @@
     pub(super) timeline: Timeline,
     /// Detected pauses of the process.
     pub(super) stall: StallHandle,
+    /// Calls without a complete answer.
+    pub(super) open_calls: OpenCalls,
     /// Cancelled when no more connections to sidecars are to be opened.
     pub(super) token: CancellationToken,
 }
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -69,11 +69,14 @@
     /// Stops all services in reverse order; they share one deadline, `stop_ms` of the settings.
     pub(crate) async fn stop(&mut self) {
         let timeout = Duration::from_millis(self.context.settings().limits.stop_ms);
-        let deadline = Instant::now() + timeout;
+        let started = Instant::now();
+        let deadline = started + timeout;
         while let Some(mut service) = self.running.pop() {
             service.stop(deadline).await;
             info!("service {} stopped", service.name());
         }
+        let took_ms = started.elapsed().as_millis() as u64;
+        info!(took_ms; "all services stopped");
         self.context.cancel_tasks();
     }
 }
--- a/crates/node/src/kernel/context.rs
+++ b/crates/node/src/kernel/context.rs
@@ -5,11 +5,12 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use tokio::signal::unix::{SignalKind, signal};
+use log::warn;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::Incarnation;
 
-use crate::{kernel::Registry, settings::Settings, timeline::Timeline, view::ViewCell};
+use crate::{kernel::Registry, logging, settings::Settings, timeline::Timeline, view::ViewCell};
 
 /// Shared parts of the node, passed to each service at its start.
 #[derive(Clone)]
@@ -72,28 +73,26 @@
         self.shutdown.cancel();
     }
 
-    /// Waits for the first SIGTERM or SIGINT; a second signal ends the process immediately.
+    /// Waits for the first SIGTERM or SIGINT and returns its name; a second signal ends the process
+    /// immediately.
     ///
     /// The handlers are installed by the call itself, so signals that arrive before the first poll
     /// are not lost.
-    pub(crate) fn stop_signal(&self) -> impl Future<Output = ()> + use<> {
+    pub(crate) fn stop_signal(&self) -> impl Future<Output = Option<&'static str>> + use<> {
         let terminate = signal(SignalKind::terminate());
         let interrupt = signal(SignalKind::interrupt());
         async move {
             let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-                return;
+                return None;
             };
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
+            let first = next_signal(&mut terminate, &mut interrupt).await;
             actix_rt::spawn(async move {
-                tokio::select! {
-                    _ = terminate.recv() => {}
-                    _ = interrupt.recv() => {}
-                }
+                let signal = next_signal(&mut terminate, &mut interrupt).await;
+                warn!(signal; "second signal; ending the process immediately");
+                logging::flush();
                 std::process::exit(EXIT_SECOND_SIGNAL);
             });
+            Some(first)
         }
     }
 }
@@ -101,6 +100,13 @@
 /// Exit code when a second signal ends the process.
 const EXIT_SECOND_SIGNAL: i32 = 3;
 
+async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) -> &'static str {
+    tokio::select! {
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+    }
+}
+
 fn new_incarnation() -> Incarnation {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     let micros = now.map_or(0, |now| now.as_micros());
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+mod active_calls;
 mod admit;
 mod answer;
 mod call;
--- a/crates/node/src/sidecar/handler.rs
+++ b/crates/node/src/sidecar/handler.rs
@@ -62,9 +62,12 @@
         writer: FrameWriter,
     ) -> LocalBoxFuture<'static, ()> {
         Box::pin(async move {
-            let _guard = self.shared.begin_call();
+            let guard = self.shared.begin_call();
             match timeout(HEAD_TIMEOUT, reader.read_frame::<CallHead>()).await {
-                Ok(Ok(Some(head))) => self.serve(head, reader, writer).await,
+                Ok(Ok(Some(head))) => {
+                    guard.name(&head.call, &head.upstream);
+                    self.serve(head, reader, writer).await;
+                }
                 Ok(Err(err)) => {
                     debug!("failed to read the call head from {peer}: {err}");
                     writer.reset();
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -23,8 +23,8 @@
     mutant::{self, Mutant},
     peers::PeersHandle,
     sidecar::{
-        fence::Fences, keys::Keys, links::Links, suspects::Suspects, upstream::LocalUpstream,
-        upstreams::Upstreams,
+        active_calls::ActiveCalls, fence::Fences, keys::Keys, links::Links, suspects::Suspects,
+        upstream::LocalUpstream, upstreams::Upstreams,
     },
     stall::StallHandle,
     view::View,
@@ -47,7 +47,7 @@
     listing_changed: Notify,
     drained: Cell<bool>,
     log_budget: RefCell<LineBudget>,
-    active_calls: Cell<usize>,
+    active_calls: RefCell<ActiveCalls>,
     stopping: Cell<bool>,
     idle: Notify,
 }
@@ -76,7 +76,7 @@
             listing_changed: Notify::new(),
             drained: Cell::default(),
             log_budget: RefCell::new(LineBudget::new(Instant::now())),
-            active_calls: Cell::default(),
+            active_calls: RefCell::default(),
             stopping: Cell::default(),
             idle: Notify::new(),
         }
@@ -258,8 +258,8 @@
 
     /// Counts a call as active until the guard is dropped.
     pub(super) fn begin_call(self: &Rc<Self>) -> CallGuard {
-        self.active_calls.set(self.active_calls.get() + 1);
         CallGuard {
+            number: self.active_calls.borrow_mut().begin(Instant::now()),
             shared: Rc::clone(self),
         }
     }
@@ -268,11 +268,12 @@
     pub(super) async fn drain(&self, deadline: time::Instant) {
         self.stopping.set(true);
         let idle = async {
-            while self.active_calls.get() > 0 {
+            while !self.active_calls.borrow().is_empty() {
                 self.idle.notified().await;
             }
         };
         let is_idle = timeout_at(deadline, idle).await.is_ok();
+        self.active_calls.borrow().log_cut(Instant::now());
         check_invariant("stop_cut", is_idle);
     }
 }
@@ -280,13 +281,22 @@
 /// Counts one active call until it is dropped.
 pub(super) struct CallGuard {
     shared: Rc<Shared>,
+    number: u64,
+}
+
+impl CallGuard {
+    /// Names the call and its upstream for the log.
+    pub(super) fn name(&self, call: &str, upstream: &str) {
+        let mut calls = self.shared.active_calls.borrow_mut();
+        calls.name(self.number, call, upstream);
+    }
 }
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
-        let active = self.shared.active_calls.get() - 1;
-        self.shared.active_calls.set(active);
-        if active == 0 {
+        let mut calls = self.shared.active_calls.borrow_mut();
+        calls.end(self.number);
+        if calls.is_empty() {
             self.shared.idle.notify_one();
         }
     }
