Show with tests how planned stops lose calls

Nodes run as processes with the template of the deploy file, a stand-in of the store and upstreams, at the grace period of the large deployment.

--- /dev/null
+++ b/crates/node/tests/deployed/fleet.rs
@@ -0,0 +1,236 @@
+//! Nodes, their upstreams and the store of a test, on loopback addresses.
+
+use std::{
+    fs::{self, File},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::json;
+use tempfile::TempDir;
+
+use crate::{caller::Connection, store::TestStore, upstream::TestUpstream};
+
+const CALLERS_PORT: u16 = 8_629;
+const PROBES_PORT: u16 = 8_625;
+const UPSTREAM_PORT: u16 = 8_628;
+const STORE_PORT: u16 = 8_627;
+
+/// Time in seconds after which the platform kills a stopping node of the large deployment.
+pub(crate) const GRACE_S: u64 = 10;
+/// Longest time in seconds that a request of the tests may take.
+const ROUTE_TIMEOUT_S: u64 = 15;
+
+/// Nodes with their upstreams and the store.
+pub(crate) struct Fleet {
+    pub(crate) store: TestStore,
+    pub(crate) vms: Vec<Vm>,
+    store_address: SocketAddr,
+    directory: TempDir,
+}
+
+/// VM with its node and its upstream.
+pub(crate) struct Vm {
+    pub(crate) upstream: TestUpstream,
+    ip: Ipv4Addr,
+    service: String,
+    node: Option<Child>,
+}
+
+impl Vm {
+    /// Returns the address at which the node serves callers.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.at(CALLERS_PORT)
+    }
+
+    /// Returns the address of the upstream.
+    pub(crate) fn upstream_address(&self) -> SocketAddr {
+        self.at(UPSTREAM_PORT)
+    }
+
+    /// Sends a signal to the node.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let id = self.node.as_ref().unwrap().id();
+        kill(Pid::from_raw(id.try_into().unwrap()), signal).unwrap();
+    }
+
+    /// Waits until the node has exited.
+    pub(crate) async fn wait(&mut self) -> ExitStatus {
+        let node = self.node.as_mut().unwrap();
+        loop {
+            if let Some(status) = node.try_wait().unwrap() {
+                return status;
+            }
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn at(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip.into(), port)
+    }
+}
+
+impl Fleet {
+    /// Starts a VM for each service, with a route to `orders`, and waits until requests are served.
+    pub(crate) async fn start(services: &[&str]) -> Self {
+        Self::start_with(services, |_| {}).await
+    }
+
+    /// Does the same with further contents of the store.
+    pub(crate) async fn start_with(services: &[&str], fill: impl FnOnce(&Self)) -> Self {
+        let mut addresses = unused_ips();
+        let store_ip = addresses.next().unwrap();
+        let vms = services.iter().map(|service| Vm {
+            upstream: TestUpstream::default(),
+            ip: addresses.next().unwrap(),
+            service: (*service).into(),
+            node: None,
+        });
+        let mut fleet = Self {
+            store: TestStore::default(),
+            vms: vms.collect(),
+            store_address: SocketAddr::new(IpAddr::V4(store_ip), STORE_PORT),
+            directory: TempDir::new().unwrap(),
+        };
+        fleet.store.serve(fleet.store_address);
+        fleet.put_config(7);
+        for (index, vm) in fleet.vms.iter().enumerate() {
+            vm.upstream.serve(vm.upstream_address());
+            let entry = fleet.entry(vm).to_string();
+            fleet
+                .store
+                .put(&format!("servers/i-{index}"), entry.as_bytes());
+        }
+        fill(&fleet);
+        for index in 0..fleet.vms.len() {
+            fleet.start_node(index);
+        }
+        fleet.wait_until_served().await;
+        fleet
+    }
+
+    /// Writes a configuration.
+    pub(crate) fn put_config(&self, version: u64) {
+        let services = ["orders", "other"];
+        let services = services
+            .map(|name| json!({"name": name, "health_check": "/health", "max_connections": 120}));
+        let config = json!({
+            "version": version,
+            "routes": [{
+                "name": "r-orders", "hostname": "orders.example", "prefix": "/orders/",
+                "type": "unsafe", "timeout_s": ROUTE_TIMEOUT_S, "target_latency_s": 1,
+                "priority": 1, "service": "orders", "attempts": 2,
+            }],
+            "services": services,
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
+                       "header_timeout_s": 3, "idle_timeout_s": 15},
+            "base_version": 0,
+        });
+        self.store.put("op/config", config.to_string().as_bytes());
+    }
+
+    /// Returns the registration of the upstream of a VM.
+    pub(crate) fn entry(&self, vm: &Vm) -> serde_json::Value {
+        json!({
+            "service": vm.service, "address": vm.upstream_address(), "zone": "ragusa",
+            "version": "v1", "max_concurrency": 64, "state": "ready", "cold_remaining_s": 0,
+            "sequence": 4, "born": 1_700_000_000_000_u64,
+        })
+    }
+
+    /// Starts the node of a VM with the settings of the deploy file.
+    pub(crate) fn start_node(&mut self, index: usize) {
+        let settings = self.directory.path().join(format!("{index}.yaml"));
+        fs::write(&settings, self.settings(&self.vms[index])).unwrap();
+        let log = self.directory.path().join(format!("{index}.log"));
+        let log = File::options().create(true).append(true).open(log);
+        let node = Command::new(env!("CARGO_BIN_EXE_wagtailleverd"))
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log.unwrap())
+            .spawn();
+        self.vms[index].node = Some(node.unwrap());
+    }
+
+    /// Returns the log of a node.
+    pub(crate) fn log(&self, index: usize) -> String {
+        let log = self.directory.path().join(format!("{index}.log"));
+        fs::read_to_string(log).unwrap()
+    }
+
+    /// Waits until each node serves a request.
+    pub(crate) async fn wait_until_served(&self) {
+        for vm in &self.vms {
+            while !is_served(vm.callers()).await {
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    fn settings(&self, vm: &Vm) -> String {
+        let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/node.yaml");
+        let mut text = fs::read_to_string(template).unwrap();
+        // All VMs of a test share one host.
+        text = text.replace("127.0.0.1", &vm.ip.to_string());
+        let fields = [
+            ("ip", vm.ip.to_string()),
+            ("zone", "ragusa".into()),
+            ("region", "sicily".into()),
+            ("service", vm.service.clone()),
+            ("listen.outbound", vm.callers().to_string()),
+            ("listen.ready", vm.at(PROBES_PORT).to_string()),
+            ("provider.address", self.store_address.to_string()),
+            ("zones|json", "{\"ragusa\":\"sicily\"}".into()),
+            ("bounds.retry_budget_ratio", "0.2".into()),
+            ("bounds.budget_min_retries", "630".into()),
+            ("bounds.budget_window_s", "10".into()),
+            ("limits.link_mbps", "200.0".into()),
+            ("bounds.cold_overage", "1.5".into()),
+            ("bounds.config_apply_s", "3".into()),
+            ("bounds.drain_s", "3".into()),
+            ("bounds.grace_s", GRACE_S.to_string()),
+        ];
+        for (field, value) in fields {
+            text = text.replace(&format!("{{{{{field}}}}}"), &value);
+        }
+        text
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for index in 0..self.vms.len() {
+                eprintln!("log of node {index}:\n{}", self.log(index));
+            }
+        }
+        for node in self.vms.iter_mut().filter_map(|vm| vm.node.as_mut()) {
+            let _ = node.kill();
+            let _ = node.wait();
+        }
+    }
+}
+
+async fn is_served(node: SocketAddr) -> bool {
+    let Ok(mut connection) = Connection::open(node).await else {
+        return false;
+    };
+    let answer = connection.post("ready", "/orders/w0").await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+/// Returns loopback addresses that no other test of this process uses.
+fn unused_ips() -> impl Iterator<Item = Ipv4Addr> {
+    static NEXT_NET: AtomicU32 = AtomicU32::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let net = NEXT_NET.fetch_add(1, Ordering::Relaxed).to_be_bytes()[3];
+    (1..255).map(move |host| Ipv4Addr::new(127, 192 + high % 60, low, net * 8 + host))
+}
--- /dev/null
+++ b/crates/node/tests/deployed/main.rs
@@ -0,0 +1,9 @@
+//! Tests of nodes that run as processes with the settings of the users' prepared machines.
+
+#![allow(clippy::unwrap_used)]
+
+mod caller;
+mod fleet;
+mod stop;
+mod store;
+mod upstream;
--- /dev/null
+++ b/crates/node/tests/deployed/stop.rs
@@ -0,0 +1,112 @@
+//! Planned stops.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures_util::future::join_all;
+use nix::sys::signal::Signal;
+
+use crate::{
+    caller::{Answer, Connection},
+    fleet::{Fleet, GRACE_S},
+};
+
+/// Time in milliseconds that an upstream works on a request: longer than the time of a stop on
+/// deployments with a shorter grace period, and within that of this one.
+const LONG_WORK_MS: u64 = 6_500;
+/// Time in milliseconds that an upstream works on a request that outlasts any stop.
+const ENDLESS_WORK_MS: u64 = 14_000;
+/// Callers that use a node while another one stops.
+const BUSY_CALLERS: usize = 12;
+
+/// Starts a request that runs for some time and waits until its upstream has begun.
+async fn begin_call(
+    fleet: &Fleet,
+    vm: usize,
+    work_ms: u64,
+) -> actix_rt::task::JoinHandle<Option<Answer>> {
+    let id = format!("long-{vm}");
+    let mut connection = Connection::open(fleet.vms[vm].callers()).await.unwrap();
+    let path = format!("/orders/w{work_ms}");
+    let call = {
+        let id = id.clone();
+        actix_rt::spawn(async move { connection.post(&id, &path).await.ok() })
+    };
+    fleet.vms[0].upstream.wait_for(&id).await;
+    call
+}
+
+fn whole_answer(vm: usize) -> Option<Answer> {
+    Some(Answer {
+        status: 200,
+        body: format!("long-{vm}"),
+        is_last: true,
+    })
+}
+
+/// A call that an upstream works on was cut 5.2 s after SIGTERM, of the 10 s that the platform gives.
+#[actix_rt::test]
+async fn a_stop_leaves_calls_the_time_that_the_platform_gives() {
+    let mut fleet = Fleet::start(&["orders"]).await;
+    let call = begin_call(&fleet, 0, LONG_WORK_MS).await;
+    fleet.vms[0].signal(Signal::SIGTERM);
+    assert_eq!(call.await.unwrap(), whole_answer(0));
+    assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
+}
+
+/// A second SIGTERM ended the process immediately, with all calls in flight.
+#[actix_rt::test]
+async fn a_second_sigterm_cuts_no_call() {
+    let mut fleet = Fleet::start(&["orders"]).await;
+    let call = begin_call(&fleet, 0, 1_500).await;
+    for _ in 0..3 {
+        fleet.vms[0].signal(Signal::SIGTERM);
+        actix_rt::time::sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(call.await.unwrap(), whole_answer(0));
+    assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
+}
+
+/// A call of a caller of the stopping node used up the time of the stop, and connections of other nodes
+/// were closed without notice: their calls ended with an unknown outcome.
+#[actix_rt::test]
+async fn a_stop_that_uses_up_its_time_leaves_no_call_of_other_nodes_unknown() {
+    let mut fleet = Fleet::start(&["orders", "other"]).await;
+    let cut = begin_call(&fleet, 0, ENDLESS_WORK_MS).await;
+    let is_over = Rc::new(Cell::new(false));
+    let node = fleet.vms[1].callers();
+    let callers = (0..BUSY_CALLERS).map(|number| use_node(node, number, Rc::clone(&is_over)));
+    let callers = actix_rt::spawn(join_all(callers));
+    let started = Instant::now();
+    fleet.vms[0].signal(Signal::SIGTERM);
+    fleet.vms[0].wait().await;
+    let took = started.elapsed();
+    is_over.set(true);
+    let statuses: Vec<u16> = callers.await.unwrap().into_iter().flatten().collect();
+    assert_eq!(cut.await.unwrap(), None, "the call outlasts the stop");
+    assert!(took < Duration::from_secs(GRACE_S), "killed after {took:?}");
+    assert!(statuses.contains(&200) && statuses.contains(&503));
+    let unknown = statuses
+        .iter()
+        .filter(|status| !matches!(status, 200 | 503));
+    assert_eq!(unknown.count(), 0, "calls with an unknown outcome");
+}
+
+/// Sends one request after the other until the end and returns the statuses.
+async fn use_node(node: SocketAddr, number: usize, is_over: Rc<Cell<bool>>) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    let mut connection = Connection::open(node).await.unwrap();
+    while !is_over.get() {
+        let id = format!("busy-{number}-{}", statuses.len());
+        let answer = connection.post(&id, "/orders/w1").await.unwrap();
+        statuses.push(answer.status);
+        if answer.is_last {
+            connection = Connection::open(node).await.unwrap();
+        }
+    }
+    statuses
+}
--- /dev/null
+++ b/crates/node/tests/deployed/upstream.rs
@@ -0,0 +1,58 @@
+//! Stand-in of a server of the platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use actix_web::{
+    App, HttpRequest, HttpResponse, HttpServer,
+    web::{self, Data},
+};
+
+/// Upstream that works for as long as the path of a request asks.
+#[derive(Clone, Default)]
+pub(crate) struct TestUpstream {
+    started: Arc<Mutex<Vec<String>>>,
+}
+
+impl TestUpstream {
+    /// Serves the upstream at an address.
+    pub(crate) fn serve(&self, address: SocketAddr) {
+        let upstream = Data::new(self.clone());
+        let server = HttpServer::new(move || {
+            App::new()
+                .app_data(upstream.clone())
+                .route("/health", web::get().to(HttpResponse::Ok))
+                .default_service(web::to(run))
+        });
+        let server = server.workers(1).disable_signals().bind(address).unwrap();
+        actix_rt::spawn(server.run());
+    }
+
+    /// Waits until a request runs.
+    pub(crate) async fn wait_for(&self, id: &str) {
+        while !self.started.lock().unwrap().iter().any(|it| it == id) {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+/// Runs a request; the last segment of its path is `w` and the milliseconds of work.
+async fn run(
+    request: HttpRequest,
+    upstream: Data<TestUpstream>,
+    _body: web::Bytes,
+) -> HttpResponse {
+    let header = |name| request.headers().get(name).and_then(|it| it.to_str().ok());
+    let id = header("request-id").unwrap_or_default().to_owned();
+    upstream.started.lock().unwrap().push(id.clone());
+    let work = request.path().rsplit("/w").next();
+    let work = work.and_then(|text| text.parse().ok()).unwrap_or(0);
+    actix_rt::time::sleep(Duration::from_millis(work)).await;
+    HttpResponse::Ok()
+        .insert_header(("request-id", id.clone()))
+        .insert_header(("response-signature", "signed"))
+        .body(id)
+}
