Ignore further SIGTERMs during a planned stop

What callers saw: while a node stopped, all its connections were closed at once, also those with a request on which an upstream worked.

Cause: by design, a second signal ended the process immediately (exit code 3). Whatever stops machines may send SIGTERM more than once: a supervisor and its script, a process group, a retry. The platform ends a process that must go with SIGKILL, so SIGTERM need never cut a call. A second SIGINT still does, for operators at a terminal.

The test a_second_sigterm_cuts_no_call failed before (no answer) and passes; a test of the second SIGINT is new.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -24,11 +24,12 @@
 
 /// Runs one node of wagtaillever.
 ///
-/// SIGTERM or SIGINT starts a graceful stop; a second signal ends the process immediately.
+/// SIGTERM or SIGINT starts a graceful stop. Further SIGTERMs change nothing; a second SIGINT ends the
+/// process immediately.
 ///
 /// Exit codes: 0 after a graceful stop or a successful check; 1 if the node
 /// could not start or failed; 2 if the arguments or settings are invalid;
-/// 3 if a second signal ended the process.
+/// 3 if a second SIGINT ended the process.
 #[derive(Debug, Parser)]
 #[command(name = "wagtailleverd", version)]
 pub struct Arguments {
--- a/crates/node/src/kernel/context.rs
+++ b/crates/node/src/kernel/context.rs
@@ -5,7 +5,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use log::warn;
+use log::{info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::Incarnation;
@@ -73,8 +73,8 @@
         self.shutdown.cancel();
     }
 
-    /// Waits for the first SIGTERM or SIGINT and returns its name; a second signal ends the process
-    /// immediately.
+    /// Waits for the first SIGTERM or SIGINT and returns its name. From then on, SIGTERM is ignored, as
+    /// supervisors may send it several times, and a second SIGINT ends the process immediately.
     ///
     /// The handlers are installed by the call itself, so signals that arrive before the first poll
     /// are not lost.
@@ -86,24 +86,54 @@
                 return None;
             };
             let first = next_signal(&mut terminate, &mut interrupt).await;
-            actix_rt::spawn(async move {
-                let signal = next_signal(&mut terminate, &mut interrupt).await;
-                warn!(signal; "second signal; ending the process immediately");
-                logging::flush();
-                std::process::exit(EXIT_SECOND_SIGNAL);
-            });
-            Some(first)
+            let is_interrupted = first == StopSignal::Interrupt;
+            actix_rt::spawn(watch_further_signals(terminate, interrupt, is_interrupted));
+            Some(first.name())
         }
     }
 }
 
-/// Exit code when a second signal ends the process.
-const EXIT_SECOND_SIGNAL: i32 = 3;
+/// Exit code when a second SIGINT ends the process.
+const EXIT_INTERRUPTED: i32 = 3;
 
-async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) -> &'static str {
+/// Signal that asks for a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StopSignal {
+    Terminate,
+    Interrupt,
+}
+
+impl StopSignal {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Terminate => "SIGTERM",
+            Self::Interrupt => "SIGINT",
+        }
+    }
+}
+
+async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) -> StopSignal {
     tokio::select! {
-        _ = terminate.recv() => "SIGTERM",
-        _ = interrupt.recv() => "SIGINT",
+        _ = terminate.recv() => StopSignal::Terminate,
+        _ = interrupt.recv() => StopSignal::Interrupt,
+    }
+}
+
+/// Ends the process at the second SIGINT and ignores all other signals.
+async fn watch_further_signals(
+    mut terminate: Signal,
+    mut interrupt: Signal,
+    mut is_interrupted: bool,
+) {
+    loop {
+        let signal = next_signal(&mut terminate, &mut interrupt).await;
+        if signal == StopSignal::Interrupt && is_interrupted {
+            warn!("second SIGINT; ending the process immediately");
+            logging::flush();
+            std::process::exit(EXIT_INTERRUPTED);
+        }
+        is_interrupted |= signal == StopSignal::Interrupt;
+        info!(signal = signal.name(); "the node is already stopping; the signal changes nothing");
     }
 }
 
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -71,6 +71,18 @@
     assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
 }
 
+#[actix_rt::test]
+async fn a_second_sigint_ends_the_process_immediately() {
+    let mut fleet = Fleet::start(&["orders"]).await;
+    let call = begin_call(&fleet, 0, LONG_WORK_MS).await;
+    for signal in [Signal::SIGINT, Signal::SIGTERM, Signal::SIGINT] {
+        fleet.vms[0].signal(signal);
+        actix_rt::time::sleep(Duration::from_millis(150)).await;
+    }
+    assert_eq!(fleet.vms[0].wait().await.code(), Some(3));
+    assert_eq!(call.await.unwrap(), None);
+}
+
 /// A call of a caller of the stopping node used up the time of the stop, and connections of other nodes
 /// were closed without notice: their calls ended with an unknown outcome.
 #[actix_rt::test]
