Give calls in flight the grace period of the deployment when a node stops

What callers saw: a node ended 5.2 s after SIGTERM, of the 10 s that the platform gives on the large deployment, and closed the connections of callers whose requests upstreams were working on. Requests that may run once can't be repeated.

Cause: the lengths of a stop were constants of the deploy file, chosen for a grace period of 6 s and calls of 2.5 s. A call that came at the end of the notice had 2.6 s left; one in 300 lasts longer there.

The class: a duration that the node takes from a constant although the deployment states it. `limits.grace_s` replaces `limits.stop_ms`; the deploy file fills it in. Calls get 0.86 of it (the users' rule excuses work in the last sixth), and a notice longer than half of it is shortened, so that a deployment with a short grace period leaves calls a third of it at least. A stop still ends when its calls have.

The checks on `stop_ms` are replaced by ones on `grace_s` (0, negative, not a number, too large) and `notice_ms`; the check of the template against 6 s holds for the computed end, and six grace periods are checked for both sides: calls get five sixths at least, and the process ends in time.

--- a/crates/bench/src/fleet/options.rs
+++ b/crates/bench/src/fleet/options.rs
@@ -13,8 +13,8 @@
 pub(crate) struct StopLimits {
     /// Time for which a stopping node still accepts calls, in milliseconds.
     pub(crate) notice_ms: u64,
-    /// Longest time for which it then waits for calls in flight, in milliseconds.
-    pub(crate) stop_ms: u64,
+    /// Time after which it is killed, in seconds.
+    pub(crate) grace_s: f64,
 }
 
 /// Options of a fleet.
--- a/crates/bench/src/subcommand/stops.rs
+++ b/crates/bench/src/subcommand/stops.rs
@@ -33,9 +33,6 @@
     /// Notice period of the nodes in milliseconds.
     #[arg(long, default_value_t = 2_600)]
     notice_ms: u64,
-    /// Time in milliseconds for which nodes wait for calls in flight after the notice period.
-    #[arg(long, default_value_t = 2_600)]
-    stop_ms: u64,
     /// Sends further signals, publishes notes and lets the platform fail while nodes stop.
     #[arg(long)]
     disturbed: bool,
@@ -64,7 +61,7 @@
             notice: Duration::from_millis(self.notice_ms),
             stop_limits: StopLimits {
                 notice_ms: self.notice_ms,
-                stop_ms: self.stop_ms,
+                grace_s: self.grace_s,
             },
             is_disturbed: self.disturbed,
             seed: self.seed,
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,10 +1,13 @@
 //! Command line and main function of the daemon.
 
-use std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration};
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use clap::Parser;
 use log::{error, info, warn};
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::Instant,
+};
 
 use crate::{
     admin::Admin,
@@ -15,7 +18,7 @@
     logging,
     mutant::{self, Mutant},
     peers::{Peers, PeersHandle},
-    settings::{Limits, Settings},
+    settings::Settings,
     sidecar::Sidecar,
     source::Source,
     stall::StallWatch,
@@ -98,11 +101,11 @@
     let lifecycle = Lifecycle::new(&context);
     let stop = context.stop_signal();
     kernel.start().await?;
-    run_until_stopped(&context, lifecycle, stop).await?;
+    let stop_requested_at = run_until_stopped(&context, lifecycle, stop).await?;
     if mutant::is_enabled(Mutant::AbruptStop) {
         return Ok(());
     }
-    kernel.stop().await;
+    kernel.stop(stop_requested_at).await;
     Ok(())
 }
 
@@ -119,12 +122,12 @@
 }
 
 /// Joins and serves until a stop is requested, then waits for the notice period and enters the
-/// stop.
+/// stop. Returns the time at which the stop was requested.
 async fn run_until_stopped(
     context: &Context,
     lifecycle: Lifecycle<Starting>,
     stop: impl Future<Output = Option<&'static str>>,
-) -> Result<(), NodeError> {
+) -> Result<Instant, NodeError> {
     let peers: PeersHandle = context.registry().find("peers")?;
     let lifecycle = lifecycle.enter_joining();
     tokio::pin!(stop);
@@ -132,18 +135,17 @@
         signal = &mut stop => {
             info!(signal; "stop requested before the node accepted calls");
             lifecycle.enter_stopping();
-            return Ok(());
+            return Ok(Instant::now());
         }
         _ = peers.wait_until_joined() => {}
     }
     let lifecycle = lifecycle.enter_serving();
     let signal = stop.await;
+    let requested_at = Instant::now();
     let lifecycle = lifecycle.enter_leaving();
-    let Limits {
-        notice_ms, stop_ms, ..
-    } = context.settings().limits;
-    info!(signal, notice_ms, stop_ms; "stop requested");
-    tokio::time::sleep(Duration::from_millis(notice_ms)).await;
+    let times = context.settings().limits.stop_times();
+    info!(signal, times:?; "stop requested");
+    tokio::time::sleep_until(requested_at + times.notice).await;
     lifecycle.enter_stopping();
-    Ok(())
+    Ok(requested_at)
 }
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -42,9 +42,9 @@
     /// Returns an error if the address can't be bound.
     pub(super) fn start(shared: SharedState) -> io::Result<Self> {
         let address = shared.settings.callers;
-        let notice = Duration::from_millis(shared.settings.limits.notice_ms);
+        let times = shared.settings.limits.stop_times();
         let open_calls = shared.open_calls.clone();
-        let stop_seconds = shared.settings.limits.stop_ms.div_ceil(1000);
+        let stop_seconds = times.calls.as_secs() + 1;
         let app = move || {
             let worker = web::Data::new(Rc::clone(&Worker::spawn(shared.clone())));
             App::new().app_data(worker).default_service(web::to(handle))
@@ -66,7 +66,7 @@
         actix_rt::spawn(server);
         Ok(Self {
             handle,
-            stop_delay: STOP_NOTICE.saturating_sub(notice),
+            stop_delay: STOP_NOTICE.saturating_sub(times.notice),
             open_calls,
             addresses,
         })
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -332,7 +332,7 @@
     let bytes = max_calls << 16;
     let text = format!(
         "{{vm: v, domain: a, region: r, address: 127.0.0.1, callers: '127.0.0.1:0', \
-         peers: '{peers}', admin: '127.0.0.1:0', limits: {{stop_ms: 3000, body_bytes: {bytes}}}}}"
+         peers: '{peers}', admin: '127.0.0.1:0', limits: {{grace_s: 3, body_bytes: {bytes}}}}}"
     );
     Arc::new(serde_yaml_ng::from_str(&text).unwrap())
 }
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -17,8 +17,6 @@
     stop::stop_server,
 };
 
-use std::time::Duration;
-
 use log::info;
 use snafu::ResultExt;
 use tokio::time::Instant;
@@ -57,7 +55,7 @@
         for mut service in std::mem::take(&mut self.pending) {
             let name = service.name();
             if let Err(err) = service.start(&self.context).await {
-                self.stop().await;
+                self.stop(Instant::now()).await;
                 return Err(err).context(StartSnafu { service: name });
             }
             info!("service {name} started");
@@ -66,16 +64,15 @@
         Ok(())
     }
 
-    /// Stops all services in reverse order; they share one deadline, `stop_ms` of the settings.
-    pub(crate) async fn stop(&mut self) {
-        let timeout = Duration::from_millis(self.context.settings().limits.stop_ms);
-        let started = Instant::now();
-        let deadline = started + timeout;
+    /// Stops all services in reverse order; they share the deadline of a stop that was requested at
+    /// `requested_at`.
+    pub(crate) async fn stop(&mut self, requested_at: Instant) {
+        let deadline = requested_at + self.context.settings().limits.stop_times().calls;
         while let Some(mut service) = self.running.pop() {
             service.stop(deadline).await;
             info!("service {} stopped", service.name());
         }
-        let took_ms = started.elapsed().as_millis() as u64;
+        let took_ms = requested_at.elapsed().as_millis() as u64;
         info!(took_ms; "all services stopped");
         self.context.cancel_tasks();
     }
--- a/crates/node/src/kernel/tests.rs
+++ b/crates/node/src/kernel/tests.rs
@@ -6,8 +6,8 @@
 use super::*;
 use crate::settings::Settings;
 
-/// Stop timeout of the test settings.
-const STOP_MS: u64 = 200;
+/// Grace period of the test settings.
+const GRACE: Duration = Duration::from_millis(250);
 
 /// Service whose calls in flight never end.
 struct BusyService {
@@ -32,9 +32,10 @@
 }
 
 fn settings() -> Settings {
+    let grace_s = GRACE.as_secs_f64();
     let text = format!(
         "{{vm: v, domain: d, region: r, address: 127.0.0.1, callers: '127.0.0.1:1', peers: '127.0.0.1:2', \
-         admin: '127.0.0.1:3', seeds: ['127.0.0.1:4'], limits: {{stop_ms: {STOP_MS}}}}}"
+         admin: '127.0.0.1:3', seeds: ['127.0.0.1:4'], limits: {{grace_s: {grace_s}}}}}"
     );
     Settings::parse(Path::new("node.yaml"), &text).unwrap()
 }
@@ -49,11 +50,11 @@
     }
     kernel.start().await.unwrap();
     let before = Instant::now();
-    kernel.stop().await;
+    kernel.stop(before).await;
     let deadlines = deadlines.borrow();
     assert_eq!(deadlines.len(), 3);
     assert!(deadlines.iter().all(|deadline| *deadline == deadlines[0]));
-    assert!(deadlines[0] >= before + Duration::from_millis(STOP_MS));
+    assert!(deadlines[0] >= before + GRACE.mul_f64(5.0 / 6.0));
 }
 
 /// Returns a stop deadline that is later than the end of any call in a test.
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -10,7 +10,7 @@
 /// Field with an invalid value.
 #[derive(Debug)]
 pub(super) struct InvalidField {
-    /// Path of the field, such as `limits.stop_ms`.
+    /// Path of the field, such as `limits.grace_s`.
     pub(super) field: &'static str,
     /// What was expected.
     pub(super) reason: String,
@@ -24,6 +24,11 @@
 const MIN_APPLY_S: f64 = 0.5;
 const MAX_APPLY_S: f64 = 3_600.0;
 
+/// Range in seconds of the grace period of a stop: no call can be finished in less, and none lasts
+/// longer.
+const MIN_GRACE_S: f64 = 0.1;
+const MAX_GRACE_S: f64 = 3_600.0;
+
 impl Settings {
     /// Checks the rules that the types of the fields do not enforce.
     pub(super) fn check(&self) -> Result<(), InvalidField> {
@@ -114,7 +119,9 @@
         let limits = &self.limits;
         let above_zero = "must be above 0";
         ensure(limits.body_bytes > 0, "limits.body_bytes", above_zero)?;
-        ensure(limits.stop_ms > 0, "limits.stop_ms", above_zero)?;
+        let is_possible = (MIN_GRACE_S..=MAX_GRACE_S).contains(&limits.grace_s);
+        let reason = format!("must be {MIN_GRACE_S} to {MAX_GRACE_S} seconds");
+        ensure(is_possible, "limits.grace_s", reason)?;
         ensure(limits.skew_ms > 0, "limits.skew_ms", above_zero)?;
         check_bound("limits.apply_s", limits.apply_s)?;
         check_bound("limits.drain_s", limits.drain_s)?;
--- a/crates/node/src/settings/error.rs
+++ b/crates/node/src/settings/error.rs
@@ -33,7 +33,7 @@
         path: PathBuf,
         /// Line of the field, counted from 1; 1 if the field is not in the file.
         line: usize,
-        /// Path of the field, such as `limits.stop_ms`.
+        /// Path of the field, such as `limits.grace_s`.
         field: &'static str,
         /// What was expected.
         reason: String,
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -11,10 +11,11 @@
 pub struct Limits {
     /// Maximum size in bytes of all bodies in flight through the node.
     pub body_bytes: usize,
-    /// Maximum time in milliseconds for which a graceful stop waits for calls in flight.
-    pub stop_ms: u64,
+    /// Time in seconds after SIGTERM after which the platform kills the process; 30 s by default.
+    pub grace_s: f64,
     /// Time in milliseconds for which a stopping node still accepts calls while callers are
-    /// notified of the stop. By default, it refuses calls immediately.
+    /// notified of the stop, at most half of the grace period. By default, it refuses calls
+    /// immediately.
     pub notice_ms: u64,
     /// Time in seconds within which a change must be in force on each node that can reach the
     /// platform; 8 s by default.
@@ -31,9 +32,39 @@
     pub cold_overage: f64,
 }
 
+/// Largest share of the grace period that the notice takes.
+const MAX_NOTICE_SHARE: f64 = 0.5;
+/// Share of the grace period after which calls in flight are cut off. The users' rules allow it from
+/// five sixths on.
+const CALLS_SHARE: f64 = 0.86;
+/// Share of the grace period after which the process ends, which leaves time for a late start of the
+/// stop and for the exit.
+const END_SHARE: f64 = 0.96;
+
+/// Times of a planned stop, counted from the signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StopTimes {
+    /// Time for which the node still accepts calls.
+    pub(crate) notice: Duration,
+    /// Time after which calls in flight are cut off.
+    pub(crate) calls: Duration,
+    /// Time after which the process ends.
+    pub(crate) end: Duration,
+}
+
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 impl Limits {
+    /// Returns the times of a planned stop. Calls get as much of the grace period as possible.
+    pub(crate) fn stop_times(&self) -> StopTimes {
+        let share = |share: f64| Duration::from_secs_f64(self.grace_s * share);
+        StopTimes {
+            notice: Duration::from_millis(self.notice_ms).min(share(MAX_NOTICE_SHARE)),
+            calls: share(CALLS_SHARE),
+            end: share(END_SHARE),
+        }
+    }
+
     /// Returns the times of readers that follow from the shortest bound on changes.
     pub(crate) fn timing(&self) -> ApplyTiming {
         let default = ApplyTiming::default().bound().as_secs_f64();
@@ -63,7 +94,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 32 << 20,
-            stop_ms: 30_000,
+            grace_s: 30.0,
             notice_ms: 0,
             apply_s: None,
             drain_s: None,
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -64,7 +64,7 @@
 #[test]
 fn omitted_fields_get_defaults() {
     let settings = Case::new().parse_valid();
-    assert_eq!(settings.limits.stop_ms, 30_000);
+    assert_eq!(settings.limits.grace_s, 30.0);
     assert_eq!(settings.log, "info,actix_server=warn");
     assert!(settings.policies.relay);
     assert!(settings.token.is_none());
@@ -106,8 +106,9 @@
 fn values_of_the_wrong_type_are_refused() {
     assert_refused("address: nowhere", "4", "invalid IP address");
     assert_refused("callers: 127.0.0.1", "5", "invalid socket address");
-    assert_refused("limits: {stop_ms: soon}", "9", "expected u64");
-    assert_refused("limits: {stop_ms: -1}", "9", "expected u64");
+    assert_refused("limits: {grace_s: soon}", "9", "expected f64");
+    assert_refused("limits: {notice_ms: soon}", "9", "expected u64");
+    assert_refused("limits: {notice_ms: -1}", "9", "expected u64");
     assert_refused("platform: 127.0.0.1:1", "8", "expected a sequence");
 }
 
@@ -173,8 +174,8 @@
 
 #[test]
 fn limits_must_be_above_zero() {
-    let text = format!("{VALID}limits:\n  body_bytes: 1\n  stop_ms: 0\n");
-    Case { text }.assert_refused("11", "limits.stop_ms: must be above 0");
+    let text = format!("{VALID}limits:\n  skew_ms: 1\n  body_bytes: 0\n");
+    Case { text }.assert_refused("11", "limits.body_bytes: must be above 0");
     assert_refused(
         "limits: {skew_ms: 0}",
         "1",
@@ -182,6 +183,32 @@
     );
 }
 
+#[test]
+fn the_grace_period_must_be_possible() {
+    for value in ["0", "-1", ".nan", "3601"] {
+        let text = format!("{VALID}limits:\n  body_bytes: 1\n  grace_s: {value}\n");
+        let reason = "limits.grace_s: must be 0.1 to 3600 seconds";
+        Case { text }.assert_refused("11", reason);
+    }
+}
+
+#[test]
+fn a_stop_fits_into_the_grace_period_and_leaves_most_of_it_to_calls() {
+    for grace_s in [0.5, 3.0, 6.0, 10.0, 30.0, 120.0] {
+        let limits = format!("limits: {{grace_s: {grace_s}, notice_ms: 2600}}");
+        let times = Case::new().set(&limits).parse_valid().limits.stop_times();
+        let share = |time: std::time::Duration| time.as_secs_f64() / grace_s;
+        assert!(share(times.calls) >= 5.0 / 6.0, "{times:?}");
+        assert!(share(times.end) - share(times.calls) >= 0.05, "{times:?}");
+        assert!(share(times.end) <= 0.97, "{times:?}");
+        // A call that is accepted last gets a third of the grace period at least.
+        assert!(
+            share(times.calls) - share(times.notice) >= 1.0 / 3.0,
+            "{times:?}"
+        );
+    }
+}
+
 #[test]
 fn invalid_log_filters_are_refused() {
     Case::new()
@@ -274,6 +301,7 @@
         ("bounds.cold_overage", "1.5"),
         ("bounds.config_apply_s", "2"),
         ("bounds.drain_s", "2"),
+        ("bounds.grace_s", "6"),
     ];
     for (field, value) in fields {
         text = text.replace(&format!("{{{{{field}}}}}"), value);
@@ -287,9 +315,10 @@
     assert_eq!(settings.regions.len(), 2);
     assert_eq!(settings.limits.link_rate(), Some(3_500_000));
     assert_eq!(settings.limits.cold_rate(17), 25);
-    let stop_ms = settings.limits.notice_ms + settings.limits.stop_ms;
+    let times = settings.limits.stop_times();
     assert!(
-        stop_ms < 6_000,
+        times.end.as_millis() < 6_000,
         "the platform kills a stopping node after 6 s"
     );
+    assert_eq!(times.notice.as_millis(), 2_600);
 }
