Close the connections of other nodes in time when a stop uses up its time

What callers saw: requests that may run once got 502 at other nodes, some tens of milliseconds after a node had ended 5.2 s after its SIGTERM. They had not run.

Cause: all services share one deadline and stop one after the other, the ingress first. If a single call of a caller used the time up, nothing was left for the sidecar and the transport: the process ended without the notice (GOAWAY) by which other nodes know that calls under way were not read, so their outcome was unknown.

The class: a resource that the last in a row gets from what the first ones leave.

busy_services_share_one_stop_deadline, which demanded the fault, is replaced: the services share both deadlines, calls get five sixths of the grace period, there is time after them, and both end within it. The end of a stop no longer waits for the server's check of its connections, once a second. An answer counts as complete when its last byte was passed on.

--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -15,11 +15,10 @@
 use futures_util::future::LocalBoxFuture;
 use log::info;
 use snafu::ResultExt;
-use tokio::time::Instant;
 
 use crate::{
     admin::{exporter::Exporter, queries::Queries, routes::Shared, token::Guard},
-    kernel::{BindSnafu, Context, Service, StartError, stop_server},
+    kernel::{BindSnafu, Context, Service, StartError, StopDeadlines, stop_server},
 };
 
 /// Service that runs the HTTP servers of the admin interface.
@@ -57,10 +56,10 @@
         })
     }
 
-    fn stop(&mut self, deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             for server in self.servers.drain(..) {
-                stop_server(&server, deadline).await;
+                stop_server(&server, deadlines.end).await;
             }
         })
     }
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -25,11 +25,10 @@
 
 use futures_util::future::LocalBoxFuture;
 use snafu::ResultExt;
-use tokio::time::Instant;
 
 use crate::{
     ingress::{open_calls::OpenCalls, server::Server, worker::SharedState},
-    kernel::{BindSnafu, Context, Service, StartError},
+    kernel::{BindSnafu, Context, Service, StartError, StopDeadlines},
     stall::StallHandle,
 };
 
@@ -62,10 +61,10 @@
         })
     }
 
-    fn stop(&mut self, deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(server) = self.server.take() {
-                server.stop(deadline).await;
+                server.stop(deadlines).await;
             }
         })
     }
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -43,7 +43,8 @@
     upload: Option<LocalBoxFuture<'static, ()>>,
     remaining: Option<u64>,
     idle_timeout: Duration,
-    open_call: OpenCall,
+    /// Record of the call until the caller has the whole answer.
+    open_call: Option<OpenCall>,
     _guards: (CallGuard, Permit, Rc<Channel>),
 }
 
@@ -59,7 +60,7 @@
         upload: reply.upload,
         remaining: length,
         idle_timeout,
-        open_call,
+        open_call: Some(open_call),
         _guards: (guard, permit, reply.channel),
     };
     let length = length.filter(|_| !mutant::is_enabled(Mutant::ShortAnswers));
@@ -84,11 +85,13 @@
     match body.next_chunk().await {
         Ok(Some(chunk)) => Some((Ok(chunk), Some(body))),
         Ok(None) => {
-            body.open_call.finish();
+            body.finish_call();
             None
         }
         Err(err) => {
-            body.open_call.break_off();
+            if let Some(open_call) = body.open_call {
+                open_call.break_off();
+            }
             Some((Err(err), None))
         }
     }
@@ -107,6 +110,12 @@
         Ok(chunk)
     }
 
+    fn finish_call(&mut self) {
+        if let Some(open_call) = self.open_call.take() {
+            open_call.finish();
+        }
+    }
+
     fn count_bytes(&mut self, chunk: Option<&Bytes>) -> Result<(), BodyError> {
         let Some(remaining) = &mut self.remaining else {
             return Ok(());
@@ -115,7 +124,11 @@
         *remaining = remaining
             .checked_sub(received)
             .ok_or(BodyError::LengthMismatch)?;
-        if chunk.is_none() && *remaining > 0 {
+        if *remaining == 0 {
+            self.finish_call();
+            return Ok(());
+        }
+        if chunk.is_none() {
             return Err(BodyError::LengthMismatch);
         }
         Ok(())
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -3,8 +3,9 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_web::{App, HttpServer, dev::ServerHandle, web};
-use log::info;
-use tokio::time::Instant;
+use log::{info, warn};
+use tokio::time::{sleep, timeout_at};
+use tokio_util::task::TaskTracker;
 
 use crate::{
     ingress::{
@@ -12,7 +13,7 @@
         open_calls::OpenCalls,
         worker::{SharedState, Worker},
     },
-    kernel::stop_server,
+    kernel::StopDeadlines,
 };
 
 /// Time after which a connection without requests is closed.
@@ -30,6 +31,8 @@
     handle: ServerHandle,
     stop_delay: Duration,
     open_calls: OpenCalls,
+    /// Open connections of callers.
+    connections: TaskTracker,
     /// Addresses on which the server listens.
     pub(super) addresses: Vec<SocketAddr>,
 }
@@ -45,6 +48,8 @@
         let times = shared.settings.limits.stop_times();
         let open_calls = shared.open_calls.clone();
         let stop_seconds = times.calls.as_secs() + 1;
+        let connections = TaskTracker::new();
+        let opened = connections.clone();
         let app = move || {
             let worker = web::Data::new(Rc::clone(&Worker::spawn(shared.clone())));
             App::new().app_data(worker).default_service(web::to(handle))
@@ -56,6 +61,9 @@
             .h1_allow_half_closed(false)
             .tcp_nodelay(true)
             .max_connections(MAX_CONNECTIONS)
+            .on_connect(move |_, data| {
+                data.insert(opened.token());
+            })
             .shutdown_timeout(stop_seconds)
             .disable_signals()
             .bind(address)?;
@@ -68,16 +76,28 @@
             handle,
             stop_delay: STOP_NOTICE.saturating_sub(times.notice),
             open_calls,
+            connections,
             addresses,
         })
     }
 
-    /// Keeps refusing new calls for the rest of [`STOP_NOTICE`], then accepts no more connections
-    /// and waits for the calls in flight. Calls still running at the deadline are cut.
-    pub(super) async fn stop(self, deadline: Instant) {
-        tokio::time::sleep(self.stop_delay).await;
+    /// Keeps refusing new calls for the rest of [`STOP_NOTICE`], then accepts no more connections,
+    /// closes idle ones and waits for the calls in flight. Calls still running at the deadline are
+    /// cut off.
+    pub(super) async fn stop(self, deadlines: StopDeadlines) {
+        sleep(self.stop_delay).await;
         info!(calls = self.open_calls.len(); "no longer accepting callers on {:?}", self.addresses);
-        stop_server(&self.handle, deadline).await;
+        self.connections.close();
+        let closed = async {
+            tokio::select! {
+                () = self.handle.stop(true) => {}
+                // The server itself looks for closed connections once a second only.
+                () = self.connections.wait() => {}
+            }
+        };
+        if timeout_at(deadlines.calls, closed).await.is_err() {
+            warn!("stop deadline reached; not waiting for the open connections of callers");
+        }
         self.open_calls.record_cut();
     }
 }
--- a/crates/node/src/ingress/tests/lifecycle.rs
+++ b/crates/node/src/ingress/tests/lifecycle.rs
@@ -52,7 +52,7 @@
     }
     fixture.context.view().set_phase(Phase::Stopping);
     let reply = async { RawResponse::read(stream).await };
-    let (reply, ()) = tokio::join!(reply, fixture.ingress.stop(crate::kernel::stop_deadline()));
+    let (reply, ()) = tokio::join!(reply, fixture.ingress.stop(crate::kernel::stop_deadlines()));
     reply.assert_status(200).assert_body(b"halfrest");
     let mut rest = Vec::new();
     idle.read_to_end(&mut rest).await.unwrap();
@@ -205,7 +205,7 @@
     let mut first = fixture.services.remove(0);
     let stop = async {
         tokio::time::sleep(Duration::from_millis(200)).await;
-        first.stop(crate::kernel::stop_deadline()).await;
+        first.stop(crate::kernel::stop_deadlines()).await;
     };
     let calls = (0..300).map(|i| {
         let fixture = &fixture;
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -9,12 +9,12 @@
 mod tests;
 
 #[cfg(test)]
-pub(crate) use self::tests::stop_deadline;
+pub(crate) use self::tests::stop_deadlines;
 pub(crate) use self::{
     context::Context,
     registry::{Registry, RegistryError},
     service::{BindSnafu, Service, StartError},
-    stop::stop_server,
+    stop::{StopDeadlines, stop_server},
 };
 
 use log::info;
@@ -64,12 +64,13 @@
         Ok(())
     }
 
-    /// Stops all services in reverse order; they share the deadline of a stop that was requested at
+    /// Stops all services in reverse order. They share the deadlines of a stop that was requested at
     /// `requested_at`.
     pub(crate) async fn stop(&mut self, requested_at: Instant) {
-        let deadline = requested_at + self.context.settings().limits.stop_times().calls;
+        let times = self.context.settings().limits.stop_times();
+        let deadlines = StopDeadlines::new(requested_at, times);
         while let Some(mut service) = self.running.pop() {
-            service.stop(deadline).await;
+            service.stop(deadlines).await;
             info!("service {} stopped", service.name());
         }
         let took_ms = requested_at.elapsed().as_millis() as u64;
--- a/crates/node/src/kernel/service.rs
+++ b/crates/node/src/kernel/service.rs
@@ -2,9 +2,8 @@
 
 use futures_util::future::LocalBoxFuture;
 use snafu::Snafu;
-use tokio::time::Instant;
 
-use crate::kernel::{Context, RegistryError};
+use crate::kernel::{Context, RegistryError, StopDeadlines};
 
 /// Service of the node, run on the main thread.
 pub(crate) trait Service {
@@ -14,8 +13,8 @@
     /// Starts the service and publishes its handle in the registry.
     fn start<'a>(&'a mut self, context: &'a Context) -> LocalBoxFuture<'a, Result<(), StartError>>;
 
-    /// Stops the service when the calls in flight have finished, or at the deadline.
-    fn stop(&mut self, deadline: Instant) -> LocalBoxFuture<'_, ()>;
+    /// Stops the service when the calls in flight have finished, or at its deadline.
+    fn stop(&mut self, deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()>;
 }
 
 /// Error that prevents a service from starting.
--- a/crates/node/src/kernel/stop.rs
+++ b/crates/node/src/kernel/stop.rs
@@ -1,9 +1,31 @@
-//! Stops an HTTP server within the deadline of the node's stop.
+//! Deadlines of the node's stop, and the stop of an HTTP server.
 
 use actix_web::dev::ServerHandle;
 use log::warn;
 use tokio::time::{Instant, timeout_at};
 
+use crate::settings::StopTimes;
+
+/// Deadlines of a stop, the same for all services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StopDeadlines {
+    /// When calls in flight are cut off.
+    pub(crate) calls: Instant,
+    /// When the process ends. Connections of other nodes are closed until then, so that no call that
+    /// is on its way is left with an unknown outcome.
+    pub(crate) end: Instant,
+}
+
+impl StopDeadlines {
+    /// Returns the deadlines of a stop that was requested at a time.
+    pub(crate) fn new(requested_at: Instant, times: StopTimes) -> Self {
+        Self {
+            calls: requested_at + times.calls,
+            end: requested_at + times.end,
+        }
+    }
+}
+
 /// Stops a server when its calls in flight have finished, or at the deadline.
 pub(crate) async fn stop_server(server: &ServerHandle, deadline: Instant) {
     if timeout_at(deadline, server.stop(true)).await.is_err() {
--- a/crates/node/src/kernel/tests.rs
+++ b/crates/node/src/kernel/tests.rs
@@ -11,7 +11,7 @@
 
 /// Service whose calls in flight never end.
 struct BusyService {
-    deadlines: Rc<RefCell<Vec<Instant>>>,
+    deadlines: Rc<RefCell<Vec<StopDeadlines>>>,
 }
 
 impl Service for BusyService {
@@ -23,10 +23,10 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn stop(&mut self, deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
-            sleep_until(deadline).await;
-            self.deadlines.borrow_mut().push(deadline);
+            sleep_until(deadlines.calls).await;
+            self.deadlines.borrow_mut().push(deadlines);
         })
     }
 }
@@ -41,7 +41,7 @@
 }
 
 #[actix_rt::test]
-async fn busy_services_share_one_stop_deadline() {
+async fn busy_services_share_the_deadlines_of_a_stop() {
     let deadlines = Rc::new(RefCell::new(Vec::new()));
     let mut kernel = Kernel::new(Context::new(settings().into()));
     for _ in 0..3 {
@@ -49,15 +49,25 @@
         kernel.add(BusyService { deadlines });
     }
     kernel.start().await.unwrap();
-    let before = Instant::now();
-    kernel.stop(before).await;
+    let requested_at = Instant::now();
+    kernel.stop(requested_at).await;
     let deadlines = deadlines.borrow();
     assert_eq!(deadlines.len(), 3);
-    assert!(deadlines.iter().all(|deadline| *deadline == deadlines[0]));
-    assert!(deadlines[0] >= before + GRACE.mul_f64(5.0 / 6.0));
+    assert!(deadlines.iter().all(|other| *other == deadlines[0]));
+    let StopDeadlines { calls, end } = deadlines[0];
+    assert!(calls >= requested_at + GRACE.mul_f64(5.0 / 6.0));
+    assert!(
+        end >= calls + GRACE.mul_f64(0.05),
+        "no time to close connections"
+    );
+    assert!(end < requested_at + GRACE);
 }
 
-/// Returns a stop deadline that is later than the end of any call in a test.
-pub(crate) fn stop_deadline() -> Instant {
-    Instant::now() + Duration::from_secs(30)
+/// Returns stop deadlines that are later than the end of any call in a test.
+pub(crate) fn stop_deadlines() -> StopDeadlines {
+    let calls = Instant::now() + Duration::from_secs(30);
+    StopDeadlines {
+        calls,
+        end: calls + Duration::from_secs(5),
+    }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,11 +10,11 @@
 
 use futures_util::future::LocalBoxFuture;
 use log::error;
-use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
+use tokio::{sync::mpsc, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use self::{core::Core, link::Acceptor};
-use crate::kernel::{Context, Service, StartError};
+use crate::kernel::{Context, Service, StartError, StopDeadlines};
 
 /// Maximum number of inputs queued for the replica.
 const MAX_QUEUED_INPUTS: usize = 4096;
@@ -47,7 +47,7 @@
         })
     }
 
-    fn stop(&mut self, _deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, _deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(token) = self.token.take() {
                 token.cancel();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,6 +8,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::limits::StopTimes;
 pub use self::{error::SettingsError, limits::Limits, policies::Policies, protocol::Protocol};
 
 use std::{
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -31,12 +31,12 @@
 use futures_util::future::LocalBoxFuture;
 use tokio::{
     sync::broadcast::{self, error::RecvError},
-    time::{Instant, MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep},
 };
 use wagtaillever_coordination::SoftReport;
 
 use crate::{
-    kernel::{Context, Service, StartError},
+    kernel::{Context, Service, StartError, StopDeadlines},
     peers::PeersHandle,
     sidecar::{fence::FenceHandler, handler::CallHandler, shared::Shared},
     source::RegistrationCheck,
@@ -90,12 +90,12 @@
         })
     }
 
-    fn stop(&mut self, deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             let Some(shared) = self.shared.take() else {
                 return;
             };
-            shared.drain(deadline).await;
+            shared.drain(deadlines.calls).await;
         })
     }
 }
--- a/crates/node/src/sidecar/tests/forwarding.rs
+++ b/crates/node/src/sidecar/tests/forwarding.rs
@@ -245,7 +245,7 @@
     let flag = Rc::clone(&ended);
     let mut sidecar = std::mem::take(&mut fixture.sidecar);
     let stopping = actix_rt::spawn(async move {
-        sidecar.stop(crate::kernel::stop_deadline()).await;
+        sidecar.stop(crate::kernel::stop_deadlines()).await;
         flag.set(true);
     });
     actix_rt::time::sleep(Duration::from_millis(20)).await;
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -8,7 +8,6 @@
 mod value;
 
 use futures_util::future::{FutureExt, LocalBoxFuture};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use wagtaillever_platform::{StoreClient, Topology};
 
@@ -16,7 +15,7 @@
 
 use self::{client::PlatformClient, reader::Reader, store_reader::StoreReader};
 use crate::{
-    kernel::{Context, Service, StartError},
+    kernel::{Context, Service, StartError, StopDeadlines},
     peers::PeersHandle,
     settings::{Protocol, Settings},
 };
@@ -69,7 +68,7 @@
         })
     }
 
-    fn stop(&mut self, _deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, _deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(token) = self.token.take() {
                 token.cancel();
--- a/crates/node/src/stall.rs
+++ b/crates/node/src/stall.rs
@@ -5,9 +5,8 @@
 pub(crate) use self::ticker::StallHandle;
 
 use futures_util::future::LocalBoxFuture;
-use tokio::time::Instant;
 
-use crate::kernel::{Context, Service, StartError};
+use crate::kernel::{Context, Service, StartError, StopDeadlines};
 
 /// Service that detects pauses of this process; its handle is a [`StallHandle`].
 #[derive(Default)]
@@ -28,7 +27,7 @@
         })
     }
 
-    fn stop(&mut self, _deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, _deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {})
     }
 }
--- a/crates/node/src/transport/server.rs
+++ b/crates/node/src/transport/server.rs
@@ -19,7 +19,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    kernel::{Context, Registry, Service, StartError},
+    kernel::{Context, Registry, Service, StartError, StopDeadlines},
     transport::{
         client::{CONNECTION_WINDOW_BYTES, MAX_STREAMS, STREAM_WINDOW_BYTES},
         frame::{FrameReader, FrameWriter},
@@ -66,13 +66,13 @@
         })
     }
 
-    fn stop(&mut self, deadline: Instant) -> LocalBoxFuture<'_, ()> {
+    fn stop(&mut self, deadlines: StopDeadlines) -> LocalBoxFuture<'_, ()> {
         Box::pin(async move {
             if let Some(token) = self.token.take() {
                 token.cancel();
             }
             self.connections.close();
-            let deadline = deadline.min(Instant::now() + CLOSE_TIMEOUT);
+            let deadline = deadlines.end.min(Instant::now() + CLOSE_TIMEOUT);
             if timeout_at(deadline, self.connections.wait()).await.is_err() {
                 debug!("other nodes did not close their connections in time");
             }
