Take no answer for a call that another one may have got before

What callers saw: 503 with a time to come back for requests that an upstream was running (REFUSED); where the node went on to another upstream instead, requests that may run once ran twice (TWICE). Bytes that followed an answer reached another caller as its success (MIXED).

Cause: a response without a call ID counted as the answer to whatever call waited on the connection. Rejections carry no ID, so a second, late copy of one passed for the rejection of the next call; so did any other bytes that look like HTTP.

The class: trust in the place where bytes arrive. What identifies an answer is its ID. Where upstreams echo it (the users' platform), a response without it belongs to no call, unless it is a rejection; and the connection of a rejection without an ID is closed, so that no copy of it can meet another call. A rejection that carries its ID keeps the connection. In the product's own protocol the ID stays optional in answers; rejections there close the connection too.

Both tests in sidecar/tests/stray.rs failed before. The stand-in upstream of sidecar/tests/stated.rs echoes IDs now, as upstreams of that platform do.

--- a/crates/coordination/src/dialect.rs
+++ b/crates/coordination/src/dialect.rs
@@ -5,6 +5,9 @@
 pub struct Dialect {
     /// Identifier of a request, which an upstream echoes in its answer.
     pub call_id: &'static str,
+    /// Whether upstreams echo the identifier in all answers but rejections. An answer without it then
+    /// belongs to no request.
+    pub echoes_call_id: bool,
     /// Time in milliseconds for which the sender of a request waits for the answer.
     pub deadline_ms: &'static str,
     /// Number of hops that a call has taken.
--- a/crates/coordination/src/statement/tests.rs
+++ b/crates/coordination/src/statement/tests.rs
@@ -3,6 +3,7 @@
 
 const DIALECT: Dialect = Dialect {
     call_id: "id",
+    echoes_call_id: false,
     deadline_ms: "deadline",
     hops: None,
     note: None,
--- a/crates/node/src/settings/protocol.rs
+++ b/crates/node/src/settings/protocol.rs
@@ -34,6 +34,7 @@
 /// Headers of the [`Protocol::Notes`] deployment.
 pub(crate) const NOTES_DIALECT: Dialect = Dialect {
     call_id: "x-call-id",
+    echoes_call_id: false,
     deadline_ms: "x-deadline-ms",
     hops: Some("x-hops"),
     note: Some("x-note"),
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -241,16 +241,17 @@
         trace.discard();
         return Err(Failure::BadAnswer);
     }
-    if is_for_other_call(&response, call, dialect) {
+    let identity = Identity::of(&response, call, dialect);
+    if !is_answer_to(&response, identity, dialect) {
         trace.discard();
         return Err(Failure::BadAnswer);
     }
-    if dialect.misdirected_status == Some(status.as_u16()) {
-        return Err(Failure::Misdirected);
-    }
-    if status.as_u16() >= MIN_FAILURE_STATUS && header_is(&response, dialect.not_run, "1") {
-        let after = retry_after(&response);
-        return Err(Failure::Shed { after });
+    if let Some(rejection) = rejection(&response, dialect) {
+        if identity == Identity::Unstated {
+            // A second copy would pass for the rejection of the next call on the connection.
+            trace.discard();
+        }
+        return Err(rejection);
     }
     let process = dialect
         .process
@@ -285,22 +286,57 @@
     header_is(response, "transfer-encoding", "chunked")
 }
 
+/// To which call a response belongs, by the ID that it carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Identity {
+    /// It carries the ID of the call.
+    Own,
+    /// It carries another ID.
+    Other,
+    /// It carries no ID.
+    Unstated,
+}
+
+impl Identity {
+    fn of(response: &ClientResponse, call: &Call, dialect: &Dialect) -> Self {
+        let own = call.head.call.as_bytes();
+        match response.headers().get(dialect.call_id) {
+            None => Self::Unstated,
+            Some(echoed) if echoed.as_bytes().eq_ignore_ascii_case(own) => Self::Own,
+            Some(_) => Self::Other,
+        }
+    }
+}
+
+/// Returns whether a response with the identity can be the answer to the call. Rejections carry no ID
+/// on any platform; each one ends its connection, so it can't be a copy of an earlier one.
+fn is_answer_to(response: &ClientResponse, identity: Identity, dialect: &Dialect) -> bool {
+    match identity {
+        Identity::Own => true,
+        Identity::Other => false,
+        Identity::Unstated => !dialect.echoes_call_id || rejection(response, dialect).is_some(),
+    }
+}
+
+/// Returns the failure that a rejection of the request states: it did not run.
+fn rejection(response: &ClientResponse, dialect: &Dialect) -> Option<Failure> {
+    let status = response.status().as_u16();
+    if dialect.misdirected_status == Some(status) {
+        return Some(Failure::Misdirected);
+    }
+    let is_shed = status >= MIN_FAILURE_STATUS && header_is(response, dialect.not_run, "1");
+    is_shed.then(|| Failure::Shed {
+        after: retry_after(response),
+    })
+}
+
 /// Returns whether the upstream itself wrote the answer for this call: another upstream may have
 /// its address, and a late copy of an answer to another call tells what was true earlier.
 fn is_from_upstream(response: &ClientResponse, call: &Call, dialect: &Dialect) -> bool {
     let status = response.status();
     let is_misdirected = dialect.misdirected_status == Some(status.as_u16());
-    !status.is_informational() && !is_misdirected && !is_for_other_call(response, call, dialect)
-}
-
-/// Returns whether the answer carries the ID of another call.
-fn is_for_other_call(response: &ClientResponse, call: &Call, dialect: &Dialect) -> bool {
-    let echoed = response.headers().get(dialect.call_id);
-    echoed.is_some_and(|echoed| {
-        !echoed
-            .as_bytes()
-            .eq_ignore_ascii_case(call.head.call.as_bytes())
-    })
+    let identity = Identity::of(response, call, dialect);
+    !status.is_informational() && !is_misdirected && is_answer_to(response, identity, dialect)
 }
 
 fn retry_after(response: &ClientResponse) -> Option<Duration> {
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -7,3 +7,4 @@
 mod keys;
 mod listed;
 mod stated;
+mod stray;
--- a/crates/node/src/sidecar/tests/stated.rs
+++ b/crates/node/src/sidecar/tests/stated.rs
@@ -71,6 +71,9 @@
             status => status,
         };
         let mut answer = HttpResponse::build(status.try_into().unwrap());
+        if let Some(id) = request.headers().get("request-id") {
+            answer.insert_header(("request-id", id));
+        }
         let health = state.health.iter().filter(|_| request.path() == "/health");
         for &header in state.headers.iter().chain(health) {
             answer.insert_header(header);
