--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use actix_rt::time::timeout;
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -25,6 +26,10 @@
 
 /// Time in seconds after which the platform kills a stopping node of the large deployment.
 pub(crate) const GRACE_S: u64 = 10;
+/// Time within which nodes serve and follow changes, with headroom for a busy machine.
+const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Service whose upstream the test registers.
+pub(crate) const LATE_SERVICE: &str = "late";
 /// Longest time in seconds that a request of the tests may take.
 const ROUTE_TIMEOUT_S: u64 = 15;
 
@@ -61,6 +66,31 @@
         kill(Pid::from_raw(id.try_into().unwrap()), signal).unwrap();
     }
 
+    /// Waits until the node serves requests for a service.
+    pub(crate) async fn wait_until_served(&self, service: &str) {
+        let callers = self.callers();
+        let served = async {
+            while !is_served(callers, service).await {
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let is_served = timeout(SERVE_TIMEOUT, served).await.is_ok();
+        assert!(is_served, "{service} is not served at {callers}");
+    }
+
+    /// Kills the node.
+    pub(crate) fn kill(&mut self) {
+        let node = self.node.as_mut().unwrap();
+        node.kill().unwrap();
+        node.wait().unwrap();
+    }
+
+    /// Returns whether the node has exited.
+    pub(crate) fn has_exited(&mut self) -> bool {
+        let node = self.node.as_mut().unwrap();
+        node.try_wait().unwrap().is_some()
+    }
+
     /// Waits until the node has exited.
     pub(crate) async fn wait(&mut self) -> ExitStatus {
         let node = self.node.as_mut().unwrap();
@@ -87,8 +117,8 @@
     pub(crate) async fn start_with(services: &[&str], fill: impl FnOnce(&Self)) -> Self {
         let mut addresses = unused_ips();
         let store_ip = addresses.next().unwrap();
-        let vms = services.iter().map(|service| Vm {
-            upstream: TestUpstream::default(),
+        let vms = services.iter().enumerate().map(|(index, service)| Vm {
+            upstream: TestUpstream::new(format!("i-{index}")),
             ip: addresses.next().unwrap(),
             service: (*service).into(),
             node: None,
@@ -103,10 +133,9 @@
         fleet.put_config(7);
         for (index, vm) in fleet.vms.iter().enumerate() {
             vm.upstream.serve(vm.upstream_address());
-            let entry = fleet.entry(vm).to_string();
-            fleet
-                .store
-                .put(&format!("servers/i-{index}"), entry.as_bytes());
+            if vm.service != LATE_SERVICE {
+                fleet.register(index);
+            }
         }
         fill(&fleet);
         for index in 0..fleet.vms.len() {
@@ -116,18 +145,28 @@
         fleet
     }
 
-    /// Writes a configuration.
+    /// Writes the registration of the upstream of a VM.
+    pub(crate) fn register(&self, index: usize) {
+        let entry = self.entry(&self.vms[index]).to_string();
+        let key = format!("servers/{}", self.vms[index].upstream.name);
+        self.store.put(&key, entry.as_bytes());
+    }
+
+    /// Writes a configuration with a route to each service.
     pub(crate) fn put_config(&self, version: u64) {
-        let services = ["orders", "other"];
+        let services = ["orders", "other", LATE_SERVICE];
+        let routes = services.map(|name| {
+            json!({
+                "name": format!("r-{name}"), "hostname": "orders.example",
+                "prefix": format!("/{name}/"), "type": "unsafe", "timeout_s": ROUTE_TIMEOUT_S,
+                "target_latency_s": 1, "priority": 1, "service": name, "attempts": 2,
+            })
+        });
         let services = services
             .map(|name| json!({"name": name, "health_check": "/health", "max_connections": 120}));
         let config = json!({
             "version": version,
-            "routes": [{
-                "name": "r-orders", "hostname": "orders.example", "prefix": "/orders/",
-                "type": "unsafe", "timeout_s": ROUTE_TIMEOUT_S, "target_latency_s": 1,
-                "priority": 1, "service": "orders", "attempts": 2,
-            }],
+            "routes": routes,
             "services": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
                        "header_timeout_s": 3, "idle_timeout_s": 15},
@@ -169,9 +208,7 @@
     /// Waits until each node serves a request.
     pub(crate) async fn wait_until_served(&self) {
         for vm in &self.vms {
-            while !is_served(vm.callers()).await {
-                actix_rt::time::sleep(Duration::from_millis(50)).await;
-            }
+            vm.wait_until_served("orders").await;
         }
     }
 
@@ -219,11 +256,13 @@
     }
 }
 
-async fn is_served(node: SocketAddr) -> bool {
+/// Returns whether a node serves a request for a service.
+pub(crate) async fn is_served(node: SocketAddr, service: &str) -> bool {
     let Ok(mut connection) = Connection::open(node).await else {
         return false;
     };
-    let answer = connection.post("ready", "/orders/w0").await;
+    let path = format!("/{service}/w0");
+    let answer = connection.post("ready", &path).await;
     answer.is_ok_and(|answer| answer.status == 200)
 }
 
--- a/crates/node/tests/deployed/main.rs
+++ b/crates/node/tests/deployed/main.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod fleet;
+mod odd_entries;
 mod stop;
 mod store;
 mod upstream;
--- a/crates/node/tests/deployed/store.rs
+++ b/crates/node/tests/deployed/store.rs
@@ -28,6 +28,8 @@
     revision: u64,
     /// Value and revision by key.
     items: BTreeMap<String, (String, u64)>,
+    /// Number of items on a page, if it is limited.
+    page_items: Option<usize>,
 }
 
 impl TestStore {
@@ -54,6 +56,11 @@
         contents.items.insert(key.into(), (value, revision));
     }
 
+    /// Limits the items on a page.
+    pub(crate) fn set_page_items(&self, items: usize) {
+        self.contents.lock().unwrap().page_items = Some(items);
+    }
+
     /// Returns the items whose keys have a prefix and that changed after a revision.
     fn items(&self, prefix: &str, after: u64) -> (Vec<Value>, u64) {
         let contents = self.contents.lock().unwrap();
@@ -77,8 +84,13 @@
 
 async fn range(store: Data<TestStore>, query: Parameters) -> HttpResponse {
     let prefix = query.get("prefix").map_or("", String::as_str);
-    let (items, revision) = store.items(prefix, 0);
-    HttpResponse::Ok().json(json!({"items": items, "has_more": false, "current_rev": revision}))
+    let after = query.get("after").map_or("", String::as_str);
+    let (mut items, revision) = store.items(prefix, 0);
+    items.retain(|item| item["key"].as_str() > Some(after));
+    let page = store.contents.lock().unwrap().page_items;
+    let has_more = page.is_some_and(|page| page < items.len());
+    items.truncate(page.unwrap_or(items.len()));
+    HttpResponse::Ok().json(json!({"items": items, "has_more": has_more, "current_rev": revision}))
 }
 
 async fn watch(store: Data<TestStore>, query: Parameters) -> HttpResponse {
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -12,12 +12,21 @@
 };
 
 /// Upstream that works for as long as the path of a request asks.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct TestUpstream {
+    /// Name under which the upstream registers.
+    pub(crate) name: String,
     started: Arc<Mutex<Vec<String>>>,
 }
 
 impl TestUpstream {
+    pub(crate) fn new(name: String) -> Self {
+        Self {
+            name,
+            started: Arc::default(),
+        }
+    }
+
     /// Serves the upstream at an address.
     pub(crate) fn serve(&self, address: SocketAddr) {
         let upstream = Data::new(self.clone());
@@ -47,6 +56,9 @@
 ) -> HttpResponse {
     let header = |name| request.headers().get(name).and_then(|it| it.to_str().ok());
     let id = header("request-id").unwrap_or_default().to_owned();
+    if header("target-instance").is_some_and(|target| target != upstream.name) {
+        return HttpResponse::MisdirectedRequest().finish();
+    }
     upstream.started.lock().unwrap().push(id.clone());
     let work = request.path().rsplit("/w").next();
     let work = work.and_then(|text| text.parse().ok()).unwrap_or(0);
