--- a/crates/node/tests/deployed/caller.rs
+++ b/crates/node/tests/deployed/caller.rs
@@ -54,9 +54,17 @@
                 .map(str::trim)
         };
         let length = field("content-length:").and_then(|text| text.parse().ok());
-        let body_end = head_end + length.unwrap_or(0);
+        let is_chunked = field("transfer-encoding:") == Some("chunked");
         let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
         let is_last = field("connection:") == Some("close");
+        let body_end = if is_chunked {
+            while !bytes.ends_with(b"\r\n0\r\n\r\n") {
+                self.read_some(&mut bytes).await?;
+            }
+            bytes.len()
+        } else {
+            head_end + length.unwrap_or(0)
+        };
         while bytes.len() < body_end {
             self.read_some(&mut bytes).await?;
         }
--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -30,6 +30,8 @@
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Service whose upstream the test registers.
 pub(crate) const LATE_SERVICE: &str = "late";
+/// Service whose upstream the test serves.
+pub(crate) const RAW_SERVICE: &str = "raw";
 /// Longest time in seconds that a request of the tests may take.
 const ROUTE_TIMEOUT_S: u64 = 15;
 
@@ -132,7 +134,9 @@
         fleet.store.serve(fleet.store_address);
         fleet.put_config(7);
         for (index, vm) in fleet.vms.iter().enumerate() {
-            vm.upstream.serve(vm.upstream_address());
+            if vm.service != RAW_SERVICE {
+                vm.upstream.serve(vm.upstream_address());
+            }
             if vm.service != LATE_SERVICE {
                 fleet.register(index);
             }
@@ -154,7 +158,7 @@
 
     /// Writes a configuration with a route to each service.
     pub(crate) fn put_config(&self, version: u64) {
-        let services = ["orders", "other", LATE_SERVICE];
+        let services = ["orders", "other", LATE_SERVICE, RAW_SERVICE];
         let routes = services.map(|name| {
             json!({
                 "name": format!("r-{name}"), "hostname": "orders.example",
@@ -205,6 +209,12 @@
         fs::read_to_string(log).unwrap()
     }
 
+    /// Returns how many log lines of all nodes contain a text.
+    pub(crate) fn count_log_lines(&self, text: &str) -> usize {
+        let logs = (0..self.vms.len()).map(|index| self.log(index));
+        logs.map(|log| log.matches(text).count()).sum()
+    }
+
     /// Waits until each node serves a request.
     pub(crate) async fn wait_until_served(&self) {
         for vm in &self.vms {
