Test answers and rejections that are cut at any byte

Reported by other operators: clients got a success with an empty or short body, framed as whole, when a server stopped in the middle of an answer's head. It does not happen here: answers with a length, in chunks and with trailers are cut at each byte, with the end and with a reset of the connection, at the sidecar and as callers of two nodes see it. A rejection cut short proves nothing.

--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of a sidecar on the loopback interface with simple upstreams.
 
 mod admission;
+mod cut;
 mod endless;
 mod fixture;
 mod forwarding;
--- a/crates/node/tests/deployed/main.rs
+++ b/crates/node/tests/deployed/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod caller;
+mod cut_answers;
 mod fleet;
 mod odd_entries;
 mod stop;
