State in answers for how long a connection may be reused

Where callers may reuse a connection for longer, a request could meet the close, and one that may run once can't be repeated.

Answers carry `keep-alive: timeout=60` until the node stops; from then on they carry `connection: close`, as before, which refusals before routing did only in phases that accept no calls.

answers_state_for_how_long_a_connection_may_be_reused failed before.

--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -4,7 +4,10 @@
 
 use actix_web::{
     HttpRequest, HttpResponse, HttpResponseBuilder,
-    http::{ConnectionType, Version},
+    http::{
+        ConnectionType, Version,
+        header::{HeaderName, HeaderValue},
+    },
     web,
 };
 use wagtaillever_coordination::{Dialect, Route};
@@ -24,20 +27,37 @@
 
 /// Retry-after time of a call that exceeds its caller's share of calls in flight.
 const OVERLOADED_RETRY_MS: u64 = 250;
+/// Time for which callers may reuse an idle connection, shorter than the time after which the server
+/// closes it.
+const STATED_KEEP_ALIVE: &str = "timeout=60";
 /// Retry-after time of a call to a node that is not ready.
 const NOT_READY_RETRY_MS: u64 = 500;
 
-/// Handles a request and returns the response.
+/// Handles a request and returns the response. Until the node stops, it states for how long the caller
+/// may reuse the connection.
 pub(super) async fn handle(
     request: HttpRequest,
     payload: web::Payload,
     worker: web::Data<Rc<Worker>>,
 ) -> HttpResponse {
+    let worker = Rc::clone(&worker);
+    let mut response = respond(request, payload, &worker).await;
+    let head = response.head_mut();
+    if worker.routing().view.phase == Phase::Serving {
+        let reuse_time = HeaderValue::from_static(STATED_KEEP_ALIVE);
+        let name = HeaderName::from_static("keep-alive");
+        head.headers_mut().insert(name, reuse_time);
+    } else {
+        head.set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+async fn respond(request: HttpRequest, payload: web::Payload, worker: &Rc<Worker>) -> HttpResponse {
     let arrived = Instant::now();
     if request.version() < Version::HTTP_11 {
         return answer::unsupported_version().finish();
     }
-    let worker = Rc::clone(&worker);
     let rules = worker.header_rules();
     let dialect = rules.dialect;
     let record_rejection = |reason: RefusalReason| {
@@ -48,14 +68,13 @@
     };
     if !worker.routing().view.phase.can_accept_calls() {
         record_rejection(RefusalReason::NotReady);
-        let mut answer = rejection(dialect, RefusalReason::NotReady, NOT_READY_RETRY_MS);
-        return answer.force_close().finish();
+        return rejection(dialect, RefusalReason::NotReady, NOT_READY_RETRY_MS).finish();
     }
     if worker.is_quarantined() {
         record_rejection(RefusalReason::NotReady);
         return rejection(dialect, RefusalReason::NotReady, NOT_READY_RETRY_MS).finish();
     }
-    let Some(permit) = Permit::acquire(&worker, caller_name(&request)) else {
+    let Some(permit) = Permit::acquire(worker, caller_name(&request)) else {
         record_rejection(RefusalReason::Overloaded);
         return rejection(dialect, RefusalReason::Overloaded, OVERLOADED_RETRY_MS).finish();
     };
@@ -75,14 +94,9 @@
     let open_calls = &worker.shared.open_calls;
     let open_call = open_calls.open(Arc::clone(&call.call_id), arrived);
     let body = RequestBody::new(payload, call.length);
-    let mut response = Dispatch::new(&worker, call, body)
+    Dispatch::new(worker, call, body)
         .run(permit, open_call)
-        .await;
-    if worker.routing().view.phase != Phase::Serving {
-        let head = response.head_mut();
-        head.set_connection_type(ConnectionType::Close);
-    }
-    response
+        .await
 }
 
 /// Returns the response to a request that is refused before any attempt.
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -290,6 +290,26 @@
         Self { head, rest }
     }
 
+    /// Reads the head and the body of one response, as far as they come at once.
+    pub(super) async fn read_head(stream: &mut TcpStream) -> Self {
+        let mut all = Vec::new();
+        while !all.windows(4).any(|w| w == b"\r\n\r\n") {
+            stream.read_buf(&mut all).await.unwrap();
+        }
+        let head = String::from_utf8_lossy(&all).to_ascii_lowercase();
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let length: usize = length.map_or(0, |text| text.parse().unwrap());
+        let end = all.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+        while all.len() < end + length {
+            stream.read_buf(&mut all).await.unwrap();
+        }
+        let rest = all.split_off(end);
+        let head = String::from_utf8(all).unwrap().to_ascii_lowercase();
+        Self { head, rest }
+    }
+
     #[track_caller]
     pub(super) fn assert_status(&self, status: u16) -> &Self {
         let line = format!("http/1.1 {status} ");
--- a/crates/node/src/ingress/tests/lifecycle.rs
+++ b/crates/node/src/ingress/tests/lifecycle.rs
@@ -59,6 +59,24 @@
     assert!(TcpStream::connect(fixture.callers).await.is_err());
 }
 
+/// Callers reuse a connection for as long as the deployment lets them, and it was closed under a request
+/// where that is longer than the node keeps it.
+#[actix_rt::test]
+async fn answers_state_for_how_long_a_connection_may_be_reused() {
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| hello_sidecar()).await;
+    let mut stream = TcpStream::connect(fixture.callers).await.unwrap();
+    for target in ["/x", "/nowhere", "/x"] {
+        let request = format!("GET {target} HTTP/1.1\r\nhost: a\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let head = RawResponse::read_head(&mut stream).await;
+        head.assert_header("keep-alive", "timeout=60");
+    }
+    fixture.context.view().set_phase(Phase::Leaving);
+    let reply = fixture.get("/x").await;
+    reply.assert_header("connection", "close");
+    assert!(!reply.contains_line("keep-alive:"));
+}
+
 #[actix_rt::test]
 async fn a_head_response_keeps_its_length_without_a_body() {
     let head_only = |mut call: FakeCall| {
