--- a/crates/bench/src/stops/caller.rs
+++ b/crates/bench/src/stops/caller.rs
@@ -42,8 +42,8 @@
     pub(super) address: SocketAddr,
 }
 
-/// Distribution of the time that upstreams work on a request. The defaults are those of the
-/// requests that may run once in the users' large deployment.
+/// Distribution of the time that upstreams work on a request. Mean, spread, tail and maximum
+/// are those of the requests that may run once in the users' large deployment.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WorkTimes {
     mean_ms: f64,
@@ -57,20 +57,19 @@
     slowest: f64,
 }
 
-impl Default for WorkTimes {
-    fn default() -> Self {
+impl WorkTimes {
+    /// Returns the distribution for upstreams that are up to `slowest` times slower than others.
+    pub(super) fn new(slowest: f64) -> Self {
         Self {
             mean_ms: 300.0,
             spread: 0.3,
             tail: 0.01,
             tail_factor: 5.0,
             max_ms: 2_200.0,
-            slowest: 1.6,
+            slowest,
         }
     }
-}
 
-impl WorkTimes {
     /// Draws the time of one request.
     pub(super) fn draw(self, rng: &mut impl Rng) -> Duration {
         // The sum of twelve uniform values approximates a normal distribution.
@@ -124,7 +123,7 @@
 
 impl Callers {
     /// Starts `count` callers for each node.
-    pub(super) fn start(nodes: &[CalledNode], count: usize, seed: u64) -> Self {
+    pub(super) fn start(nodes: &[CalledNode], count: usize, times: WorkTimes, seed: u64) -> Self {
         let token = CancellationToken::new();
         let all = nodes
             .iter()
@@ -134,7 +133,7 @@
             let own = all.iter().skip(thread).step_by(THREADS).cloned();
             let own: Vec<_> = own.collect();
             let token = token.clone();
-            thread::spawn(move || run_thread(own, &token, seed))
+            thread::spawn(move || run_thread(own, times, &token, seed))
         });
         Self {
             threads: threads.collect(),
@@ -159,6 +158,7 @@
 
 fn run_thread(
     own: Vec<(CalledNode, usize)>,
+    times: WorkTimes,
     token: &CancellationToken,
     seed: u64,
 ) -> Vec<Exchange> {
@@ -167,6 +167,7 @@
         rng: SmallRng::seed_from_u64(seed ^ (node.vm as u64) << 16 ^ (number as u64) << 48),
         name: format!("{}-{number}", node.vm),
         node,
+        times,
         requests: 0,
         token: token.clone(),
         exchanges: Rc::clone(&exchanges),
@@ -179,6 +180,7 @@
 struct Caller {
     name: String,
     node: CalledNode,
+    times: WorkTimes,
     requests: u64,
     rng: SmallRng,
     token: CancellationToken,
@@ -216,7 +218,7 @@
     async fn exchange(&mut self, sender: &mut Sender) -> bool {
         self.requests += 1;
         let id = format!("{}-{}", self.name, self.requests);
-        let work = WorkTimes::default().draw(&mut self.rng);
+        let work = self.times.draw(&mut self.rng);
         let is_safe = self.rng.random_bool(0.5);
         let request = request(&id, self.node.address, work, is_safe);
         let sent = Instant::now();
--- a/crates/bench/src/stops/run.rs
+++ b/crates/bench/src/stops/run.rs
@@ -19,7 +19,7 @@
     platform::Outage,
     service::Testbed,
     stops::{
-        caller::{CalledNode, Callers, Exchange},
+        caller::{CalledNode, Callers, Exchange, WorkTimes},
         judge::{Stop, judge},
         report::StopsReport,
         schedule::{Disturbance, disturbances},
@@ -33,6 +33,8 @@
     pub(crate) domains: usize,
     /// Kept connections to each node.
     pub(crate) callers: usize,
+    /// Largest factor by which an upstream is slower than others.
+    pub(crate) slowest: f64,
     /// Number of stops.
     pub(crate) stops: usize,
     /// Nodes that stop at the same time.
@@ -76,7 +78,8 @@
             address: placement.callers,
         })
         .collect();
-    let callers = Callers::start(&nodes, options.callers, options.seed);
+    let times = WorkTimes::new(options.slowest);
+    let callers = Callers::start(&nodes, options.callers, times, options.seed);
     let mut run = Run {
         rng: SmallRng::seed_from_u64(options.seed),
         sequence: Sequence(1),
--- a/crates/bench/src/stops/tests.rs
+++ b/crates/bench/src/stops/tests.rs
@@ -112,7 +112,7 @@
 fn work_times_have_the_stated_mean_and_maximum() {
     let mut rng = SmallRng::seed_from_u64(1);
     let times: Vec<_> = (0..20_000)
-        .map(|_| WorkTimes::default().draw(&mut rng))
+        .map(|_| WorkTimes::new(1.6).draw(&mut rng))
         .collect();
     let mean = times.iter().sum::<Duration>() / 20_000;
     // 300 ms, of which one in a hundred takes five times as long, on upstreams 1.0 to 1.6 times as slow.
--- a/crates/bench/src/subcommand/stops.rs
+++ b/crates/bench/src/subcommand/stops.rs
@@ -21,6 +21,9 @@
     /// Number of kept connections to each node.
     #[arg(long, default_value_t = 6)]
     callers: usize,
+    /// Largest factor by which an upstream is slower than others of its service.
+    #[arg(long, default_value_t = 1.6)]
+    slowest: f64,
     /// Number of stops [default: one for each node].
     #[arg(long)]
     stops: Option<usize>,
@@ -55,6 +58,7 @@
             nodes: self.nodes,
             domains: self.domains,
             callers: self.callers,
+            slowest: self.slowest,
             stops: self.stops.unwrap_or(self.nodes),
             together: self.together.max(1),
             grace: Duration::from_secs_f64(self.grace_s),
