--- a/crates/bench/src/stops/caller.rs
+++ b/crates/bench/src/stops/caller.rs
@@ -111,7 +111,7 @@
     Closed,
     /// The connection was closed before the request was written.
     Unsent,
-    /// The caller gave up.
+    /// The caller gave up, or the timeout of the route was reached.
     TimedOut,
 }
 
@@ -289,6 +289,8 @@
         ExchangeEnd::Answered
     } else if header(response.headers(), "x-outcome") == "did-not-run" {
         ExchangeEnd::Refused
+    } else if header(response.headers(), "x-reason") == "deadline" {
+        ExchangeEnd::TimedOut
     } else {
         ExchangeEnd::Unknown
     };
