Reuse no connection that its upstream is about to close

A request that is written while the upstream closes its connection has an unknown outcome, and one that may run once can't be repeated.

The time that an upstream states, less 0.5 s, bounds the reuse where it is shorter.

a_connection_is_not_reused_at_the_end_of_the_time_that_its_upstream_states failed before (one connection where two are expected).

--- a/crates/node/src/sidecar/answer.rs
+++ b/crates/node/src/sidecar/answer.rs
@@ -87,5 +87,8 @@
     if is_short || answer.expected.is_none() && answer.trace.is_closed() {
         return BodyEnd::Truncated;
     }
+    if let Some(idle) = answer.keep_alive {
+        answer.trace.limit_reuse(idle);
+    }
     BodyEnd::Complete
 }
--- a/crates/node/src/sidecar/connector.rs
+++ b/crates/node/src/sidecar/connector.rs
@@ -12,6 +12,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::{Duration, Instant},
 };
 
 use actix_rt::net::{ActixStream, Ready};
@@ -33,7 +34,25 @@
 pub(super) struct Trace {
     written: Cell<bool>,
     closed: Cell<bool>,
-    discarded: RefCell<Option<Rc<Cell<bool>>>>,
+    connection: RefCell<Option<Rc<Reuse>>>,
+}
+
+/// Whether a connection may be used for another call.
+#[derive(Debug, Default)]
+struct Reuse {
+    discarded: Cell<bool>,
+    /// Time from which on the idle connection must not be used, as its upstream may close it.
+    until: Cell<Option<Instant>>,
+}
+
+impl Reuse {
+    fn is_over(&self) -> bool {
+        self.discarded.get()
+            || self
+                .until
+                .get()
+                .is_some_and(|until| until <= Instant::now())
+    }
 }
 
 impl Trace {
@@ -49,17 +68,25 @@
 
     /// Prevents reuse of the connection for another call.
     pub(super) fn discard(&self) {
-        if let Some(discarded) = &*self.discarded.borrow() {
-            discarded.set(true);
+        if let Some(reuse) = &*self.connection.borrow() {
+            reuse.discarded.set(true);
+        }
+    }
+
+    /// Limits the time for which the connection may stay idle until it is used for another call. The
+    /// answer must have been read completely.
+    pub(super) fn limit_reuse(&self, idle: Duration) {
+        if let Some(reuse) = &*self.connection.borrow() {
+            reuse.until.set(Some(Instant::now() + idle));
         }
     }
 
-    fn record_write(&self, discarded: &Rc<Cell<bool>>) {
+    fn record_write(&self, reuse: &Rc<Reuse>) {
         if self.written.replace(true) {
             return;
         }
         self.closed.set(false);
-        self.discarded.replace(Some(Rc::clone(discarded)));
+        self.connection.replace(Some(Rc::clone(reuse)));
     }
 
     /// Runs a future whose I/O is recorded in this trace.
@@ -95,8 +122,8 @@
             let stream = TcpStream::connect(address).await;
             let stream = stream.map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            let discarded = Rc::default();
-            let stream = TracedStream { stream, discarded };
+            let reuse = Rc::default();
+            let stream = TracedStream { stream, reuse };
             Ok(Connection::new(info.request().clone(), stream))
         })
     }
@@ -106,7 +133,7 @@
 #[derive(Debug)]
 pub(super) struct TracedStream {
     stream: TcpStream,
-    discarded: Rc<Cell<bool>>,
+    reuse: Rc<Reuse>,
 }
 
 fn update_trace(change: impl FnOnce(&Trace)) {
@@ -119,7 +146,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.discarded.get() {
+        if self.reuse.is_over() {
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
@@ -144,7 +171,8 @@
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         if matches!(result, Poll::Ready(Ok(bytes)) if bytes > 0) {
-            update_trace(|trace| trace.record_write(&self.discarded));
+            self.reuse.until.set(None);
+            update_trace(|trace| trace.record_write(&self.reuse));
         }
         result
     }
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -32,6 +32,9 @@
 /// Lowest status for which the upstream's statement that it did not run the request is accepted.
 const MIN_FAILURE_STATUS: u16 = 400;
 
+/// Time by which the reuse of a connection ends before its upstream closes it.
+const REUSE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Head of an answer whose body is not read yet.
 pub(super) struct Answer {
     /// Response from `awc`.
@@ -44,6 +47,8 @@
     pub(super) expected: Option<u64>,
     /// Identity of the upstream's process, if it states one.
     pub(super) process: Option<Vec<u8>>,
+    /// Time for which the connection may stay idle until another call, if the upstream states one.
+    pub(super) keep_alive: Option<Duration>,
 }
 
 /// Reason why there is no answer.
@@ -253,6 +258,7 @@
         }
         return Err(rejection);
     }
+    let keep_alive = keep_alive(&response);
     let process = dialect
         .process
         .and_then(|name| response.headers().get(name));
@@ -263,6 +269,7 @@
         length,
         expected,
         process,
+        keep_alive,
     })
 }
 
@@ -339,6 +346,15 @@
     !status.is_informational() && !is_misdirected && is_answer_to(response, identity, dialect)
 }
 
+/// Returns the time for which the upstream keeps the idle connection, less [`REUSE_MARGIN`].
+fn keep_alive(response: &ClientResponse) -> Option<Duration> {
+    let value = response.headers().get("keep-alive")?.to_str().ok()?;
+    let mut parts = value.split(',').filter_map(|part| part.split_once('='));
+    let timeout = parts.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"));
+    let seconds = timeout?.1.trim().parse::<u32>().ok()?;
+    Some(Duration::from_secs(seconds.into()).saturating_sub(REUSE_MARGIN))
+}
+
 fn retry_after(response: &ClientResponse) -> Option<Duration> {
     let value = response.headers().get("x-retry-after-ms")?;
     let millis = value.to_str().ok()?.parse().ok()?;
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -7,5 +7,6 @@
 mod forwarding;
 mod keys;
 mod listed;
+mod reuse;
 mod stated;
 mod stray;
