Count requests before and after a restart of an upstream against one cold rate

What callers saw: an upstream that crashed and started again under its name got its cold rate twice within a second, crashed again and lost what it ran.

Cause: the sidecar replaces what it knows of an upstream when its registration has another start time. Requests that had gone to the new process before its registration was read were forgotten with it, and those that were queued were started by the old instance at a rate of their own.

The new instance takes over the times of the starts if the address is the same, and the old one refuses what is queued as not run.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -324,6 +324,12 @@
         self.rates.fill(started_at);
     }
 
+    /// Takes over the starts of requests that count for the same address, because the upstream there
+    /// has restarted.
+    pub fn inherit_starts(&mut self, earlier: &Self) {
+        self.rates.inherit_starts(&earlier.rates);
+    }
+
     /// Limits an upstream of which nothing is known to one request at a time until it has answered,
     /// because it may have stated a limit to an earlier sidecar process.
     pub fn await_first_answer(&mut self) {
--- a/crates/coordination/src/admission/rates.rs
+++ b/crates/coordination/src/admission/rates.rs
@@ -39,6 +39,11 @@
         &mut self.cold
     }
 
+    /// Takes over the starts that were recorded by other limits.
+    pub(super) fn inherit_starts(&mut self, earlier: &Self) {
+        self.starts.clone_from(&earlier.starts);
+    }
+
     /// Records as many starts at one time as the cold rate allows per second.
     pub(super) fn fill(&mut self, at: Instant) {
         let allowance = self.cold.cold_allowance();
--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -140,6 +140,9 @@
     request: AdmissionRequest,
     fingerprint: u64,
 ) -> Result<Permit, Refusal> {
+    if upstream.is_replaced() {
+        return Err(refuse::did_not_run(RefusalReason::NoUpstream));
+    }
     let now = Instant::now();
     let arrival = upstream.admission().borrow_mut().submit(request, now);
     let decision = match arrival {
--- a/crates/node/src/sidecar/tests/stated.rs
+++ b/crates/node/src/sidecar/tests/stated.rs
@@ -301,6 +301,28 @@
     assert_eq!(limit(), 1);
 }
 
+/// An upstream that restarted under its name got its cold rate once more within the same second, and
+/// crashed.
+#[actix_rt::test]
+async fn an_upstream_that_restarts_under_its_name_gets_its_cold_rate_once() {
+    const RATE: u32 = 8;
+    let (upstream, address) = StatingUpstream::start(&[]);
+    let service = Service {
+        cold_per_second: Some(RATE),
+        cold_ms: 60_000,
+        ..Service::with_name("s".into())
+    };
+    let start = Instant::now();
+    let mut listed = ListedFixture::for_address(address, service).await;
+    for _ in 0..8 {
+        keep_calling(&listed, Duration::from_millis(250)).await;
+        listed.restart_upstream();
+    }
+    assert_within(&upstream, start, RATE.into());
+    let is_used = upstream.arrivals_from(start) > RATE as usize;
+    assert!(is_used, "the upstream gets requests after its restarts");
+}
+
 /// Guards against a limit of another upstream that has the address now.
 #[actix_rt::test]
 async fn a_misdirected_answer_states_nothing_of_the_upstream() {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -13,8 +13,8 @@
 use tokio::sync::oneshot;
 use wagtaillever_coordination::{
     Admission, AdmissionRequest, AdmissionSettings, CrashDetector, Dialect, InFlight,
-    LeavingUpstreams, Quality, QueueTicket, Rank, Sample, SampleResult, Service, StatedLimit,
-    Statement, Upstream,
+    LeavingUpstreams, Quality, QueueTicket, Rank, Rejection, RejectionCause, Sample, SampleResult,
+    Service, StatedLimit, Statement, Upstream,
 };
 
 use crate::{
@@ -56,6 +56,8 @@
     reported: Cell<(u32, bool)>,
     probes: Cell<u32>,
     is_checking: Cell<bool>,
+    /// Whether the upstream has restarted, so that another instance counts its requests.
+    is_replaced: Cell<bool>,
 }
 
 struct Waiter {
@@ -106,6 +108,7 @@
             reported,
             probes: Cell::default(),
             is_checking: Cell::default(),
+            is_replaced: Cell::default(),
         }
     }
 
@@ -225,6 +228,31 @@
         Permit::new(self, rank, alone, mark)
     }
 
+    /// Takes over the starts of requests that went to the same address before the upstream restarted.
+    pub(super) fn inherit_starts(&self, earlier: &Self) {
+        let mut admission = self.admission.borrow_mut();
+        admission.inherit_starts(&earlier.admission.borrow());
+    }
+
+    /// Refuses queued and further requests, because another instance counts them since the upstream
+    /// restarted.
+    pub(super) fn retire(&self) {
+        self.is_replaced.set(true);
+        for (ticket, waiter) in self.waiters.take() {
+            self.admission.borrow_mut().cancel(ticket);
+            let rejection = Rejection {
+                cause: RejectionCause::Down,
+                retry_after: Duration::ZERO,
+            };
+            drop(waiter.sender.send(Err(rejection)));
+        }
+    }
+
+    /// Returns whether the upstream has restarted since this instance was created.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.is_replaced.get()
+    }
+
     /// Registers a queued request.
     pub(super) fn enqueue(
         &self,
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -92,6 +92,7 @@
         spec: &Arc<Upstream>,
         service: Option<&Arc<Service>>,
     ) {
+        let mut replaced = None;
         if let Some(known) = entries.get_mut(&spec.name) {
             let old = known.upstream.spec();
             if old.address == spec.address && !is_restarted(&old, spec) {
@@ -99,6 +100,7 @@
                 known.upstream.reconfigure(spec, service);
                 return;
             }
+            replaced = Some(Rc::clone(&known.upstream));
         }
         let timeline = self.timeline.clone();
         let spec = Arc::clone(spec);
@@ -106,10 +108,18 @@
         let upstream =
             LocalUpstream::new(spec, service.cloned(), &self.settings, timeline, leaving);
         let upstream = Rc::new(upstream);
-        upstream
-            .admission()
-            .borrow_mut()
-            .assume_prior_starts(self.process_started);
+        match &replaced {
+            Some(earlier) if earlier.spec().address == upstream.spec().address => {
+                upstream.inherit_starts(earlier);
+            }
+            _ => {
+                let mut admission = upstream.admission().borrow_mut();
+                admission.assume_prior_starts(self.process_started);
+            }
+        }
+        if let Some(earlier) = replaced {
+            earlier.retire();
+        }
         upstream.assume_cold();
         // The first answer tells what the upstream stated to an earlier process.
         health::start_check(&upstream);
