--- a/crates/bench/src/chaos/run.rs
+++ b/crates/bench/src/chaos/run.rs
@@ -140,10 +140,8 @@
     run.execute(&options, steps).await?;
     if !run.checks.broken().is_empty() {
         violation::print_timeline(&run.testbed.fleet, wall_ms()).await;
-        info!(
-            "settings and logs kept in {}",
-            run.testbed.fleet.keep_logs().display()
-        );
+        let logs = run.testbed.fleet.keep_logs();
+        info!("settings and logs kept in {}", logs.display());
     }
     run.report.held = run.checks.held();
     run.report.broken = run.checks.broken().to_vec();
--- a/crates/bench/src/converge/run.rs
+++ b/crates/bench/src/converge/run.rs
@@ -128,10 +128,8 @@
         };
         let report = ConvergeReport::new(&self.options, &self.published, outcome, &cost);
         if !report.broken.is_empty() {
-            info!(
-                "settings and logs kept in {}",
-                self.fleet.keep_logs().display()
-            );
+            let logs = self.fleet.keep_logs();
+            info!("settings and logs kept in {}", logs.display());
         }
         Ok(report)
     }
