--- a/crates/bench/src/stops/report.rs
+++ b/crates/bench/src/stops/report.rs
@@ -35,7 +35,7 @@
     is_disturbed: bool,
     stops: usize,
     /// Longest time from SIGTERM to the end of a process, in milliseconds.
-    longest_stop_ms: u64,
+    stop_ms: u64,
     requests: usize,
     answered: usize,
     refused: usize,
@@ -45,8 +45,9 @@
     timed_out: usize,
     lost: usize,
     /// Share of the answered requests that took longer than the notice period of a stop.
-    longer_than_notice: f64,
-    longest_ms: u64,
+    long_share: f64,
+    /// Longest time of an answer, in milliseconds.
+    answer_ms: u64,
     pub(crate) broken: Vec<Violation>,
     #[serde(skip)]
     details: Vec<String>,
@@ -73,7 +74,7 @@
             seed: options.seed,
             is_disturbed: options.is_disturbed,
             stops: stops.len(),
-            longest_stop_ms: millis(stops.iter().map(stop_time).max().unwrap_or_default()),
+            stop_ms: millis(stops.iter().map(stop_time).max().unwrap_or_default()),
             requests: exchanges.len(),
             answered,
             refused: count(ExchangeEnd::Refused),
@@ -81,8 +82,8 @@
             crossed: losses.crossed,
             timed_out: count(ExchangeEnd::TimedOut),
             lost: losses.by_stop.len() + losses.elsewhere.len(),
-            longer_than_notice: long as f64 / answered.max(1) as f64,
-            longest_ms: millis(times.max().unwrap_or_default()),
+            long_share: long as f64 / answered.max(1) as f64,
+            answer_ms: millis(times.max().unwrap_or_default()),
             broken: checks(stops, losses).broken().to_vec(),
             details: lost
                 .take(LISTED_LOSSES)
@@ -100,7 +101,7 @@
             self.seed,
             self.nodes,
             self.stops,
-            self.longest_stop_ms,
+            self.stop_ms,
             self.requests,
             self.answered,
             self.refused,
@@ -108,8 +109,8 @@
             self.crossed,
             self.timed_out,
             self.lost,
-            self.longer_than_notice,
-            self.longest_ms,
+            self.long_share,
+            self.answer_ms,
         );
         for detail in &self.details {
             println!("  {detail}");
