--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -276,6 +276,17 @@
     answer.is_ok_and(|answer| answer.status == 200)
 }
 
+/// Waits until a condition holds.
+pub(crate) async fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let wait = async {
+        while !holds() {
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let is_met = timeout(SERVE_TIMEOUT, wait).await.is_ok();
+    assert!(is_met, "timed out waiting for {what}");
+}
+
 /// Returns loopback addresses that no other test of this process uses.
 fn unused_ips() -> impl Iterator<Item = Ipv4Addr> {
     static NEXT_NET: AtomicU32 = AtomicU32::new(0);
--- a/crates/node/tests/deployed/odd_entries.rs
+++ b/crates/node/tests/deployed/odd_entries.rs
@@ -1,8 +1,6 @@
 //! Values in the store that another writer left.
 
-use std::time::Duration;
-
-use crate::fleet::{Fleet, LATE_SERVICE, is_served};
+use crate::fleet::{Fleet, LATE_SERVICE, is_served, wait_until};
 
 /// Depth of nested values, beyond what readers of JSON allow.
 const DEPTH: usize = 20_000;
@@ -129,9 +127,7 @@
     for value in odd_configs() {
         let before = read();
         fleet.store.put("op/config", &value);
-        while read() == before {
-            actix_rt::time::sleep(Duration::from_millis(20)).await;
-        }
+        wait_until("a configuration to be read", || read() > before).await;
     }
 }
 
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     caller::{Answer, Connection},
-    fleet::{Fleet, GRACE_S},
+    fleet::{Fleet, GRACE_S, wait_until},
 };
 
 /// Time in milliseconds that an upstream works on a request: longer than the time of a stop on
@@ -36,7 +36,8 @@
         let id = id.clone();
         actix_rt::spawn(async move { connection.post(&id, &path).await.ok() })
     };
-    fleet.vms[0].upstream.wait_for(&id).await;
+    let upstream = &fleet.vms[0].upstream;
+    wait_until("the request to run", || upstream.has_run(&id)).await;
     call
 }
 
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -40,11 +40,9 @@
         actix_rt::spawn(server.run());
     }
 
-    /// Waits until a request runs.
-    pub(crate) async fn wait_for(&self, id: &str) {
-        while !self.started.lock().unwrap().iter().any(|it| it == id) {
-            actix_rt::time::sleep(Duration::from_millis(5)).await;
-        }
+    /// Returns whether a request has begun to run.
+    pub(crate) fn has_run(&self, id: &str) -> bool {
+        self.started.lock().unwrap().iter().any(|it| it == id)
     }
 }
 
