--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -315,8 +315,8 @@
     }
 }
 
-/// Returns whether a response with the identity can be the answer to the call. Rejections carry no ID
-/// on any platform; each one ends its connection, so it can't be a copy of an earlier one.
+/// Returns whether a response with the identity can be the answer to the call. A rejection may come
+/// without an ID; it then ends its connection, so it can't be a copy of an earlier one.
 fn is_answer_to(response: &ClientResponse, identity: Identity, dialect: &Dialect) -> bool {
     match identity {
         Identity::Own => true,
