Refuse calls that wait for a slot when the time of a stop is over

What callers saw: 502 for calls of other nodes that had not run.

Cause: a call that was queued at the sidecar of a stopping node until its deadline was cut off with the connection, so its outcome was unknown.

At the deadline the queues are refused as not run; the connections of other nodes end after that, as before.

a_stop_refuses_calls_that_are_queued_until_its_end failed before (502 three times) and passes. The test that showed it calls its upstream 50 times first, so that several requests may run there; its checks are unchanged.

--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -140,7 +140,7 @@
     request: AdmissionRequest,
     fingerprint: u64,
 ) -> Result<Permit, Refusal> {
-    if upstream.is_replaced() {
+    if upstream.is_retired() {
         return Err(refuse::did_not_run(RefusalReason::NoUpstream));
     }
     let now = Instant::now();
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -4,13 +4,13 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use log::info;
 use tokio::{
     sync::Notify,
-    time::{self, timeout_at},
+    time::{self, timeout, timeout_at},
 };
 use wagtaillever_coordination::{
     Dialect, Listing, RegistrationAnswer, UpstreamName, VmEntry, VmState,
@@ -30,6 +30,9 @@
     view::View,
 };
 
+/// Time for which a stop waits until calls that were queued at the deadline are refused.
+const REFUSAL_TIME: Duration = Duration::from_millis(20);
+
 /// State shared by all calls of the sidecar.
 pub(super) struct Shared {
     context: Context,
@@ -264,15 +267,22 @@
         }
     }
 
-    /// Refuses new calls and waits for calls in flight, up to the deadline.
+    /// Refuses new calls and waits for calls in flight, up to the deadline. Calls that are still queued
+    /// then are refused, as they have not run.
     pub(super) async fn drain(&self, deadline: time::Instant) {
         self.stopping.set(true);
-        let idle = async {
+        let idle = || async {
             while !self.active_calls.borrow().is_empty() {
                 self.idle.notified().await;
             }
         };
-        let is_idle = timeout_at(deadline, idle).await.is_ok();
+        if timeout_at(deadline, idle()).await.is_ok() {
+            return;
+        }
+        for upstream in self.upstreams.all() {
+            upstream.retire();
+        }
+        let is_idle = timeout(REFUSAL_TIME, idle()).await.is_ok();
         self.active_calls.borrow().log_cut(Instant::now());
         check_invariant("stop_cut", is_idle);
     }
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -56,8 +56,8 @@
     reported: Cell<(u32, bool)>,
     probes: Cell<u32>,
     is_checking: Cell<bool>,
-    /// Whether the upstream has restarted, so that another instance counts its requests.
-    is_replaced: Cell<bool>,
+    /// Whether queued and further requests are refused.
+    is_retired: Cell<bool>,
 }
 
 struct Waiter {
@@ -108,7 +108,7 @@
             reported,
             probes: Cell::default(),
             is_checking: Cell::default(),
-            is_replaced: Cell::default(),
+            is_retired: Cell::default(),
         }
     }
 
@@ -235,9 +235,9 @@
     }
 
     /// Refuses queued and further requests, because another instance counts them since the upstream
-    /// restarted.
+    /// restarted, or because the time of a stop is over.
     pub(super) fn retire(&self) {
-        self.is_replaced.set(true);
+        self.is_retired.set(true);
         for (ticket, waiter) in self.waiters.take() {
             self.admission.borrow_mut().cancel(ticket);
             let rejection = Rejection {
@@ -248,9 +248,9 @@
         }
     }
 
-    /// Returns whether the upstream has restarted since this instance was created.
-    pub(super) fn is_replaced(&self) -> bool {
-        self.is_replaced.get()
+    /// Returns whether further requests are refused.
+    pub(super) fn is_retired(&self) -> bool {
+        self.is_retired.get()
     }
 
     /// Registers a queued request.
--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -28,6 +28,8 @@
 pub(crate) const GRACE_S: u64 = 10;
 /// Time within which nodes serve and follow changes, with headroom for a busy machine.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Service whose upstream runs one request at a time.
+const SINGLE_SERVICE: &str = "single";
 /// Service whose upstream the test registers.
 pub(crate) const LATE_SERVICE: &str = "late";
 /// Service whose upstream the test serves.
@@ -158,7 +160,7 @@
 
     /// Writes a configuration with a route to each service.
     pub(crate) fn put_config(&self, version: u64) {
-        let services = ["orders", "other", LATE_SERVICE, RAW_SERVICE];
+        let services = ["orders", "other", SINGLE_SERVICE, LATE_SERVICE, RAW_SERVICE];
         let routes = services.map(|name| {
             json!({
                 "name": format!("r-{name}"), "hostname": "orders.example",
@@ -181,9 +183,10 @@
 
     /// Returns the registration of the upstream of a VM.
     pub(crate) fn entry(&self, vm: &Vm) -> serde_json::Value {
+        let slots = if vm.service == SINGLE_SERVICE { 1 } else { 64 };
         json!({
             "service": vm.service, "address": vm.upstream_address(), "zone": "ragusa",
-            "version": "v1", "max_concurrency": 64, "state": "ready", "cold_remaining_s": 0,
+            "version": "v1", "max_concurrency": slots, "state": "ready", "cold_remaining_s": 0,
             "sequence": 4, "born": 1_700_000_000_000_u64,
         })
     }
@@ -217,8 +220,9 @@
 
     /// Waits until each node serves a request.
     pub(crate) async fn wait_until_served(&self) {
+        let first = &self.vms[0].service;
         for vm in &self.vms {
-            vm.wait_until_served("orders").await;
+            vm.wait_until_served(first).await;
         }
     }
 
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use actix_rt::task::JoinHandle;
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 
@@ -20,18 +21,26 @@
 const LONG_WORK_MS: u64 = 6_500;
 /// Time in milliseconds that an upstream works on a request that outlasts any stop.
 const ENDLESS_WORK_MS: u64 = 14_000;
+/// Calls after which a sidecar lets its upstream run several requests at once.
+const WARM_UP_CALLS: usize = 50;
 /// Callers that use a node while another one stops.
 const BUSY_CALLERS: usize = 12;
 
 /// Starts a request that runs for some time and waits until its upstream has begun.
-async fn begin_call(
+async fn begin_call(fleet: &Fleet, vm: usize, work_ms: u64) -> JoinHandle<Option<Answer>> {
+    begin_call_of(fleet, "orders", vm, work_ms).await
+}
+
+/// Does the same for a service, whose upstream is on the first VM.
+async fn begin_call_of(
     fleet: &Fleet,
+    service: &str,
     vm: usize,
     work_ms: u64,
-) -> actix_rt::task::JoinHandle<Option<Answer>> {
+) -> JoinHandle<Option<Answer>> {
     let id = format!("long-{vm}");
     let mut connection = Connection::open(fleet.vms[vm].callers()).await.unwrap();
-    let path = format!("/orders/w{work_ms}");
+    let path = format!("/{service}/w{work_ms}");
     let call = {
         let id = id.clone();
         actix_rt::spawn(async move { connection.post(&id, &path).await.ok() })
@@ -89,6 +98,9 @@
 #[actix_rt::test]
 async fn a_stop_that_uses_up_its_time_leaves_no_call_of_other_nodes_unknown() {
     let mut fleet = Fleet::start(&["orders", "other"]).await;
+    for _ in 0..WARM_UP_CALLS {
+        fleet.vms[1].wait_until_served("orders").await;
+    }
     let cut = begin_call(&fleet, 0, ENDLESS_WORK_MS).await;
     let is_over = Rc::new(Cell::new(false));
     let node = fleet.vms[1].callers();
@@ -109,6 +121,25 @@
     assert_eq!(unknown.count(), 0, "calls with an unknown outcome");
 }
 
+/// Calls that were queued for a slot until the end of a stop had not run, and their callers were told that
+/// they may have.
+#[actix_rt::test]
+async fn a_stop_refuses_calls_that_are_queued_until_its_end() {
+    let mut fleet = Fleet::start(&["single", "other"]).await;
+    let cut = begin_call_of(&fleet, "single", 0, ENDLESS_WORK_MS).await;
+    let node = fleet.vms[1].callers();
+    let queued = (0..3).map(|number| async move {
+        let mut connection = Connection::open(node).await.unwrap();
+        let id = format!("queued-{number}");
+        connection.post(&id, "/single/w1").await.unwrap().status
+    });
+    let queued = actix_rt::spawn(join_all(queued));
+    fleet.vms[0].signal(Signal::SIGTERM);
+    assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
+    assert_eq!(queued.await.unwrap(), [503; 3]);
+    assert_eq!(cut.await.unwrap(), None, "the call outlasts the stop");
+}
+
 /// Sends one request after the other until the end and returns the statuses.
 async fn use_node(node: SocketAddr, number: usize, is_over: Rc<Cell<bool>>) -> Vec<u16> {
     let mut statuses = Vec::new();
