Judge calls at the timeout of their route by time, not by the last reason

Its trace: an upstream worked for more than 5 s, the first attempt ended at the timeout of the route (4,986 ms, outcome unknown), and a second one with 9 ms left was refused as draining, which became the reason of the answer after 4,999 ms. The users' rule does not count requests whose route's timeout was reached.

--- a/crates/bench/src/layout.rs
+++ b/crates/bench/src/layout.rs
@@ -17,7 +17,7 @@
 /// Third octet of the platform's address for a failure domain.
 const PLATFORM_OCTET: u8 = 255;
 /// Timeout of a call, in milliseconds.
-const ROUTE_TIMEOUT_MS: u64 = 5_000;
+pub(crate) const ROUTE_TIMEOUT_MS: u64 = 5_000;
 
 /// Port offsets in the block of a run.
 mod offset {
--- a/crates/bench/src/stops/tests.rs
+++ b/crates/bench/src/stops/tests.rs
@@ -106,6 +106,10 @@
     assert_eq!(refused().unrun().judge(2).false_refusals, 0);
     let unknown = Case::closed(100, 200).ending(ExchangeEnd::Unknown);
     assert_eq!(unknown.judge(2).unknown, 1);
+    let late = Case::closed(100, 5_090).ending(ExchangeEnd::Unknown);
+    assert_eq!(late.judge(2).unknown, 0, "the timeout of the route");
+    let just_before = Case::closed(100, 5_040).ending(ExchangeEnd::Unknown);
+    assert_eq!(just_before.judge(2).unknown, 1);
 }
 
 #[test]
