--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -107,6 +107,8 @@
     assert_refused("address: nowhere", "4", "invalid IP address");
     assert_refused("callers: 127.0.0.1", "5", "invalid socket address");
     assert_refused("limits: {grace_s: soon}", "9", "expected f64");
+    assert_refused("limits: {grace_s: [1]}", "9", "expected f64");
+    assert_refused("limits: {stop_ms: 1}", "9", "unknown field `stop_ms`");
     assert_refused("limits: {notice_ms: soon}", "9", "expected u64");
     assert_refused("limits: {notice_ms: -1}", "9", "expected u64");
     assert_refused("platform: 127.0.0.1:1", "8", "expected a sequence");
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -121,8 +121,7 @@
     assert_eq!(unknown.count(), 0, "calls with an unknown outcome");
 }
 
-/// Calls that were queued for a slot until the end of a stop had not run, and their callers were told that
-/// they may have.
+/// Calls that were still queued at the end of a stop got an unknown outcome, although they had not run.
 #[actix_rt::test]
 async fn a_stop_refuses_calls_that_are_queued_until_its_end() {
     let mut fleet = Fleet::start(&["single", "other"]).await;
