Answer callers whose calls outlast a planned stop

Callers of other nodes learned of it when the process ended.

Cause: at the end of the time for calls a node gave up its callers and its calls in flight and told neither. Whether the ingress saw the lost connection of its own sidecar before the process ended was a race.

Now the stop gives up calls at a stated time and answers them: the sidecar refuses what is queued and ends what runs with an unknown outcome, the ingress does the same for calls at other sidecars, and both have until 0.9 of the grace period to pass the answers on. Upstreams are not left with work that nobody waits for.

Two tests expected the closed connection; they expect status 502 now. The test of the deadlines demands time for these answers, too.

--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -43,6 +43,8 @@
 pub(super) enum BreakCause {
     /// The sidecar did not answer pings.
     NoPong,
+    /// This node stops and gave up the call.
+    Stop,
     /// The connection to the sidecar was lost.
     ConnectionLost,
     /// The sidecar reset the stream.
@@ -58,6 +60,7 @@
     pub(super) fn as_str(self) -> &'static str {
         match self {
             Self::NoPong => "no-pong",
+            Self::Stop => "stop",
             Self::ConnectionLost => "connection-lost",
             Self::Reset => "reset",
             Self::Ended => "ended",
@@ -96,19 +99,35 @@
     pub(super) channel: Rc<Channel>,
 }
 
-/// Sends a call to the sidecar at an address and waits for the head of its reply.
+/// Sends a call to the sidecar at an address and waits for the head of its reply, until the deadline
+/// or until a stop cuts off calls.
 pub(super) async fn send_call(
     pool: &Pool,
     address: SocketAddr,
     head: &CallHead,
     body: &RequestBody,
     deadline: Instant,
+    cut: impl Future<Output = ()>,
 ) -> AttemptResult {
     let is_sent = Cell::new(false);
-    let exchange = exchange(pool, address, head, body, &is_sent);
-    let result = timeout_at(deadline, exchange).await;
-    let is_sent = is_sent.get();
-    result.unwrap_or(AttemptResult::TimedOut { is_sent })
+    let exchange = timeout_at(deadline, exchange(pool, address, head, body, &is_sent));
+    let result = tokio::select! {
+        biased;
+        result = exchange => result,
+        () = cut => Ok(cut_result(is_sent.get())),
+    };
+    result.unwrap_or(AttemptResult::TimedOut {
+        is_sent: is_sent.get(),
+    })
+}
+
+/// Returns the result of an attempt that a stop cuts off.
+fn cut_result(is_sent: bool) -> AttemptResult {
+    if is_sent {
+        AttemptResult::Broken(BreakCause::Stop)
+    } else {
+        AttemptResult::NotSent
+    }
 }
 
 /// Returns the channel to an address. Only the owner of an idempotency key is waited for until the
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -210,6 +210,7 @@
             &head,
             &self.body,
             deadline,
+            self.worker.wait_for_cut(),
         )
         .await;
         let mut feedback = feedback(&result);
@@ -294,6 +295,9 @@
 
     /// Decides whether another attempt follows and waits until it is due.
     async fn prepare_retry(&mut self, failure: AttemptFailure) -> bool {
+        if self.worker.is_cut() {
+            return false;
+        }
         let is_resendable = self.body.is_resendable();
         let time_left = self.request.time_left();
         let service = self.request.service.clone();
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -82,8 +82,8 @@
     }
 
     /// Keeps refusing new calls for the rest of [`STOP_NOTICE`], then accepts no more connections,
-    /// closes idle ones and waits for the calls in flight. Calls still running at the deadline are
-    /// cut off.
+    /// closes idle ones and waits until the calls in flight have an answer. Answers that are not
+    /// complete at the deadline are cut off.
     pub(super) async fn stop(self, deadlines: StopDeadlines) {
         sleep(self.stop_delay).await;
         info!(calls = self.open_calls.len(); "no longer accepting callers on {:?}", self.addresses);
@@ -95,7 +95,7 @@
                 () = self.connections.wait() => {}
             }
         };
-        if timeout_at(deadlines.calls, closed).await.is_err() {
+        if timeout_at(deadlines.answers, closed).await.is_err() {
             warn!("stop deadline reached; not waiting for the open connections of callers");
         }
         self.open_calls.record_cut();
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -9,7 +9,7 @@
 };
 
 use rand::{SeedableRng, rngs::SmallRng};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
     Balancer, BalancerPolicy, CallShares, CallerAges, LeavingUpstreams, RetryBudget, RetryRates,
@@ -35,6 +35,10 @@
 /// Longest time that a call waits for a newer configuration.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which calls that a stop gives up still wait for the reply of a sidecar. That of this VM
+/// knows which of them have not run.
+const LAST_REPLY_TIME: Duration = Duration::from_millis(100);
+
 /// State shared by the threads that serve callers.
 #[derive(Clone)]
 pub(super) struct SharedState {
@@ -47,6 +51,8 @@
     pub(super) stall: StallHandle,
     /// Calls without a complete answer.
     pub(super) open_calls: OpenCalls,
+    /// Cancelled when a stop gives up the calls in flight.
+    pub(super) cut: CancellationToken,
     /// Cancelled when no more connections to sidecars are to be opened.
     pub(super) token: CancellationToken,
 }
@@ -169,6 +175,17 @@
         apply(budget, &mut self.rng.borrow_mut())
     }
 
+    /// Returns whether a stop has given up the calls in flight.
+    pub(super) fn is_cut(&self) -> bool {
+        self.shared.cut.is_cancelled()
+    }
+
+    /// Waits until a stop gives up the calls in flight and the sidecar of this VM had time to reply.
+    pub(super) async fn wait_for_cut(&self) {
+        self.shared.cut.cancelled().await;
+        sleep(LAST_REPLY_TIME).await;
+    }
+
     /// Waits until the view reaches a sequence, for [`CATCH_UP_TIMEOUT`] at most.
     pub(super) async fn wait_for_sequence(&self, sequence: Sequence) {
         let mut view = self.shared.view.watch();
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -19,7 +19,7 @@
 
 use log::info;
 use snafu::ResultExt;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use crate::error::{NodeError, StartSnafu};
 
@@ -69,10 +69,16 @@
     pub(crate) async fn stop(&mut self, requested_at: Instant) {
         let times = self.context.settings().limits.stop_times();
         let deadlines = StopDeadlines::new(requested_at, times);
+        let context = self.context.clone();
+        let cut = actix_rt::spawn(async move {
+            sleep_until(deadlines.calls).await;
+            context.cut_calls();
+        });
         while let Some(mut service) = self.running.pop() {
             service.stop(deadlines).await;
             info!("service {} stopped", service.name());
         }
+        cut.abort();
         let took_ms = requested_at.elapsed().as_millis() as u64;
         info!(took_ms; "all services stopped");
         self.context.cancel_tasks();
--- a/crates/node/src/kernel/context.rs
+++ b/crates/node/src/kernel/context.rs
@@ -20,6 +20,7 @@
     registry: Registry,
     view: ViewCell,
     timeline: Timeline,
+    cut: CancellationToken,
     shutdown: CancellationToken,
 }
 
@@ -31,6 +32,7 @@
         Self {
             view: ViewCell::default(),
             registry: Registry::default(),
+            cut: CancellationToken::new(),
             shutdown: CancellationToken::new(),
             settings,
             incarnation,
@@ -63,6 +65,16 @@
         &self.timeline
     }
 
+    /// Returns a token that is cancelled when a stop gives up the calls in flight.
+    pub(crate) fn cut_token(&self) -> CancellationToken {
+        self.cut.child_token()
+    }
+
+    /// Gives up the calls in flight.
+    pub(crate) fn cut_calls(&self) {
+        self.cut.cancel();
+    }
+
     /// Returns a token that is cancelled after all services have stopped.
     pub(crate) fn shutdown_token(&self) -> CancellationToken {
         self.shutdown.child_token()
--- a/crates/node/src/kernel/stop.rs
+++ b/crates/node/src/kernel/stop.rs
@@ -9,8 +9,10 @@
 /// Deadlines of a stop, the same for all services.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StopDeadlines {
-    /// When calls in flight are cut off.
+    /// When calls in flight are given up. Their callers are told so.
     pub(crate) calls: Instant,
+    /// Until when callers get their answers. Connections that are still in use then are closed.
+    pub(crate) answers: Instant,
     /// When the process ends. Connections of other nodes are closed until then, so that no call that
     /// is on its way is left with an unknown outcome.
     pub(crate) end: Instant,
@@ -21,6 +23,7 @@
     pub(crate) fn new(requested_at: Instant, times: StopTimes) -> Self {
         Self {
             calls: requested_at + times.calls,
+            answers: requested_at + times.answers,
             end: requested_at + times.end,
         }
     }
--- a/crates/node/src/kernel/tests.rs
+++ b/crates/node/src/kernel/tests.rs
@@ -54,10 +54,18 @@
     let deadlines = deadlines.borrow();
     assert_eq!(deadlines.len(), 3);
     assert!(deadlines.iter().all(|other| *other == deadlines[0]));
-    let StopDeadlines { calls, end } = deadlines[0];
+    let StopDeadlines {
+        calls,
+        answers,
+        end,
+    } = deadlines[0];
     assert!(calls >= requested_at + GRACE.mul_f64(5.0 / 6.0));
     assert!(
-        end >= calls + GRACE.mul_f64(0.05),
+        answers >= calls + GRACE.mul_f64(0.03),
+        "no time to answer callers"
+    );
+    assert!(
+        end >= answers + GRACE.mul_f64(0.05),
         "no time to close connections"
     );
     assert!(end < requested_at + GRACE);
@@ -68,6 +76,7 @@
     let calls = Instant::now() + Duration::from_secs(30);
     StopDeadlines {
         calls,
+        answers: calls + Duration::from_secs(2),
         end: calls + Duration::from_secs(5),
     }
 }
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -34,9 +34,11 @@
 
 /// Largest share of the grace period that the notice takes.
 const MAX_NOTICE_SHARE: f64 = 0.5;
-/// Share of the grace period after which calls in flight are cut off. The users' rules allow it from
+/// Share of the grace period after which calls in flight are given up. The users' rules allow it from
 /// five sixths on.
 const CALLS_SHARE: f64 = 0.86;
+/// Share of the grace period after which connections are closed whose callers have no answer yet.
+const ANSWERS_SHARE: f64 = 0.9;
 /// Share of the grace period after which the process ends, which leaves time for a late start of the
 /// stop and for the exit.
 const END_SHARE: f64 = 0.96;
@@ -46,8 +48,10 @@
 pub(crate) struct StopTimes {
     /// Time for which the node still accepts calls.
     pub(crate) notice: Duration,
-    /// Time after which calls in flight are cut off.
+    /// Time after which calls in flight are given up.
     pub(crate) calls: Duration,
+    /// Time until which callers of these calls get an answer.
+    pub(crate) answers: Duration,
     /// Time after which the process ends.
     pub(crate) end: Duration,
 }
@@ -61,6 +65,7 @@
         StopTimes {
             notice: Duration::from_millis(self.notice_ms).min(share(MAX_NOTICE_SHARE)),
             calls: share(CALLS_SHARE),
+            answers: share(ANSWERS_SHARE),
             end: share(END_SHARE),
         }
     }
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -75,6 +75,7 @@
             context.registry().publish_handler("call", handler);
             context.registry().publish_handler("fence", fences);
             actix_rt::spawn(run_maintenance(Rc::clone(&shared)));
+            actix_rt::spawn(cut_calls(Rc::clone(&shared)));
             if let Ok(peers) = context.registry().find::<PeersHandle>("peers") {
                 actix_rt::spawn(receive_reports(Rc::clone(&shared), peers.reports()));
                 actix_rt::spawn(poll_health(Rc::clone(&shared), peers));
@@ -95,7 +96,7 @@
             let Some(shared) = self.shared.take() else {
                 return;
             };
-            shared.drain(deadlines.calls).await;
+            shared.drain(deadlines.answers).await;
         })
     }
 }
@@ -120,6 +121,15 @@
     }
 }
 
+/// Ends the calls in flight when a stop gives them up.
+async fn cut_calls(shared: Rc<Shared>) {
+    let cut = shared.context().cut_token();
+    tokio::select! {
+        () = shared.context().shutdown_token().cancelled_owned() => {}
+        () = cut.cancelled() => shared.cut_calls().await,
+    }
+}
+
 /// Checks the registration of this VM's upstream while the platform does not list it.
 async fn poll_registration(shared: Rc<Shared>, check: RegistrationCheck) {
     let token = shared.context().shutdown_token();
--- a/crates/node/src/sidecar/delegate.rs
+++ b/crates/node/src/sidecar/delegate.rs
@@ -49,6 +49,7 @@
         let replied = tokio::select! {
             biased;
             replied = timeout_at(call.deadline.into(), sent) => replied,
+            () = shared.wait_for_cut() => return Err(unknown(RefusalReason::Draining)),
             () = writer.wait_for_reset() => return Ok(Execution::Abandoned { written: true }),
         };
         let replied = replied.map_err(|_| unknown(RefusalReason::Deadline))?;
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -15,7 +15,7 @@
         call::Call,
         forward::{Answer, Failure, forward},
         headers, probe,
-        refuse::{did_not_run, with_outcome},
+        refuse::{did_not_run, unknown, with_outcome},
         shared::Shared,
         upstream::LocalUpstream,
     },
@@ -90,6 +90,7 @@
     let answer = tokio::select! {
         biased;
         answer = forward(upstream, call, body, shared.dialect()) => answer,
+        () = shared.wait_for_cut() => return Err(unknown(RefusalReason::Draining)),
         () = writer.wait_for_reset() => return Ok(Execution::Abandoned { written: true }),
     };
     match answer {
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -12,6 +12,7 @@
     sync::Notify,
     time::{self, timeout, timeout_at},
 };
+use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
     Dialect, Listing, RegistrationAnswer, UpstreamName, VmEntry, VmState,
 };
@@ -53,6 +54,8 @@
     active_calls: RefCell<ActiveCalls>,
     stopping: Cell<bool>,
     idle: Notify,
+    /// Cancelled when calls that wait for an answer are cut off.
+    cut: CancellationToken,
 }
 
 impl Shared {
@@ -82,6 +85,7 @@
             active_calls: RefCell::default(),
             stopping: Cell::default(),
             idle: Notify::new(),
+            cut: CancellationToken::new(),
         }
     }
 
@@ -267,24 +271,33 @@
         }
     }
 
-    /// Refuses new calls and waits for calls in flight, up to the deadline. Calls that are still queued
-    /// then are refused, as they have not run.
+    /// Refuses new calls and waits for calls in flight, up to the deadline.
     pub(super) async fn drain(&self, deadline: time::Instant) {
         self.stopping.set(true);
-        let idle = || async {
-            while !self.active_calls.borrow().is_empty() {
-                self.idle.notified().await;
-            }
-        };
-        if timeout_at(deadline, idle()).await.is_ok() {
-            return;
-        }
+        let _ = timeout_at(deadline, self.wait_until_idle()).await;
+    }
+
+    /// Refuses queued calls, as they have not run, and ends those that wait for an answer with an
+    /// unknown outcome.
+    pub(super) async fn cut_calls(&self) {
         for upstream in self.upstreams.all() {
             upstream.retire();
         }
-        let is_idle = timeout(REFUSAL_TIME, idle()).await.is_ok();
+        let is_idle = timeout(REFUSAL_TIME, self.wait_until_idle()).await.is_ok();
         self.active_calls.borrow().log_cut(Instant::now());
         check_invariant("stop_cut", is_idle);
+        self.cut.cancel();
+    }
+
+    /// Waits until calls that wait for an answer are cut off.
+    pub(super) async fn wait_for_cut(&self) {
+        self.cut.cancelled().await;
+    }
+
+    async fn wait_until_idle(&self) {
+        while !self.active_calls.borrow().is_empty() {
+            self.idle.notified().await;
+        }
     }
 }
 
@@ -307,7 +320,7 @@
         let mut calls = self.shared.active_calls.borrow_mut();
         calls.end(self.number);
         if calls.is_empty() {
-            self.shared.idle.notify_one();
+            self.shared.idle.notify_waiters();
         }
     }
 }
--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -59,6 +59,11 @@
         self.at(CALLERS_PORT)
     }
 
+    /// Returns the service of the upstream.
+    pub(crate) fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Returns the address of the upstream.
     pub(crate) fn upstream_address(&self) -> SocketAddr {
         self.at(UPSTREAM_PORT)
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -28,32 +28,39 @@
 
 /// Starts a request that runs for some time and waits until its upstream has begun.
 async fn begin_call(fleet: &Fleet, vm: usize, work_ms: u64) -> JoinHandle<Option<Answer>> {
-    begin_call_of(fleet, "orders", vm, work_ms).await
+    begin_call_of(fleet, 0, vm, work_ms).await
 }
 
-/// Does the same for a service, whose upstream is on the first VM.
+/// Does the same for the service of the upstream on a VM.
 async fn begin_call_of(
     fleet: &Fleet,
-    service: &str,
+    upstream: usize,
     vm: usize,
     work_ms: u64,
 ) -> JoinHandle<Option<Answer>> {
-    let id = format!("long-{vm}");
+    let id = format!("long-{vm}-{upstream}");
+    let service = fleet.vms[upstream].service();
     let mut connection = Connection::open(fleet.vms[vm].callers()).await.unwrap();
     let path = format!("/{service}/w{work_ms}");
     let call = {
         let id = id.clone();
         actix_rt::spawn(async move { connection.post(&id, &path).await.ok() })
     };
-    let upstream = &fleet.vms[0].upstream;
+    let upstream = &fleet.vms[upstream].upstream;
     wait_until("the request to run", || upstream.has_run(&id)).await;
     call
 }
 
+/// Returns the status of the answer to a call, if there is one.
+async fn status_of(call: JoinHandle<Option<Answer>>) -> Option<u16> {
+    let answer = call.await.unwrap();
+    answer.map(|answer| answer.status)
+}
+
 fn whole_answer(vm: usize) -> Option<Answer> {
     Some(Answer {
         status: 200,
-        body: format!("long-{vm}"),
+        body: format!("long-{vm}-0"),
         is_last: true,
     })
 }
@@ -112,7 +119,11 @@
     let took = started.elapsed();
     is_over.set(true);
     let statuses: Vec<u16> = callers.await.unwrap().into_iter().flatten().collect();
-    assert_eq!(cut.await.unwrap(), None, "the call outlasts the stop");
+    assert_eq!(
+        status_of(cut).await,
+        Some(502),
+        "the call outlasts the stop"
+    );
     assert!(took < Duration::from_secs(GRACE_S), "killed after {took:?}");
     assert!(statuses.contains(&200) && statuses.contains(&503));
     let unknown = statuses
@@ -125,7 +136,7 @@
 #[actix_rt::test]
 async fn a_stop_refuses_calls_that_are_queued_until_its_end() {
     let mut fleet = Fleet::start(&["single", "other"]).await;
-    let cut = begin_call_of(&fleet, "single", 0, ENDLESS_WORK_MS).await;
+    let cut = begin_call(&fleet, 0, ENDLESS_WORK_MS).await;
     let node = fleet.vms[1].callers();
     let queued = (0..3).map(|number| async move {
         let mut connection = Connection::open(node).await.unwrap();
@@ -136,7 +147,26 @@
     fleet.vms[0].signal(Signal::SIGTERM);
     assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
     assert_eq!(queued.await.unwrap(), [503; 3]);
-    assert_eq!(cut.await.unwrap(), None, "the call outlasts the stop");
+    assert_eq!(
+        status_of(cut).await,
+        Some(502),
+        "the call outlasts the stop"
+    );
+}
+
+/// Callers of calls that outlast a stop had their connection closed without an answer.
+#[actix_rt::test]
+async fn a_stop_answers_calls_that_outlast_it() {
+    let mut fleet = Fleet::start(&["orders", "other"]).await;
+    let of_own_upstream = begin_call_of(&fleet, 0, 0, ENDLESS_WORK_MS).await;
+    let of_other_upstream = begin_call_of(&fleet, 1, 0, ENDLESS_WORK_MS).await;
+    let of_other_node = begin_call_of(&fleet, 0, 1, ENDLESS_WORK_MS).await;
+    fleet.vms[0].signal(Signal::SIGTERM);
+    assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
+    assert_eq!(status_of(of_own_upstream).await, Some(502));
+    assert_eq!(status_of(of_other_upstream).await, Some(502));
+    assert_eq!(status_of(of_other_node).await, Some(502));
+    assert_eq!(fleet.count_log_lines("broken_by=connection-lost"), 0);
 }
 
 /// Sends one request after the other until the end and returns the statuses.
