Try requests again that were running when upstreams crashed together

What callers saw: 503 from all nodes for up to ten minutes for a request that many callers send, after the upstreams that ran it had crashed for another reason.

Cause: two crashes with a request in flight made all nodes refuse it. Both can have one cause, and a refused request can never clear itself, as only a request that runs can complete. Each repeated report prolonged the suspicion, too.

After two crashes one upstream at a time may try the request now, in an order that all nodes compute, at once. A request that did not cause the crashes is cleared by its first trial.

--- a/crates/coordination/src/crash/tests.rs
+++ b/crates/coordination/src/crash/tests.rs
@@ -4,6 +4,7 @@
     InFlight {
         fingerprint,
         alone: false,
+        is_trial: false,
     }
 }
 
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -91,7 +91,7 @@
         UpstreamStart,
     },
     overlay::{Overlay, parent_positions},
-    poison::{InFlight, PoisonReport, PoisonTracker, Suspicion},
+    poison::{InFlight, PoisonReport, PoisonTracker, Suspicion, trial_rank},
     quality::Quality,
     registrations::{Registration, Registrations},
     replica::{
--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -96,6 +96,7 @@
         InFlight {
             fingerprint: self.fingerprint,
             alone: self.upstream.admission().borrow().ran_alone(self.mark),
+            is_trial: self.alone,
         }
     }
 }
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -116,7 +116,8 @@
     call: &Call,
 ) -> Result<Permit, Refusal> {
     let fingerprint = call.head.fingerprint;
-    let suspicion = shared.suspects().suspicion(fingerprint);
+    let rank = || trial_rank(shared, upstream, fingerprint);
+    let suspicion = shared.suspects().suspicion(fingerprint, rank);
     if suspicion == Suspicion::Refused {
         metrics::counter!("poison_refused_total").increment(1);
         let is_unkeyed = call.key.is_none();
@@ -138,6 +139,20 @@
     admit(upstream, request, fingerprint).await
 }
 
+/// Returns the position of the upstream among those of its service that try a refused request again.
+fn trial_rank(shared: &Shared, upstream: &LocalUpstream, fingerprint: u64) -> u32 {
+    let view = shared.context().view().load();
+    let own = upstream.spec();
+    let configured = view.config.upstreams_of(&own.service).cloned();
+    let entries = view.vms.vms.iter();
+    let listed = entries.flat_map(|entry| entry.listed_upstreams());
+    let others: Vec<_> = configured
+        .chain(listed.filter(|other| other.service == own.service))
+        .collect();
+    let names = others.iter().map(|other| &other.name);
+    wagtaillever_coordination::trial_rank(fingerprint, &own.name, names)
+}
+
 /// Records a failure of the upstream. A deadline missed while this process was paused is ignored,
 /// because it says nothing about the upstream.
 fn record_failure(
--- a/crates/node/src/sidecar/suspects.rs
+++ b/crates/node/src/sidecar/suspects.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, time::Instant};
 
-use log::warn;
+use log::{info, warn};
 use rand::random;
 use wagtaillever_coordination::{
     InFlight, PoisonReport, PoisonTracker, SoftReport, Suspicion, UpstreamName,
@@ -30,12 +30,13 @@
         }
     }
 
-    /// Returns how to treat a request.
-    pub(super) fn suspicion(&self, fingerprint: u64) -> Suspicion {
+    /// Returns how to treat a request at an upstream with the given rank for trials.
+    pub(super) fn suspicion(&self, fingerprint: u64, rank: impl FnOnce() -> u32) -> Suspicion {
         if !self.is_enabled {
             return Suspicion::Clear;
         }
-        self.poison.borrow().suspicion(fingerprint, Instant::now())
+        let poison = self.poison.borrow();
+        poison.suspicion(fingerprint, Instant::now(), rank)
     }
 
     /// Records a crash of an upstream and reports the suspects to other nodes.
@@ -69,6 +70,7 @@
             .borrow_mut()
             .record_completion(fingerprint, Instant::now());
         if let Some(report) = report {
+            info!(fingerprint = format!("{fingerprint:016x}"); "request cleared of crashing upstreams");
             self.share(&report);
         }
     }
