Keep the knowledge that an upstream has left through silent and restored platforms

What callers saw: unsafe requests reached an upstream that had left while the store was away and after it came back from an older copy, and those that it ran when it ended were lost.

Cause: a registration check without an answer took back that the platform had confirmed an upstream to be gone, and the next list then counted as its return. And a copy of the store lists what has left since until three heartbeats are missed. Same cause elsewhere: an upstream that was listed as leaving and then not at all was forgotten, so the copy's entry of the time before brought it back.

What is confirmed now lasts for as long as the process of the upstream is the same. After a restoration, which the era of lists and checks tells, a registration proves nothing for 12 s, and a missing one nothing for the 2.2 s in which upstreams register again.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -80,7 +80,7 @@
     key::{IdempotencyKey, KeyError, key_owner},
     leaving::LeavingUpstreams,
     ledger::{Claim, ExecutionOutcome, Ledger, LedgerSettings, RecordedAnswer, RequestId},
-    listing::{Listing, RegistrationAnswer},
+    listing::{Listing, RegistrationAnswer, RestorationFilter},
     message::{Contact, Digest, Hello, Message, SnapshotPart, Versions},
     name::{
         DomainName, MAX_NAME_BYTES, RegionName, RouteName, ServiceName, UpstreamName, VmName,
--- a/crates/coordination/src/listing.rs
+++ b/crates/coordination/src/listing.rs
@@ -3,6 +3,8 @@
 #[cfg(test)]
 mod tests;
 
+use std::time::{Duration, Instant};
+
 use crate::vm::VmState;
 
 /// Registration state of an upstream as known to the node on its VM.
@@ -51,14 +53,15 @@
     }
 
     /// Returns the next state after a registration check. [`Self::Listed`] is reached again only if
-    /// both a list of VMs and the check show the registration.
+    /// both a list of VMs and the check show the registration. A platform that does not answer takes
+    /// nothing back that it has confirmed.
     #[must_use]
     pub fn with_answer(self, answer: RegistrationAnswer) -> Self {
         match (self, answer) {
             (Self::Listed, _) | (Self::Relisted, RegistrationAnswer::Registered) => Self::Listed,
-            (Self::Relisted, RegistrationAnswer::Missing) => Self::Relisted,
-            (_, RegistrationAnswer::Silent) => Self::CutOff,
-            (_, RegistrationAnswer::Registered | RegistrationAnswer::Missing) => Self::Gone,
+            (Self::Relisted, _) => Self::Relisted,
+            (Self::Doubted | Self::CutOff, RegistrationAnswer::Silent) => Self::CutOff,
+            (Self::Gone | Self::Doubted | Self::CutOff, _) => Self::Gone,
         }
     }
 
@@ -75,3 +78,54 @@
         self != Self::Listed
     }
 }
+
+/// Time after a restoration of the platform for which a missing registration proves nothing.
+/// According to the platform's documentation, live upstreams register again within about two seconds.
+const RENEWAL_TIME: Duration = Duration::from_millis(2_200);
+/// Time after a restoration of the platform for which a registration proves nothing. The platform
+/// removes those of upstreams that have left after three missed heartbeats, a few seconds.
+const EXPIRY_TIME: Duration = Duration::from_secs(12);
+
+/// Tells which registration checks count while the platform recovers from a restoration.
+///
+/// A platform that was restored from an older copy lists upstreams that have left since the copy was
+/// made, until their heartbeats are missed, and lacks those that have registered since.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RestorationFilter {
+    era: Option<u64>,
+    restored_at: Option<Instant>,
+}
+
+impl RestorationFilter {
+    /// Records the era in which the platform answered.
+    pub fn observe(&mut self, era: u64, now: Instant) {
+        if self.era.is_some_and(|known| era > known) {
+            self.restored_at = Some(now);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    /// Returns what an answer of the platform in an era proves. [`RegistrationAnswer::Silent`] stands
+    /// for nothing.
+    pub fn apply(
+        &mut self,
+        answer: RegistrationAnswer,
+        era: u64,
+        now: Instant,
+    ) -> RegistrationAnswer {
+        if answer == RegistrationAnswer::Silent {
+            return answer;
+        }
+        self.observe(era, now);
+        let unproven_for = match answer {
+            RegistrationAnswer::Registered => EXPIRY_TIME,
+            _ => RENEWAL_TIME,
+        };
+        let is_restoring = |at: Instant| now.saturating_duration_since(at) < unproven_for;
+        if self.restored_at.is_some_and(is_restoring) {
+            RegistrationAnswer::Silent
+        } else {
+            answer
+        }
+    }
+}
--- a/crates/coordination/src/vm.rs
+++ b/crates/coordination/src/vm.rs
@@ -41,7 +41,7 @@
 
     /// Returns the era of the platform from which the list was derived.
     #[must_use]
-    pub(crate) fn era(&self) -> u64 {
+    pub fn era(&self) -> u64 {
         era_of(self.revision())
     }
 
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -136,7 +136,8 @@
     let poll = async {
         loop {
             let name = shared.unlisted_upstream().await;
-            shared.apply_registration_answer(check.query(&name).await);
+            let (answer, era) = check.query(&name).await;
+            shared.apply_registration_answer(answer, era);
             tokio::select! {
                 () = sleep(REGISTRATION_CHECK_INTERVAL) => {}
                 () = shared.listing_change() => {}
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -14,7 +14,7 @@
 };
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    Dialect, Listing, RegistrationAnswer, UpstreamName, VmEntry, VmState,
+    Dialect, Listing, RegistrationAnswer, RestorationFilter, UpstreamName, VmEntry, VmState,
 };
 
 use crate::{
@@ -46,6 +46,7 @@
     applied: RefCell<Option<Arc<View>>>,
     leaving: Cell<bool>,
     listing: Cell<Listing>,
+    restorations: RefCell<RestorationFilter>,
     /// Upstream to which the listing state refers, with its start time.
     listed_upstream: RefCell<Option<(UpstreamName, u64)>>,
     listing_changed: Notify,
@@ -78,6 +79,7 @@
             applied: RefCell::default(),
             leaving: Cell::default(),
             listing: Cell::default(),
+            restorations: RefCell::default(),
             listed_upstream: RefCell::default(),
             listing_changed: Notify::new(),
             drained: Cell::default(),
@@ -142,8 +144,13 @@
     }
 
     /// Applies the platform's answer to a registration check of this VM's upstream.
-    pub(super) fn apply_registration_answer(&self, answer: RegistrationAnswer) {
-        self.set_listing(self.listing.get().with_answer(answer));
+    pub(super) fn apply_registration_answer(&self, answer: RegistrationAnswer, era: u64) {
+        let mut restorations = self.restorations.borrow_mut();
+        let proven = restorations.apply(answer, era, Instant::now());
+        if proven != answer {
+            info!(answer:? = answer, era; "registration check proves nothing after a restoration");
+        }
+        self.set_listing(self.listing.get().with_answer(proven));
     }
 
     /// Sets the listing state and returns whether it changed.
@@ -212,8 +219,12 @@
         let settings = self.context.settings();
         let listed = view.vms.get(&settings.vm);
         let state = listed.map_or(VmState::Live, |entry| entry.state);
-        self.leaving.set(state == VmState::Leaving);
-        self.apply_listing(listed.map(|entry| &**entry));
+        let was_leaving = self.leaving.replace(state == VmState::Leaving);
+        if view.vms.number > 0 {
+            let mut restorations = self.restorations.borrow_mut();
+            restorations.observe(view.vms.era(), Instant::now());
+        }
+        self.apply_listing(listed.map(|entry| &**entry), was_leaving);
         let is_drained = view.drains.is_drained(&settings.vm, &settings.domain);
         let was_drained = self.drained.replace(is_drained);
         self.update_upstreams(&view);
@@ -230,11 +241,15 @@
     }
 
     /// Updates the listing state from the platform's entry of this VM. An upstream that is listed
-    /// for the first time starts as listed; one that reappears is checked.
-    fn apply_listing(&self, entry: Option<&VmEntry>) {
-        let Some(entry) = entry else { return };
-        let upstream = entry.upstreams.first();
+    /// for the first time starts as listed; one that reappears is checked. One that was leaving and is
+    /// no longer listed is gone.
+    fn apply_listing(&self, entry: Option<&VmEntry>, was_leaving: bool) {
+        let upstream = entry.and_then(|entry| entry.upstreams.first());
         let upstream = upstream.map(|listed| (listed.name.clone(), listed.started));
+        if was_leaving && upstream.is_none() && self.listed_upstream.borrow().is_some() {
+            self.set_listing(Listing::Gone);
+        }
+        let Some(entry) = entry else { return };
         let is_known = upstream.is_none() || *self.listed_upstream.borrow() == upstream;
         let listing = if is_known {
             self.listing.get()
--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -79,6 +79,16 @@
         self.fixture.context.view().set_vms(Arc::new(list));
     }
 
+    /// Removes the VM from the list.
+    fn unlist(&mut self) {
+        self.number += 1;
+        let list = VmList {
+            number: self.number,
+            vms: Vec::new(),
+        };
+        self.fixture.context.view().set_vms(Arc::new(list));
+    }
+
     /// Lists a later start of the upstream.
     pub(super) fn restart_upstream(&mut self) {
         self.started += 1;
@@ -140,6 +150,22 @@
     listed.assert_refused(RefusalReason::Draining).await;
 }
 
+/// Guards against new work for an upstream that left: a platform that is restored from an older copy
+/// lists it again as it was before it said that it is leaving.
+#[actix_rt::test]
+async fn an_upstream_that_was_leaving_is_not_brought_back_by_a_restored_platform() {
+    let mut listed = ListedFixture::start(HELLO).await;
+    listed.assert_served().await;
+    listed.set_listing(VmState::Leaving, true);
+    listed.assert_refused(RefusalReason::Draining).await;
+    listed.unlist();
+    listed.assert_refused(RefusalReason::NoUpstream).await;
+    listed.set_listing(VmState::Live, true);
+    listed.assert_refused(RefusalReason::Draining).await;
+    listed.restart_upstream();
+    listed.assert_served().await;
+}
+
 #[actix_rt::test]
 async fn an_unlisted_upstream_is_refused_until_the_platform_lists_it_again() {
     let mut listed = ListedFixture::start(HELLO).await;
--- a/crates/node/src/source/registration_check.rs
+++ b/crates/node/src/source/registration_check.rs
@@ -23,8 +23,9 @@
         Self { store }
     }
 
-    /// Queries the platform whether an upstream is registered.
-    pub(crate) async fn query(&self, name: &UpstreamName) -> RegistrationAnswer {
+    /// Queries the platform whether an upstream is registered, and returns the answer with the era of
+    /// the platform.
+    pub(crate) async fn query(&self, name: &UpstreamName) -> (RegistrationAnswer, u64) {
         let mut store = self.store.clone();
         let answer = match timeout(CHECK_TIMEOUT, store.is_registered(name)).await {
             Ok(Ok(true)) => RegistrationAnswer::Registered,
@@ -35,7 +36,8 @@
             }
             Err(_) => RegistrationAnswer::Silent,
         };
-        info!(upstream:% = name, answer:? = answer; "checked the registration of the upstream");
-        answer
+        let era = store.era();
+        info!(upstream:% = name, answer:? = answer, era; "checked the registration of the upstream");
+        (answer, era)
     }
 }
