Handle SIGHUP before the settings are read

It is the first thing that the process does now; what is left is the time that the system takes to load the program.

sighup_while_the_settings_are_read_does_not_end_the_node holds the process where it reads its settings; it failed before.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Command line and main function of the daemon.
 
-use std::{path::PathBuf, process::ExitCode, sync::Arc};
+use std::{io, path::PathBuf, process::ExitCode, sync::Arc};
 
 use clap::Parser;
 use log::{error, info, warn};
@@ -53,6 +53,9 @@
 /// invalid settings, 1 for any other failure.
 #[must_use]
 pub fn run(arguments: Arguments) -> ExitCode {
+    let system = actix::System::new();
+    // Installed before anything else, because the default action of the signal ends the process.
+    let hangups = system.block_on(async { signal(SignalKind::hangup()) });
     let settings = match Settings::load(&arguments.settings) {
         Ok(settings) => settings,
         Err(err) => {
@@ -64,7 +67,7 @@
         println!("{}: settings are valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    let result = actix::System::new().block_on(run_node(Arc::new(settings), arguments.settings));
+    let result = system.block_on(run_node(Arc::new(settings), arguments.settings, hangups));
     if let Err(err) = &result {
         error!("{err}");
         eprintln!("error: {err}");
@@ -76,14 +79,16 @@
     }
 }
 
-async fn run_node(settings: Arc<Settings>, path: PathBuf) -> Result<(), NodeError> {
+async fn run_node(
+    settings: Arc<Settings>,
+    path: PathBuf,
+    hangups: io::Result<Signal>,
+) -> Result<(), NodeError> {
     let context = Context::new(settings);
     #[cfg(feature = "mutants")]
     crate::mutant::enable(&context.settings().mutants);
     logging::start(context.settings(), context.view().clone());
-    // Installed before the node can be seen to run, because the default action of the signal ends
-    // the process.
-    match signal(SignalKind::hangup()) {
+    match hangups {
         Ok(hangups) => {
             actix_rt::spawn(check_settings_on_hangup(hangups, path, context.clone()));
         }
--- a/crates/node/tests/daemon.rs
+++ b/crates/node/tests/daemon.rs
@@ -4,7 +4,7 @@
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
@@ -142,3 +142,27 @@
     send_signal(&node, "-TERM");
     assert_eq!(node.wait().unwrap().code(), Some(0));
 }
+
+/// A node that got SIGHUP before it had read its settings was ended by it.
+#[test]
+fn sighup_while_the_settings_are_read_does_not_end_the_node() {
+    let settings = SettingsFile::new(unused_address());
+    let text = fs::read(settings.path()).unwrap();
+    fs::remove_file(settings.path()).unwrap();
+    let made = Command::new("mkfifo").arg(settings.path()).status();
+    assert!(made.unwrap().success());
+    let mut check = daemon_command(&settings.path())
+        .arg("--check")
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap();
+    // Opens once the process has opened it as well.
+    let mut pipe = fs::File::options()
+        .write(true)
+        .open(settings.path())
+        .unwrap();
+    send_signal(&check, "-HUP");
+    pipe.write_all(&text).unwrap();
+    drop(pipe);
+    assert_eq!(check.wait().unwrap().code(), Some(0));
+}
