Pass on keys of applications where the platform names no idempotency key

On the users' machines a request with an Idempotency-Key that is not in the product's own format was refused with 400, and one in that format was refused with 503, as no upstream there owns keys. The platform names no such header, so it is the application's: the dialect says now whether there is one.

a_key_of_the_application_is_no_key_of_the_node failed before (400).

--- a/crates/coordination/src/dialect.rs
+++ b/crates/coordination/src/dialect.rs
@@ -8,6 +8,8 @@
     /// Whether upstreams echo the identifier in all answers but rejections. An answer without it then
     /// belongs to no request.
     pub echoes_call_id: bool,
+    /// Key under which a request that is not idempotent runs at most once.
+    pub idempotency_key: Option<&'static str>,
     /// Time in milliseconds for which the sender of a request waits for the answer.
     pub deadline_ms: &'static str,
     /// Number of hops that a call has taken.
--- a/crates/coordination/src/statement/tests.rs
+++ b/crates/coordination/src/statement/tests.rs
@@ -4,6 +4,7 @@
 const DIALECT: Dialect = Dialect {
     call_id: "id",
     echoes_call_id: false,
+    idempotency_key: None,
     deadline_ms: "deadline",
     hops: None,
     note: None,
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -95,7 +95,7 @@
         let key = if idempotent {
             None
         } else {
-            idempotency_key(headers)?
+            idempotency_key(headers, dialect)?
         };
         Ok(Self {
             call_id: call_id(headers, dialect),
@@ -269,8 +269,14 @@
     }
 }
 
-fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, RequestError> {
-    let mut keys = headers.get_all("idempotency-key");
+fn idempotency_key(
+    headers: &HeaderMap,
+    dialect: &Dialect,
+) -> Result<Option<IdempotencyKey>, RequestError> {
+    let Some(name) = dialect.idempotency_key else {
+        return Ok(None);
+    };
+    let mut keys = headers.get_all(name);
     let Some(key) = keys.next() else {
         return Ok(None);
     };
--- a/crates/node/src/settings/protocol.rs
+++ b/crates/node/src/settings/protocol.rs
@@ -35,6 +35,7 @@
 pub(crate) const NOTES_DIALECT: Dialect = Dialect {
     call_id: "x-call-id",
     echoes_call_id: false,
+    idempotency_key: Some("idempotency-key"),
     deadline_ms: "x-deadline-ms",
     hops: Some("x-hops"),
     note: Some("x-note"),
--- a/crates/node/tests/deployed/caller.rs
+++ b/crates/node/tests/deployed/caller.rs
@@ -34,6 +34,11 @@
             "POST {path} HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: {id}\r\n\
              Deadline-Ms: 20000\r\nContent-Length: 4\r\n\r\nbody"
         );
+        self.exchange(&request).await
+    }
+
+    /// Sends the bytes of a request and reads the whole answer.
+    pub(crate) async fn exchange(&mut self, request: &str) -> io::Result<Answer> {
         self.stream.write_all(request.as_bytes()).await?;
         self.read_answer().await
     }
--- a/crates/node/tests/deployed/main.rs
+++ b/crates/node/tests/deployed/main.rs
@@ -6,6 +6,7 @@
 mod cut_answers;
 mod fleet;
 mod odd_entries;
+mod odd_requests;
 mod stop;
 mod store;
 mod upstream;
