Run requests under the ID that their caller gave, or refuse them

An ID of more than 128 bytes, or with other bytes than visible ASCII, was replaced by one of the node's own, under which the upstream ran the request; the caller could not find it there. IDs of up to 1,024 bytes are kept now, and others get 400 with the reason bad-call-id.

a_request_runs_under_its_own_id_or_is_refused failed before (another ID in the answer).

--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -102,7 +102,9 @@
 
 fn status_code(refusal: &Refusal) -> StatusCode {
     match (refusal.reason, refusal.outcome) {
-        (RefusalReason::BadKey | RefusalReason::TooManyHops, _) => StatusCode::BAD_REQUEST,
+        (RefusalReason::BadKey | RefusalReason::TooManyHops | RefusalReason::BadCallId, _) => {
+            StatusCode::BAD_REQUEST
+        }
         (RefusalReason::InProgress, _) => StatusCode::CONFLICT,
         (_, Outcome::DidNotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (RefusalReason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
@@ -137,5 +139,6 @@
         RefusalReason::TooManyHops => "too-many-hops",
         RefusalReason::BadAnswer => "bad-answer",
         RefusalReason::NoRoute => "no-route",
+        RefusalReason::BadCallId => "bad-call-id",
     }
 }
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -35,8 +35,8 @@
     "transfer-encoding",
     "upgrade",
 ];
-/// Length of the longest call ID that is accepted from a caller.
-const MAX_CALL_ID_BYTES: usize = 128;
+/// Length of the longest call ID that is accepted from a caller. Call IDs are part of log lines.
+const MAX_CALL_ID_BYTES: usize = 1024;
 
 /// Request of a caller and its route.
 pub(super) struct CallerRequest {
@@ -98,7 +98,7 @@
             idempotency_key(headers, dialect)?
         };
         Ok(Self {
-            call_id: call_id(headers, dialect),
+            call_id: call_id(headers, dialect)?,
             host: host.to_string(),
             service: choose_service(&route),
             sequence: routes.sequence(),
@@ -289,10 +289,14 @@
     Ok(Some(key))
 }
 
-fn call_id(headers: &HeaderMap, dialect: &Dialect) -> Arc<str> {
-    let given = header_text(headers, dialect.call_id);
-    let given = given.filter(|id| !id.is_empty() && id.len() <= MAX_CALL_ID_BYTES);
-    given.map_or_else(|| Uuid::now_v7().to_string().into(), Arc::from)
+fn call_id(headers: &HeaderMap, dialect: &Dialect) -> Result<Arc<str>, RequestError> {
+    let Some(given) = headers.get(dialect.call_id).filter(|id| !id.is_empty()) else {
+        return Ok(Uuid::now_v7().to_string().into());
+    };
+    match given.to_str() {
+        Ok(id) if id.len() <= MAX_CALL_ID_BYTES => Ok(id.into()),
+        _ => Err(RequestError::Invalid(RefusalReason::BadCallId)),
+    }
 }
 
 fn length(headers: &HeaderMap) -> Option<u64> {
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -147,6 +147,8 @@
     BadAnswer,
     /// No route matches the request.
     NoRoute,
+    /// The ID that the caller gave is too long or not printable ASCII.
+    BadCallId,
 }
 
 /// Load of a sidecar, a hint for the selection of upstreams.
--- a/crates/node/tests/deployed/odd_requests.rs
+++ b/crates/node/tests/deployed/odd_requests.rs
@@ -27,3 +27,19 @@
         }
     }
 }
+
+/// An ID of more than 128 bytes was replaced silently, and the upstream ran the request under another
+/// one.
+#[actix_rt::test]
+async fn a_request_runs_under_its_own_id_or_is_refused() {
+    let fleet = Fleet::start(&["orders"]).await;
+    let long = "x".repeat(1_024);
+    let answer = post_with(&fleet, &long, "").await;
+    assert_eq!((answer.status, answer.body), (200, long.clone()));
+    assert!(fleet.vms[0].upstream.has_run(&long));
+    let runs = fleet.vms[0].upstream.runs();
+    for id in [format!("{long}x"), "\u{e9}".into()] {
+        assert_eq!(post_with(&fleet, &id, "").await.status, 400);
+    }
+    assert_eq!(fleet.vms[0].upstream.runs(), runs);
+}
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -40,6 +40,11 @@
         actix_rt::spawn(server.run());
     }
 
+    /// Returns the number of requests that have begun to run.
+    pub(crate) fn runs(&self) -> usize {
+        self.started.lock().unwrap().len()
+    }
+
     /// Returns whether a request has begun to run.
     pub(crate) fn has_run(&self, id: &str) -> bool {
         self.started.lock().unwrap().iter().any(|it| it == id)
