--- a/crates/coordination/src/poison.rs
+++ b/crates/coordination/src/poison.rs
@@ -92,6 +92,7 @@
     /// A request that was in flight when several upstreams crashed together need not be the cause. So
     /// one upstream after the other tries it again, by the `rank` of each, see [`trial_rank`]: at once
     /// as long as no trial has ended in a crash, and later after each one that has.
+    #[must_use]
     pub fn suspicion(
         &self,
         fingerprint: u64,
@@ -310,6 +311,7 @@
 
 /// Returns the position of an upstream in the order in which the upstreams of a service try a refused
 /// request again, so that only one of them is at risk at a time.
+#[must_use]
 pub fn trial_rank<'a>(
     fingerprint: u64,
     own: &UpstreamName,
--- a/crates/coordination/src/vm.rs
+++ b/crates/coordination/src/vm.rs
@@ -39,7 +39,7 @@
         self.number >> CHANGE_BITS
     }
 
-    /// Returns the era of the platform from which the list was derived.
+    /// Returns the era of the platform from which the list was derived: how often it was restored.
     #[must_use]
     pub fn era(&self) -> u64 {
         era_of(self.revision())
