--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -24,7 +24,7 @@
     /// Reads only the registrations; they may be some seconds old.
     fn read_registrations(&mut self) -> impl Future<Output = Result<StoreState, Self::Error>>;
 
-    /// Returns the era of the store, as far as its answers have told it.
+    /// Returns the highest era that the answers of the store have stated.
     fn era(&self) -> u64;
 
     /// Asks for any answer at the lowest cost; it may be some seconds old.
--- a/crates/node/src/kernel/stop.rs
+++ b/crates/node/src/kernel/stop.rs
@@ -9,7 +9,7 @@
 /// Deadlines of a stop, the same for all services.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StopDeadlines {
-    /// When calls in flight are given up. Their callers are told so.
+    /// When calls in flight are given up and their callers get an answer that says so.
     pub(crate) calls: Instant,
     /// Until when callers get their answers. Connections that are still in use then are closed.
     pub(crate) answers: Instant,
