Read the body of a rejected request before the answer

What callers saw: at the end of the notice of a planned stop, requests that followed a refusal on the same connection got neither an answer nor a close for up to a second, and then the end of the connection. None of them ran.

Cause: a node that stops refuses a request as soon as it has its head. After an answer to a request that it has not read whole, the HTTP library keeps the connection open for a second, reads what comes and discards it. The stop of the server changes nothing about that. So the process had read the requests that waited: they stood neither in the queue of the listener nor in that of the worker.

The body of a rejected request is read for 20 ms at most now, enough for one that comes with its head. The answer then ends the connection. A caller whose body is slower gets its refusal after 20 ms and still has a second to read it.

The same happened at all rejections before the first attempt, such as 404, while the node serves; the test covers one.

--- a/crates/node/src/ingress/body.rs
+++ b/crates/node/src/ingress/body.rs
@@ -7,11 +7,13 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use actix_web::web::Payload;
 use bytes::Bytes;
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
+use tokio::time::timeout;
 
 use crate::transport::FrameWriter;
 
@@ -20,6 +22,19 @@
 /// Bytes of the body that are read for the fingerprint before the call is sent.
 pub(super) const PREFIX_BYTES: usize = 4 << 10;
 
+/// Time for which the body of a rejected request is read before the answer, enough for one that is sent with
+/// its head.
+const DISCARD_TIME: Duration = Duration::from_millis(20);
+
+/// Reads the body of a request that is rejected, for [`DISCARD_TIME`] at most.
+///
+/// After an answer to a request that it has not read whole, the server goes on reading the connection for a
+/// second and discards what comes, further requests of the caller too.
+pub(super) async fn discard(mut payload: Payload) {
+    let read_all = async { while let Some(Ok(_)) = payload.next().await {} };
+    let _ = timeout(DISCARD_TIME, read_all).await;
+}
+
 /// Request body. Clones share their state, so only one attempt may read it at a time.
 #[derive(Clone)]
 pub(super) struct RequestBody {
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -15,7 +15,7 @@
 use crate::{
     ingress::{
         answer,
-        body::RequestBody,
+        body::{self, RequestBody},
         dispatch::Dispatch,
         guards::Permit,
         request::{CallerRequest, RequestError, caller_name},
@@ -27,11 +27,11 @@
 
 /// Retry-after time of a call that exceeds its caller's share of calls in flight.
 const OVERLOADED_RETRY_MS: u64 = 250;
+/// Retry-after time of a call to a node that is not ready.
+const NOT_READY_RETRY_MS: u64 = 500;
 /// Time for which callers may reuse an idle connection, shorter than the time after which the server
 /// closes it.
 const STATED_KEEP_ALIVE: &str = "timeout=60";
-/// Retry-after time of a call to a node that is not ready.
-const NOT_READY_RETRY_MS: u64 = 500;
 
 /// Handles a request and returns the response. Until the node stops, it states for how long the caller
 /// may reuse the connection.
@@ -54,9 +54,33 @@
 }
 
 async fn respond(request: HttpRequest, payload: web::Payload, worker: &Rc<Worker>) -> HttpResponse {
+    let (call, permit) = match accept_call(&request, worker) {
+        Ok(accepted) => accepted,
+        Err(mut rejection) => {
+            body::discard(payload).await;
+            return rejection.finish();
+        }
+    };
+    let open_calls = &worker.shared.open_calls;
+    let open_call = open_calls.open(Arc::clone(&call.call_id), call.arrived);
+    let body = RequestBody::new(payload, call.length);
+    Dispatch::new(worker, call, body)
+        .run(permit, open_call)
+        .await
+}
+
+/// Routes the call of a request.
+///
+/// # Errors
+///
+/// Returns the response if the request is rejected.
+fn accept_call(
+    request: &HttpRequest,
+    worker: &Rc<Worker>,
+) -> Result<(CallerRequest, Permit), HttpResponseBuilder> {
     let arrived = Instant::now();
     if request.version() < Version::HTTP_11 {
-        return answer::unsupported_version().finish();
+        return Err(answer::unsupported_version());
     }
     let rules = worker.header_rules();
     let dialect = rules.dialect;
@@ -66,37 +90,26 @@
         let reason = answer::reason_text(reason);
         worker.recorder.record_rejection(call, reason);
     };
-    if !worker.routing().view.phase.can_accept_calls() {
-        record_rejection(RefusalReason::NotReady);
-        return rejection(dialect, RefusalReason::NotReady, NOT_READY_RETRY_MS).finish();
-    }
-    if worker.is_quarantined() {
-        record_rejection(RefusalReason::NotReady);
-        return rejection(dialect, RefusalReason::NotReady, NOT_READY_RETRY_MS).finish();
-    }
-    let Some(permit) = Permit::acquire(worker, caller_name(&request)) else {
-        record_rejection(RefusalReason::Overloaded);
-        return rejection(dialect, RefusalReason::Overloaded, OVERLOADED_RETRY_MS).finish();
+    let reject = |reason: RefusalReason, after_ms: u64| {
+        record_rejection(reason);
+        rejection(dialect, reason, after_ms)
     };
+    if !worker.routing().view.phase.can_accept_calls() || worker.is_quarantined() {
+        return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
+    }
+    let permit = Permit::acquire(worker, caller_name(request))
+        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
     let choose_service = |route: &Route| worker.choose_service(route);
     let routes = Rc::clone(&worker.routing().routes);
-    let call = match CallerRequest::parse(&request, &routes, rules, choose_service, arrived) {
-        Ok(call) => call,
-        Err(RequestError::NoRoute) => {
+    let call = CallerRequest::parse(request, &routes, rules, choose_service, arrived);
+    let call = call.map_err(|err| match err {
+        RequestError::NoRoute => {
             record_rejection(RefusalReason::NoRoute);
-            return answer::no_route().finish();
-        }
-        Err(RequestError::Invalid(reason)) => {
-            record_rejection(reason);
-            return rejection(dialect, reason, 0).finish();
+            answer::no_route()
         }
-    };
-    let open_calls = &worker.shared.open_calls;
-    let open_call = open_calls.open(Arc::clone(&call.call_id), arrived);
-    let body = RequestBody::new(payload, call.length);
-    Dispatch::new(worker, call, body)
-        .run(permit, open_call)
-        .await
+        RequestError::Invalid(reason) => reject(reason, 0),
+    })?;
+    Ok((call, permit))
 }
 
 /// Returns the response to a request that is refused before any attempt.
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -2,6 +2,7 @@
 mod fake;
 mod lifecycle;
 mod outcomes;
+mod rejections;
 mod silence;
 mod stated;
 
