--- a/crates/bench/src/stops/tests.rs
+++ b/crates/bench/src/stops/tests.rs
@@ -30,6 +30,7 @@
                 id: "7".into(),
                 vm: 2,
                 sent: at(sent_ms),
+                whole: Some(at(sent_ms)),
                 ended: at(ended_ms),
                 work: Duration::from_secs(3),
                 end: ExchangeEnd::Closed,
@@ -38,6 +39,12 @@
         }
     }
 
+    /// The rest of the body was sent so long after the SIGTERM, or never.
+    fn whole_at(mut self, whole_ms: Option<u64>) -> Self {
+        self.exchange.whole = whole_ms.map(|ms| self.asked + Duration::from_millis(ms));
+        self
+    }
+
     fn unrun(mut self) -> Self {
         self.has_run = false;
         self
@@ -127,3 +134,18 @@
         "{longest:?}"
     );
 }
+
+/// A request counts as sent when its last byte is.
+#[test]
+fn a_late_body_counts_from_its_end() {
+    let case = || Case::closed(3_000, 8_700);
+    let late = case().whole_at(Some(5_500)).judge(2);
+    assert_eq!(
+        late.by_stop[0].sent_after,
+        Some(Duration::from_millis(5_500))
+    );
+    let crossed = case().whole_at(Some(8_600)).unrun();
+    assert_eq!(crossed.judge(2).crossed, 1);
+    let incomplete = case().whole_at(None).unrun();
+    assert_eq!(incomplete.judge(2), Losses::default());
+}
--- a/crates/bench/src/subcommand/stops.rs
+++ b/crates/bench/src/subcommand/stops.rs
@@ -24,6 +24,9 @@
     /// Largest factor by which an upstream is slower than others of its service.
     #[arg(long, default_value_t = 1.6)]
     slowest: f64,
+    /// Share of the bodies that pause for up to 4 s after their first byte.
+    #[arg(long, default_value_t = 0.0)]
+    slow_bodies: f64,
     /// Number of stops [default: one for each node].
     #[arg(long)]
     stops: Option<usize>,
@@ -59,6 +62,7 @@
             domains: self.domains,
             callers: self.callers,
             slowest: self.slowest,
+            slow_bodies: self.slow_bodies,
             stops: self.stops.unwrap_or(self.nodes),
             together: self.together.max(1),
             grace: Duration::from_secs_f64(self.grace_s),
