Refuse calls that a stop could break off and that are not passed on yet

Callers whose body never became whole got no answer.

Cause: after the notice, a node refused new calls by their head only. A call that it had accepted was passed on whenever it came so far, whatever time the stop left it. The same held for calls that waited for a slot of the sidecar, for a connection to the owner of their key or for another attempt, for the owner's delegation, and for bodies of other nodes' calls at the sidecar.

After the notice, a call that is not passed on yet is passed on only if the stop leaves it its whole time limit (the least of its route's timeout and its caller's deadline) before calls are given up. Otherwise it is refused at once as not run, so that its caller can repeat it elsewhere. A leaving node reads bodies of up to 64 KiB whole before it passes them on, as only then is a refusal true. A larger body that was passed on in part is not completed; its call ends with an unknown outcome at once.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -53,6 +53,7 @@
                 timeline: context.timeline().clone(),
                 stall: context.registry().find::<StallHandle>("stall")?,
                 open_calls: OpenCalls::default(),
+                gate: context.stop_gate().clone(),
                 cut: context.cut_token(),
                 token: context.shutdown_token(),
             };
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt to send a call to a sidecar.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::future::{FutureExt, LocalBoxFuture};
 use tokio::time::{Instant, timeout, timeout_at};
@@ -27,6 +27,8 @@
     /// The stream broke before the call head was completely sent, so the sidecar can't have run the
     /// call.
     NotSent,
+    /// This node stops and gave the call up before its head was sent.
+    Stopped,
     /// The sidecar's transport refused the stream before it reached a service.
     StreamRefused,
     /// The stream broke after the call head was sent.
@@ -83,6 +85,7 @@
     pub(super) fn break_cause(&self) -> Option<BreakCause> {
         match self {
             Self::Broken(cause) => Some(*cause),
+            Self::Stopped => Some(BreakCause::Stop),
             _ => None,
         }
     }
@@ -100,7 +103,8 @@
 }
 
 /// Sends a call to the sidecar at an address and waits for the head of its reply, until the deadline
-/// or until a stop cuts off calls.
+/// or until a stop cuts off calls. `refused` completes when a stop passes the call on no longer, which ends
+/// an attempt that did not send the whole request yet.
 pub(super) async fn send_call(
     pool: &Pool,
     address: SocketAddr,
@@ -108,13 +112,21 @@
     body: &RequestBody,
     deadline: Instant,
     cut: impl Future<Output = ()>,
+    refused: impl Future<Output = ()>,
 ) -> AttemptResult {
     let is_sent = Cell::new(false);
     let exchange = timeout_at(deadline, exchange(pool, address, head, body, &is_sent));
+    let refused_in_part = async {
+        refused.await;
+        if is_sent.get() && body.is_whole() {
+            pending().await
+        }
+    };
     let result = tokio::select! {
         biased;
         result = exchange => result,
         () = cut => Ok(cut_result(is_sent.get())),
+        () = refused_in_part => Ok(cut_result(is_sent.get())),
     };
     result.unwrap_or(AttemptResult::TimedOut {
         is_sent: is_sent.get(),
@@ -126,7 +138,7 @@
     if is_sent {
         AttemptResult::Broken(BreakCause::Stop)
     } else {
-        AttemptResult::NotSent
+        AttemptResult::Stopped
     }
 }
 
--- a/crates/node/src/ingress/body.rs
+++ b/crates/node/src/ingress/body.rs
@@ -24,7 +24,7 @@
 
 /// Time for which the body of a rejected request is read before the answer, enough for one that is sent with
 /// its head.
-const DISCARD_TIME: Duration = Duration::from_millis(20);
+pub(super) const DISCARD_TIME: Duration = Duration::from_millis(20);
 
 /// Reads the body of a request that is rejected, for [`DISCARD_TIME`] at most.
 ///
@@ -47,6 +47,8 @@
     is_sending: bool,
     length: Option<u64>,
     received: u64,
+    /// Whether the end of the body was reached.
+    is_ended: bool,
     progress: Progress,
 }
 
@@ -75,6 +77,7 @@
             is_sending: false,
             length,
             received: 0,
+            is_ended: false,
             progress: Progress::Buffered,
         };
         Self {
@@ -107,6 +110,27 @@
         Ok(())
     }
 
+    /// Reads the rest of the body unless it is too large to be buffered.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller aborts the request.
+    pub(super) async fn buffer_whole(&self) -> Result<(), RequestAborted> {
+        let mut index = 0;
+        while self.is_resendable() {
+            if self.next_chunk(&mut index).await?.is_none() {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether the whole body was received.
+    pub(super) fn is_whole(&self) -> bool {
+        let state = self.state.borrow();
+        state.is_ended || state.length == Some(state.received)
+    }
+
     /// Returns whether the body can be sent again from its start.
     pub(super) fn is_resendable(&self) -> bool {
         let progress = self.state.borrow().progress;
@@ -206,6 +230,7 @@
             self.progress = Progress::Aborted;
             return Poll::Ready(Err(RequestAborted));
         }
+        self.is_ended = true;
         if !is_overflowed {
             self.progress = final_progress;
         }
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -18,14 +18,15 @@
     ingress::{
         answer,
         attempt::{AttemptResult, Reply, send_call},
-        body::{RequestAborted, RequestBody},
+        body::{DISCARD_TIME, RequestAborted, RequestBody},
         feedback::{Feedback, feedback},
         fingerprint::fingerprint,
         guards::{CallGuard, Permit},
         open_calls::OpenCall,
         record::CallFields,
         refusal::{
-            NO_UPSTREAM_RETRY_MS, bad_answer, did_not_run, no_upstream, with_earliest_retry,
+            NO_UPSTREAM_RETRY_MS, bad_answer, did_not_run, no_upstream, refused_by_stop,
+            with_earliest_retry,
         },
         reply_body::{empty_body, reply_body},
         request::CallerRequest,
@@ -33,6 +34,7 @@
     },
     invariant::check_invariant,
     mutant::{self, Mutant},
+    view::Phase,
     wire::{CallHead, CallStage, Outcome, Refusal, RefusalReason, ReplyHead},
 };
 
@@ -81,7 +83,7 @@
         let now = Instant::now();
         self.worker
             .with_budget(&service, |budget, _| budget.count_call(now));
-        if let Err(refusal) = self.read_fingerprint().await {
+        if let Err(refusal) = self.read_body_start().await {
             return self.refuse(refusal, open_call);
         }
         let mut last_refusal: Option<Refusal> = None;
@@ -123,9 +125,29 @@
         }
     }
 
-    async fn read_fingerprint(&mut self) -> Result<(), Refusal> {
-        let read = fingerprint(&self.request, &self.body);
-        match timeout_at(self.request.deadline.into(), read).await {
+    /// Reads the part of the body that is needed before the first attempt. A stopping node reads all that it can
+    /// buffer, because it can still refuse a call as not run until the first part is passed on.
+    async fn read_body_start(&mut self) -> Result<(), Refusal> {
+        let read = async {
+            let fingerprint = fingerprint(&self.request, &self.body).await?;
+            if self.worker.routing().view.phase != Phase::Serving {
+                self.body.buffer_whole().await?;
+            }
+            Ok(fingerprint)
+        };
+        let deadline = self.request.deadline;
+        let gate = &self.worker.shared.gate;
+        let refused = async {
+            gate.wait_until_refused(deadline).await;
+            // A body that came with its head is read, see `discard`.
+            sleep(DISCARD_TIME).await;
+        };
+        let read = tokio::select! {
+            biased;
+            read = timeout_at(deadline.into(), read) => read,
+            () = refused => return Err(refused_by_stop()),
+        };
+        match read {
             Ok(Ok(fingerprint)) => self.fingerprint = fingerprint,
             Ok(Err(RequestAborted)) => return Err(did_not_run(RefusalReason::Broken, 0)),
             Err(_) => return Err(did_not_run(RefusalReason::Deadline, 0)),
@@ -137,6 +159,9 @@
         if self.request.time_left().is_zero() {
             return Err(did_not_run(RefusalReason::Deadline, 0));
         }
+        if self.is_refused_by_stop() {
+            return Err(refused_by_stop());
+        }
         match self.request.key {
             Some(_) => self.owner_destination(),
             None => self.balanced_destination(),
@@ -201,7 +226,7 @@
         destination: Destination,
     ) -> (AttemptResult, Destination, Feedback) {
         let head = self.call_head(&destination);
-        let deadline = self.request.deadline.into();
+        let deadline = self.request.deadline;
         let stall_count = self.worker.shared.stall.stall_count();
         let started = Instant::now();
         let result = send_call(
@@ -209,8 +234,9 @@
             destination.address,
             &head,
             &self.body,
-            deadline,
+            deadline.into(),
             self.worker.wait_for_cut(),
+            self.worker.shared.gate.wait_until_refused(deadline),
         )
         .await;
         let mut feedback = feedback(&result);
@@ -293,9 +319,14 @@
         }
     }
 
+    /// Returns whether a stop no longer passes the call on.
+    fn is_refused_by_stop(&self) -> bool {
+        self.worker.shared.gate.refuses(self.request.deadline)
+    }
+
     /// Decides whether another attempt follows and waits until it is due.
     async fn prepare_retry(&mut self, failure: AttemptFailure) -> bool {
-        if self.worker.is_cut() {
+        if self.worker.is_cut() || self.is_refused_by_stop() {
             return false;
         }
         let is_resendable = self.body.is_resendable();
--- a/crates/node/src/ingress/feedback.rs
+++ b/crates/node/src/ingress/feedback.rs
@@ -47,6 +47,14 @@
             Evidence::Failed,
             RefusalReason::Unreachable,
         ),
+        AttemptResult::Stopped => Feedback {
+            evidence: None,
+            ..no_reply(
+                AttemptFailure::Unreachable,
+                Evidence::Unreachable,
+                RefusalReason::NotReady,
+            )
+        },
         AttemptResult::StreamRefused => no_reply(
             AttemptFailure::Refused,
             Evidence::Failed,
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -18,6 +18,7 @@
         body::{self, RequestBody},
         dispatch::Dispatch,
         guards::Permit,
+        refusal::NOT_READY_RETRY_MS,
         request::{CallerRequest, RequestError, caller_name},
         worker::Worker,
     },
@@ -27,8 +28,6 @@
 
 /// Retry-after time of a call that exceeds its caller's share of calls in flight.
 const OVERLOADED_RETRY_MS: u64 = 250;
-/// Retry-after time of a call to a node that is not ready.
-const NOT_READY_RETRY_MS: u64 = 500;
 /// Time for which callers may reuse an idle connection, shorter than the time after which the server
 /// closes it.
 const STATED_KEEP_ALIVE: &str = "timeout=60";
--- a/crates/node/src/ingress/refusal.rs
+++ b/crates/node/src/ingress/refusal.rs
@@ -6,6 +6,8 @@
 
 /// Retry-after time of a call whose service has no upstream, or whose key owner has no address.
 pub(super) const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
+/// Retry-after time of a call to a node that is not ready or stops.
+pub(super) const NOT_READY_RETRY_MS: u64 = 500;
 
 /// Returns the refusal of a call that was not sent to any upstream.
 pub(super) fn did_not_run(reason: RefusalReason, after_ms: u64) -> Refusal {
@@ -17,6 +19,12 @@
     }
 }
 
+/// Returns the refusal of a call that a stop no longer passes on.
+pub(super) fn refused_by_stop() -> Refusal {
+    metrics::counter!("calls_refused_by_stop_total").increment(1);
+    did_not_run(RefusalReason::NotReady, NOT_READY_RETRY_MS)
+}
+
 /// Returns the refusal of a call for which the balancer found no upstream.
 pub(super) fn no_upstream(choice: NoCandidate) -> Refusal {
     let after_ms = u64::try_from(choice.retry_after.as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -5,6 +5,7 @@
 mod rejections;
 mod silence;
 mod stated;
+mod stop;
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
--- a/crates/node/src/ingress/tests/rejections.rs
+++ b/crates/node/src/ingress/tests/rejections.rs
@@ -41,3 +41,12 @@
     let head = timeout(LOSS_SLACK, RawResponse::read_head(&mut stream)).await;
     head.unwrap().assert_status(503);
 }
+
+/// The same for a request that is accepted in the moment in which the notice of a stop ends.
+#[actix_rt::test]
+async fn no_request_waits_behind_a_refusal_by_a_stop() {
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| hello_sidecar()).await;
+    let gate = fixture.context.stop_gate();
+    gate.close(tokio::time::Instant::now());
+    use_after_rejection(&fixture, "/x", 503).await;
+}
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -24,6 +24,7 @@
         request::{CallerRequest, HeaderRules},
         routing::RoutingView,
     },
+    kernel::StopGate,
     settings::Settings,
     stall::StallHandle,
     timeline::Timeline,
@@ -51,6 +52,8 @@
     pub(super) stall: StallHandle,
     /// Calls without a complete answer.
     pub(super) open_calls: OpenCalls,
+    /// Decides which calls are still passed on during a stop.
+    pub(super) gate: StopGate,
     /// Cancelled when a stop gives up the calls in flight.
     pub(super) cut: CancellationToken,
     /// Cancelled when no more connections to sidecars are to be opened.
--- a/crates/node/src/kernel.rs
+++ b/crates/node/src/kernel.rs
@@ -14,7 +14,7 @@
     context::Context,
     registry::{Registry, RegistryError},
     service::{BindSnafu, Service, StartError},
-    stop::{StopDeadlines, stop_server},
+    stop::{StopDeadlines, StopGate, stop_server},
 };
 
 use log::info;
@@ -69,6 +69,7 @@
     pub(crate) async fn stop(&mut self, requested_at: Instant) {
         let times = self.context.settings().limits.stop_times();
         let deadlines = StopDeadlines::new(requested_at, times);
+        self.context.stop_gate().close(deadlines.calls);
         let context = self.context.clone();
         let cut = actix_rt::spawn(async move {
             sleep_until(deadlines.calls).await;
--- a/crates/node/src/kernel/context.rs
+++ b/crates/node/src/kernel/context.rs
@@ -10,7 +10,13 @@
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::Incarnation;
 
-use crate::{kernel::Registry, logging, settings::Settings, timeline::Timeline, view::ViewCell};
+use crate::{
+    kernel::{Registry, StopGate},
+    logging,
+    settings::Settings,
+    timeline::Timeline,
+    view::ViewCell,
+};
 
 /// Shared parts of the node, passed to each service at its start.
 #[derive(Clone)]
@@ -20,6 +26,7 @@
     registry: Registry,
     view: ViewCell,
     timeline: Timeline,
+    gate: StopGate,
     cut: CancellationToken,
     shutdown: CancellationToken,
 }
@@ -32,6 +39,7 @@
         Self {
             view: ViewCell::default(),
             registry: Registry::default(),
+            gate: StopGate::default(),
             cut: CancellationToken::new(),
             shutdown: CancellationToken::new(),
             settings,
@@ -65,6 +73,11 @@
         &self.timeline
     }
 
+    /// Returns the gate that decides which calls a stopping node still passes on.
+    pub(crate) fn stop_gate(&self) -> &StopGate {
+        &self.gate
+    }
+
     /// Returns a token that is cancelled when a stop gives up the calls in flight.
     pub(crate) fn cut_token(&self) -> CancellationToken {
         self.cut.child_token()
--- a/crates/node/src/kernel/tests.rs
+++ b/crates/node/src/kernel/tests.rs
@@ -71,6 +71,26 @@
     assert!(end < requested_at + GRACE);
 }
 
+/// A call that is passed on late in a stop is broken off while an upstream works on it.
+#[actix_rt::test]
+async fn the_gate_of_a_stop_refuses_calls_that_may_outlast_it() {
+    let gate = StopGate::default();
+    let calls = Instant::now() + GRACE;
+    let covered = calls.into_std();
+    let late = covered + Duration::from_millis(1);
+    assert!(!gate.refuses(late), "refused in the notice period");
+    let refused = actix_rt::spawn({
+        let gate = gate.clone();
+        async move { gate.wait_until_refused(late).await }
+    });
+    gate.close(calls);
+    refused.await.unwrap();
+    assert!(gate.refuses(late));
+    assert!(!gate.refuses(covered));
+    let waited = tokio::time::timeout(GRACE, gate.wait_until_refused(covered)).await;
+    assert!(waited.is_err(), "a call is refused that has its whole time");
+}
+
 /// Returns stop deadlines that are later than the end of any call in a test.
 pub(crate) fn stop_deadlines() -> StopDeadlines {
     let calls = Instant::now() + Duration::from_secs(30);
--- a/crates/node/src/sidecar/delegate.rs
+++ b/crates/node/src/sidecar/delegate.rs
@@ -37,11 +37,17 @@
     refusal: Refusal,
 ) -> Result<Execution, Refusal> {
     let mut last_refusal = refusal;
+    let gate = shared.context().stop_gate();
     for (upstream, address) in candidates(shared, call).into_iter().take(MAX_ATTEMPTS) {
         if !is_body_available(call, body) {
             break;
         }
-        let Ok(connection) = shared.links().get(address).await else {
+        let connected = tokio::select! {
+            biased;
+            () = gate.wait_until_refused(call.deadline) => break,
+            connected = shared.links().get(address) => connected,
+        };
+        let Ok(connection) = connected else {
             continue;
         };
         metrics::counter!("calls_delegated_total").increment(1);
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -15,7 +15,7 @@
         call::Call,
         forward::{Answer, Failure, forward},
         headers, probe,
-        refuse::{did_not_run, unknown, with_outcome},
+        refuse::{did_not_run, refused_by_stop, unknown, with_outcome},
         shared::Shared,
         upstream::LocalUpstream,
     },
@@ -81,15 +81,20 @@
     if shared.is_drained() || upstream.is_leaving() {
         return Err(did_not_run(RefusalReason::Draining));
     }
+    let gate = shared.context().stop_gate();
+    if gate.refuses(call.deadline) {
+        return Err(refused_by_stop());
+    }
     let permit = tokio::select! {
         biased;
         permit = acquire_permit(shared, upstream, call) => permit?,
+        () = gate.wait_until_refused(call.deadline) => return Err(refused_by_stop()),
         () = writer.wait_for_reset() => return Ok(Execution::Abandoned { written: false }),
     };
     let stalls_before = shared.stall_count();
     let answer = tokio::select! {
         biased;
-        answer = forward(upstream, call, body, shared.dialect()) => answer,
+        answer = forward(upstream, call, body, shared.dialect(), gate) => answer,
         () = shared.wait_for_cut() => return Err(unknown(RefusalReason::Draining)),
         () = writer.wait_for_reset() => return Ok(Execution::Abandoned { written: true }),
     };
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -1,6 +1,8 @@
 //! Forwards a request to the upstream and receives the head of its answer.
 
 use std::{
+    cell::Cell,
+    future::pending,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -17,6 +19,7 @@
 use wagtaillever_coordination::{Dialect, SampleResult};
 
 use crate::{
+    kernel::StopGate,
     sidecar::{
         call::Call,
         connector::Trace,
@@ -72,6 +75,11 @@
         /// Whether any part of the request was written.
         written: bool,
     },
+    /// The node stops and does not pass on the rest of the request.
+    Stopped {
+        /// Whether any part of the request was written.
+        written: bool,
+    },
     /// The deadline passed.
     Deadline {
         /// Whether any part of the request was written.
@@ -96,6 +104,7 @@
             Self::Misdirected => RefusalReason::NoUpstream,
             Self::Shed { .. } => RefusalReason::Overloaded,
             Self::Broken | Self::BodyBroken { .. } => RefusalReason::Broken,
+            Self::Stopped { .. } => RefusalReason::Draining,
             Self::Deadline { .. } => RefusalReason::Deadline,
             Self::BadAnswer | Self::BadRequest => RefusalReason::BadAnswer,
         };
@@ -113,7 +122,9 @@
             Self::ConnectFailed | Self::Misdirected => SampleResult::Refused,
             Self::Shed { .. } => SampleResult::Shed,
             Self::Broken | Self::BadAnswer | Self::Deadline { .. } => SampleResult::Failed,
-            Self::Unwritten | Self::BodyBroken { .. } | Self::BadRequest => SampleResult::Abandoned,
+            Self::Unwritten | Self::BodyBroken { .. } | Self::Stopped { .. } | Self::BadRequest => {
+                SampleResult::Abandoned
+            }
         }
     }
 
@@ -124,7 +135,9 @@
             | Self::Misdirected
             | Self::Unwritten
             | Self::BadRequest => false,
-            Self::BodyBroken { written } | Self::Deadline { written } => *written,
+            Self::BodyBroken { written }
+            | Self::Stopped { written }
+            | Self::Deadline { written } => *written,
             Self::Broken | Self::BadAnswer => true,
         }
     }
@@ -135,7 +148,8 @@
 /// `awc` writes the whole request before it reads the answer. An upstream that waits for its answer
 /// to be read while a large request is still being sent blocks the call until the deadline.
 ///
-/// Dropping the future cancels the request by closing its connection.
+/// Dropping the future cancels the request by closing its connection. So does the gate of a stop as long as
+/// the request is not written whole.
 ///
 /// # Errors
 ///
@@ -145,12 +159,28 @@
     call: &Call,
     body: &RequestBody,
     dialect: &Dialect,
+    gate: &StopGate,
 ) -> Result<Answer, Failure> {
     let sent_at = Instant::now();
     let trace = Rc::new(Trace::default());
     let request = request(upstream, call, dialect)?;
-    let sent = Rc::clone(&trace).scope(send(request, call, body));
-    let Ok(result) = timeout_at(call.deadline.into(), sent).await else {
+    let upload = Rc::new(Upload::new(call.head.length));
+    let sent = Rc::clone(&trace).scope(send(request, call, body, &upload));
+    let refused_in_part = async {
+        gate.wait_until_refused(call.deadline).await;
+        if upload.is_whole() {
+            pending().await
+        }
+    };
+    let sent = tokio::select! {
+        biased;
+        sent = timeout_at(call.deadline.into(), sent) => sent,
+        () = refused_in_part => {
+            let written = trace.is_written();
+            return Err(Failure::Stopped { written });
+        }
+    };
+    let Ok(result) = sent else {
         let written = trace.is_written();
         return Err(Failure::Deadline { written });
     };
@@ -194,6 +224,7 @@
     request: ClientRequest,
     call: &Call,
     body: &RequestBody,
+    upload: &Rc<Upload>,
 ) -> Result<ClientResponse, SendRequestError> {
     let has_body = !matches!(
         call.head.method.as_str(),
@@ -201,20 +232,55 @@
     );
     let sending: SendClientRequest = match call.head.length {
         Some(0) if !has_body => request.send(),
-        Some(length) => request.send_body(SizedStream::new(length, chunks(body))),
-        None => request.send_stream(chunks(body)),
+        Some(length) => request.send_body(SizedStream::new(length, chunks(body, upload))),
+        None => request.send_stream(chunks(body, upload)),
     };
     sending.await
 }
 
+/// How much of a request body was received for the upstream.
+struct Upload {
+    /// Length of the body, if it is known.
+    length: Option<u64>,
+    received: Cell<u64>,
+    is_ended: Cell<bool>,
+}
+
+impl Upload {
+    fn new(length: Option<u64>) -> Self {
+        Self {
+            length,
+            received: Cell::default(),
+            is_ended: Cell::default(),
+        }
+    }
+
+    fn record(&self, chunk: Option<&Bytes>) {
+        match chunk {
+            Some(chunk) => self.received.set(self.received.get() + chunk.len() as u64),
+            None => self.is_ended.set(true),
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.is_ended.get() || self.length == Some(self.received.get())
+    }
+}
+
 /// Streams a body, which is taken when its first part is polled.
-fn chunks(body: &RequestBody) -> impl Stream<Item = Result<Bytes, TransportError>> + use<> {
+fn chunks(
+    body: &RequestBody,
+    upload: &Rc<Upload>,
+) -> impl Stream<Item = Result<Bytes, TransportError>> + use<> {
     let body = Rc::clone(body);
+    let upload = Rc::clone(upload);
     stream::try_unfold(None::<FrameReader>, move |reader| {
         let reader = reader.or_else(|| body.borrow_mut().take());
+        let upload = Rc::clone(&upload);
         async move {
             let mut reader = reader.ok_or(TransportError::Ended)?;
             let chunk = reader.read_bytes().await?;
+            upload.record(chunk.as_ref());
             Ok(chunk.map(|chunk| (chunk, Some(reader))))
         }
     })
--- a/crates/node/src/sidecar/refuse.rs
+++ b/crates/node/src/sidecar/refuse.rs
@@ -15,6 +15,12 @@
     with_outcome(Outcome::DidNotRun, reason)
 }
 
+/// Returns the refusal of a request that a stop no longer passes on.
+pub(super) fn refused_by_stop() -> Refusal {
+    metrics::counter!("sidecar_calls_refused_by_stop_total").increment(1);
+    did_not_run(RefusalReason::Draining)
+}
+
 /// Returns a refusal of a request that may have run.
 pub(super) fn unknown(reason: RefusalReason) -> Refusal {
     with_outcome(Outcome::Unknown, reason)
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -9,4 +9,5 @@
 mod listed;
 mod reuse;
 mod stated;
+mod stop;
 mod stray;
--- a/crates/node/src/sidecar/tests/keys.rs
+++ b/crates/node/src/sidecar/tests/keys.rs
@@ -203,6 +203,18 @@
     assert_eq!(ran.load(Ordering::SeqCst), 1);
 }
 
+/// The owner of a key passed a request on to another VM that its stop could break off.
+#[actix_rt::test]
+async fn an_owner_that_stops_delegates_no_request_that_it_may_break_off() {
+    let ran = Arc::default();
+    let pair = Pair::start([closed_address(), counting_upstream(&ran)]).await;
+    let now = tokio::time::Instant::now();
+    pair.one.context.stop_gate().close(now);
+    let reply = pair.one.call(invoice(&pair.owned), b"{}").await;
+    assert_refused(&reply, Outcome::DidNotRun, RefusalReason::Draining);
+    assert_eq!(ran.load(Ordering::SeqCst), 0);
+}
+
 #[actix_rt::test]
 async fn a_new_owner_waits_for_the_previous_owner() {
     let ran = Arc::default();
--- a/crates/node/tests/deployed/caller.rs
+++ b/crates/node/tests/deployed/caller.rs
@@ -39,11 +39,17 @@
 
     /// Sends the bytes of a request and reads the whole answer.
     pub(crate) async fn exchange(&mut self, request: &str) -> io::Result<Answer> {
-        self.stream.write_all(request.as_bytes()).await?;
+        self.send(request).await?;
         self.read_answer().await
     }
 
-    async fn read_answer(&mut self) -> io::Result<Answer> {
+    /// Sends bytes.
+    pub(crate) async fn send(&mut self, bytes: &str) -> io::Result<()> {
+        self.stream.write_all(bytes.as_bytes()).await
+    }
+
+    /// Reads a whole answer.
+    pub(crate) async fn read_answer(&mut self) -> io::Result<Answer> {
         let mut bytes = Vec::new();
         let head_end = loop {
             if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
--- a/crates/node/tests/deployed/late_connections.rs
+++ b/crates/node/tests/deployed/late_connections.rs
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 #[allow(dead_code, reason = "shown by a failed assertion")]
 struct Unanswered {
+    id: String,
     /// Time after the signal.
     sent: Duration,
     open: Duration,
@@ -82,6 +83,7 @@
                 continue;
             };
             unanswered.push(Unanswered {
+                id,
                 sent: sent - signalled,
                 open: sent.elapsed(),
                 error: err.kind(),
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -154,6 +154,33 @@
     );
 }
 
+/// Queued calls were started late in a stop and broken off with an upstream at work.
+#[actix_rt::test]
+async fn a_stop_starts_no_queued_call_that_it_may_break_off() {
+    let mut fleet = Fleet::start(&["single", "other"]).await;
+    let running = begin_call(&fleet, 0, 5_000).await;
+    let queued = (0..4).map(|number| {
+        let node = fleet.vms[number % 2].callers();
+        async move {
+            let mut connection = Connection::open(node).await.unwrap();
+            let id = format!("queued-{number}");
+            let answer = connection.post(&id, "/single/w5000").await.unwrap();
+            (answer.status, Instant::now())
+        }
+    });
+    let queued = actix_rt::spawn(join_all(queued));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let signalled = Instant::now();
+    fleet.vms[0].signal(Signal::SIGTERM);
+    for (status, ended) in queued.await.unwrap() {
+        assert_eq!(status, 503);
+        assert!(ended < signalled + Duration::from_millis(4_400));
+    }
+    assert_eq!(running.await.unwrap(), whole_answer(0));
+    assert_eq!(fleet.vms[0].wait().await.code(), Some(0));
+    assert_eq!(fleet.vms[0].upstream.runs_of("queued-"), 0);
+}
+
 /// Callers of calls that outlast a stop had their connection closed without an answer.
 #[actix_rt::test]
 async fn a_stop_answers_calls_that_outlast_it() {
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -45,6 +45,12 @@
         self.started.lock().unwrap().len()
     }
 
+    /// Returns how many requests have begun to run whose ID has a prefix.
+    pub(crate) fn runs_of(&self, prefix: &str) -> usize {
+        let started = self.started.lock().unwrap();
+        started.iter().filter(|id| id.starts_with(prefix)).count()
+    }
+
     /// Returns whether a request has begun to run.
     pub(crate) fn has_run(&self, id: &str) -> bool {
         self.started.lock().unwrap().iter().any(|it| it == id)
