Count requests to all processes at an address against one cold rate

Cause: the sidecar keeps what it knows of an upstream by name. Until the registration of the earlier process lapses, calls by both names go to the same address, each at a rate of its own, and the new name begins with no record of earlier requests.

A name that is new at an address takes over the times of the starts there. A name is refused as not run while the platform lists a later start at its address, since the process that had it has ended.

--- a/crates/node/src/sidecar/tests/listed.rs
+++ b/crates/node/src/sidecar/tests/listed.rs
@@ -18,6 +18,10 @@
     address: SocketAddr,
     number: u64,
     started: u64,
+    /// Name of the latest start of the upstream.
+    pub(super) name: String,
+    /// Earlier starts that are still listed under their own names.
+    earlier: Vec<ListedUpstream>,
 }
 
 impl ListedFixture {
@@ -49,6 +53,8 @@
             address,
             number: 0,
             started: 1,
+            name: "u".into(),
+            earlier: Vec::new(),
         };
         listed.set_listing(VmState::Live, true);
         listed
@@ -56,21 +62,14 @@
 
     pub(super) fn set_listing(&mut self, state: VmState, is_listed: bool) {
         self.number += 1;
-        let upstream = ListedUpstream {
-            name: "u".into(),
-            service: "s".into(),
-            address: self.address,
-            slots: 4,
-            started: self.started,
-            cold_ms: 0,
-        };
+        let latest = is_listed.then(|| self.upstream());
         let entry = VmEntry {
             vm: "vm-1".into(),
             domain: "modica".into(),
             region: "sicily".into(),
             address: self.fixture.context.settings().peers,
             state,
-            upstreams: is_listed.then_some(upstream).into_iter().collect(),
+            upstreams: self.earlier.iter().cloned().chain(latest).collect(),
         };
         let list = VmList {
             number: self.number,
@@ -95,6 +94,26 @@
         self.set_listing(VmState::Live, true);
     }
 
+    /// Lists a later start of the upstream under another name beside the earlier ones, whose registrations have
+    /// not lapsed yet.
+    pub(super) fn restart_under_other_name(&mut self) {
+        self.earlier.push(self.upstream());
+        self.started += 1;
+        self.name = format!("u-{}", self.started);
+        self.set_listing(VmState::Live, true);
+    }
+
+    fn upstream(&self) -> ListedUpstream {
+        ListedUpstream {
+            name: self.name.as_str().into(),
+            service: "s".into(),
+            address: self.address,
+            slots: 4,
+            started: self.started,
+            cold_ms: 0,
+        }
+    }
+
     pub(super) async fn assert_refused(&self, expected: RefusalReason) {
         let reply = self.fixture.call(get(), b"").await;
         let Reply::Refused(Refusal {
--- a/crates/node/src/sidecar/tests/stated.rs
+++ b/crates/node/src/sidecar/tests/stated.rs
@@ -323,6 +323,62 @@
     assert!(is_used, "the upstream gets requests after its restarts");
 }
 
+/// The same for the limit that the upstream states in its answers.
+#[actix_rt::test]
+async fn an_upstream_that_restarts_under_its_name_gets_its_stated_limit_once() {
+    const LIMIT: f64 = 8.0;
+    let (upstream, address) = StatingUpstream::start(&[("server-limit", "8")]);
+    let service = Service::with_name("s".into());
+    let mut listed = ListedFixture::for_address(address, service).await;
+    listed.assert_served().await;
+    let start = Instant::now();
+    for _ in 0..8 {
+        keep_calling(&listed, Duration::from_millis(250)).await;
+        listed.restart_upstream();
+    }
+    assert_within(&upstream, start, LIMIT);
+    assert!(upstream.arrivals_from(start) > LIMIT as usize);
+}
+
+/// An upstream that restarted under another name at its address got its cold rate once more within the same
+/// second, and calls under its earlier name beside.
+#[actix_rt::test]
+async fn an_upstream_that_restarts_under_another_name_gets_its_cold_rate_once() {
+    const RATE: u32 = 8;
+    let (upstream, address) = StatingUpstream::start(&[]);
+    let service = Service {
+        cold_per_second: Some(RATE),
+        cold_ms: 60_000,
+        ..Service::with_name("s".into())
+    };
+    let start = Instant::now();
+    let mut listed = ListedFixture::for_address(address, service).await;
+    let mut names = vec![listed.name.clone()];
+    for _ in 0..8 {
+        let calls = names.iter().map(|name| call_repeatedly(&listed, name));
+        join_all(calls).await;
+        listed.restart_under_other_name();
+        names.push(listed.name.clone());
+    }
+    assert_within(&upstream, start, RATE.into());
+    let is_used = upstream.arrivals_from(start) > RATE as usize;
+    assert!(is_used, "the upstream gets requests after its restarts");
+}
+
+/// Calls an upstream by a name for half a second.
+async fn call_repeatedly(listed: &ListedFixture, name: &str) {
+    let end = Instant::now() + Duration::from_millis(500);
+    while Instant::now() < end {
+        let call = CallHead {
+            upstream: name.into(),
+            left_ms: 400,
+            ..get()
+        };
+        listed.fixture.call(call, b"").await;
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Guards against a limit of another upstream that has the address now.
 #[actix_rt::test]
 async fn a_misdirected_answer_states_nothing_of_the_upstream() {
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -58,6 +58,8 @@
     is_checking: Cell<bool>,
     /// Whether queued and further requests are refused.
     is_retired: Cell<bool>,
+    /// Whether a later process has the address.
+    is_superseded: Cell<bool>,
 }
 
 struct Waiter {
@@ -109,6 +111,7 @@
             probes: Cell::default(),
             is_checking: Cell::default(),
             is_retired: Cell::default(),
+            is_superseded: Cell::default(),
         }
     }
 
@@ -238,6 +241,28 @@
     /// restarted, or because the time of a stop is over.
     pub(super) fn retire(&self) {
         self.is_retired.set(true);
+        self.refuse_queued();
+    }
+
+    /// Sets whether the platform lists a later process at the address. The upstream then has ended, and
+    /// its requests would only use up what the later process accepts.
+    pub(super) fn set_superseded(&self, is_superseded: bool) {
+        if self.is_superseded.replace(is_superseded) == is_superseded {
+            return;
+        }
+        let upstream = &self.spec.borrow().name;
+        info!(upstream:% = upstream, is_superseded; "upstream has a later process at its address");
+        if is_superseded {
+            self.refuse_queued();
+        }
+    }
+
+    /// Returns whether the platform lists a later process at the address.
+    pub(super) fn is_superseded(&self) -> bool {
+        self.is_superseded.get()
+    }
+
+    fn refuse_queued(&self) {
         for (ticket, waiter) in self.waiters.take() {
             self.admission.borrow_mut().cancel(ticket);
             let rejection = Rejection {
@@ -250,7 +275,7 @@
 
     /// Returns whether further requests are refused.
     pub(super) fn is_retired(&self) -> bool {
-        self.is_retired.get()
+        self.is_retired.get() || self.is_superseded.get()
     }
 
     /// Registers a queued request.
--- a/crates/node/src/sidecar/upstreams.rs
+++ b/crates/node/src/sidecar/upstreams.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -83,6 +84,7 @@
             let service = config.services.get(&spec.service);
             self.apply(&mut entries, spec, service);
         }
+        update_superseded(&entries);
     }
 
     /// Adds or updates one upstream. A changed address or start replaces it by a cold one.
@@ -108,11 +110,13 @@
         let upstream =
             LocalUpstream::new(spec, service.cloned(), &self.settings, timeline, leaving);
         let upstream = Rc::new(upstream);
-        match &replaced {
-            Some(earlier) if earlier.spec().address == upstream.spec().address => {
-                upstream.inherit_starts(earlier);
-            }
-            _ => {
+        let at_address = |other: &&Rc<LocalUpstream>| {
+            other.spec().address == upstream.spec().address && !other.is_superseded()
+        };
+        let others = entries.values().map(|entry| &entry.upstream);
+        match replaced.iter().chain(others).find(at_address) {
+            Some(earlier) => upstream.inherit_starts(earlier),
+            None => {
                 let mut admission = upstream.admission().borrow_mut();
                 admission.assume_prior_starts(self.process_started);
             }
@@ -138,6 +142,25 @@
     }
 }
 
+/// Determines which upstreams have ended, because the platform lists a later start at their address.
+fn update_superseded(entries: &BTreeMap<UpstreamName, Entry>) {
+    let mut latest: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+    let listed = entries.values().filter(|entry| entry.expires_at.is_none());
+    for spec in listed.map(|entry| entry.upstream.spec()) {
+        let started = spec.start.map_or(0, |start| start.started);
+        let known = latest.entry(spec.address).or_default();
+        *known = started.max(*known);
+    }
+    for Entry { upstream, .. } in entries.values() {
+        let spec = upstream.spec();
+        let later = latest.get(&spec.address);
+        let is_superseded = spec
+            .start
+            .is_some_and(|start| later.is_some_and(|later| *later > start.started));
+        upstream.set_superseded(is_superseded);
+    }
+}
+
 /// Returns whether the platform reports a different start of the upstream.
 fn is_restarted(old: &Upstream, new: &Upstream) -> bool {
     let started = |spec: &Upstream| spec.start.map(|start| start.started);
