--- a/crates/bench/src/service/run.rs
+++ b/crates/bench/src/service/run.rs
@@ -116,6 +116,10 @@
         self.records.extend(records);
         self.record_audit(&mut result, &injected).await;
         result.check_bounds(fault.is_planned(), injected.crash_requests);
+        if !result.broken.is_empty() {
+            let logs = self.testbed.fleet.keep_logs();
+            info!("settings and logs kept in {}", logs.display());
+        }
         Ok(result)
     }
 
--- a/crates/coordination/src/poison/tests.rs
+++ b/crates/coordination/src/poison/tests.rs
@@ -218,6 +218,70 @@
     assert_eq!(poison.len(), MAX_SUSPECTS);
 }
 
+/// Crashes that one cause brought down together refused a popular request that did not cause them, as long as
+/// the request that did is tried again and again.
+#[test]
+fn a_popular_request_is_cleared_beside_one_that_crashes_upstreams() {
+    const POPULAR: u64 = 1;
+    const CRASHING: u64 = 2;
+    let now = Instant::now();
+    let mut poison = PoisonTracker::default();
+    for crash in 0..2 {
+        poison.record_crash(crash, &[concurrent(POPULAR), concurrent(CRASHING)], now);
+    }
+    // Trials run alone, so each is blamed or cleared by itself.
+    poison.record_crash(2, &[trial(CRASHING)], now);
+    assert_eq!(suspicion(&poison, CRASHING, now), Suspicion::Refused);
+    assert_eq!(suspicion(&poison, POPULAR, now), Suspicion::Suspect);
+    poison.record_completion(POPULAR, now);
+    for crash in 3..8 {
+        poison.record_crash(crash, &[trial(CRASHING), concurrent(POPULAR)], now);
+        assert_ne!(suspicion(&poison, POPULAR, now), Suspicion::Refused);
+        poison.record_completion(POPULAR, now);
+    }
+    assert_eq!(suspicion(&poison, POPULAR, now), Suspicion::Clear);
+}
+
+/// Nodes that were cut off from each other blamed a request for the crashes that the others had seen, and refused
+/// it when they exchanged reports, although each had run it since.
+#[test]
+fn reports_exchanged_after_a_cut_refuse_no_request_that_completed() {
+    let now = Instant::now();
+    let mut nodes = [PoisonTracker::default(), PoisonTracker::default()];
+    let mut reports = Vec::new();
+    for (crash, node) in nodes.iter_mut().enumerate() {
+        reports.extend(node.record_crash(crash as u64, &[concurrent(1)], now));
+        assert_eq!(
+            suspicion(node, 1, now),
+            Suspicion::Suspect,
+            "one crash is seen"
+        );
+        reports.extend(node.record_completion(1, now));
+    }
+    for node in &mut nodes {
+        for report in &reports {
+            node.merge(report, now);
+            assert_ne!(suspicion(node, 1, now), Suspicion::Refused);
+        }
+        assert_eq!(suspicion(node, 1, now), Suspicion::Clear);
+    }
+}
+
+/// No other upstream can try a request of a service with a single one.
+#[test]
+fn a_single_upstream_tries_a_request_as_soon_as_it_is_back() {
+    let now = Instant::now();
+    let names = [UpstreamName::from("i-0")];
+    let mut poison = PoisonTracker::default();
+    for crash in 0..2 {
+        poison.record_crash(crash, &[concurrent(1), concurrent(2)], now);
+    }
+    let rank = || trial_rank(1, &names[0], names.iter());
+    assert_eq!(poison.suspicion(1, now, rank), Suspicion::Suspect);
+    poison.record_completion(1, now);
+    assert_eq!(poison.suspicion(1, now, rank), Suspicion::Clear);
+}
+
 proptest! {
     /// Nodes agree whatever the order in which they exchange reports.
     #[test]
