--- a/crates/coordination/src/poison/tests.rs
+++ b/crates/coordination/src/poison/tests.rs
@@ -218,8 +218,8 @@
     assert_eq!(poison.len(), MAX_SUSPECTS);
 }
 
-/// Crashes that one cause brought down together refused a popular request that did not cause them, as long as
-/// the request that did is tried again and again.
+/// Guards against a popular request that is refused with the one that causes the crashes at which both are in
+/// flight.
 #[test]
 fn a_popular_request_is_cleared_beside_one_that_crashes_upstreams() {
     const POPULAR: u64 = 1;
@@ -242,8 +242,8 @@
     assert_eq!(suspicion(&poison, POPULAR, now), Suspicion::Clear);
 }
 
-/// Nodes that were cut off from each other blamed a request for the crashes that the others had seen, and refused
-/// it when they exchanged reports, although each had run it since.
+/// Guards against a request that is refused by reports of crashes of which it was cleared while nodes were cut
+/// off from each other.
 #[test]
 fn reports_exchanged_after_a_cut_refuse_no_request_that_completed() {
     let now = Instant::now();
@@ -267,7 +267,7 @@
     }
 }
 
-/// No other upstream can try a request of a service with a single one.
+/// Guards against a service with a single upstream that waits for another one to try a request.
 #[test]
 fn a_single_upstream_tries_a_request_as_soon_as_it_is_back() {
     let now = Instant::now();
--- a/crates/node/src/ingress/attempt.rs
+++ b/crates/node/src/ingress/attempt.rs
@@ -103,8 +103,8 @@
 }
 
 /// Sends a call to the sidecar at an address and waits for the head of its reply, until the deadline
-/// or until a stop cuts off calls. `refused` completes when a stop passes the call on no longer, which ends
-/// an attempt that did not send the whole request yet.
+/// or until a stop cuts off calls. `refused` completes when a stop no longer passes the call on; an attempt
+/// whose request is not whole by then ends.
 pub(super) async fn send_call(
     pool: &Pool,
     address: SocketAddr,
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -148,8 +148,8 @@
 /// `awc` writes the whole request before it reads the answer. An upstream that waits for its answer
 /// to be read while a large request is still being sent blocks the call until the deadline.
 ///
-/// Dropping the future cancels the request by closing its connection. So does the gate of a stop as long as
-/// the request is not written whole.
+/// Dropping the future cancels the request by closing its connection. The gate of a stop does the same while
+/// the body of the request is not whole.
 ///
 /// # Errors
 ///
