--- a/crates/coordination/src/poison/tests.rs
+++ b/crates/coordination/src/poison/tests.rs
@@ -229,7 +229,7 @@
     for crash in 0..2 {
         poison.record_crash(crash, &[concurrent(POPULAR), concurrent(CRASHING)], now);
     }
-    // Trials run alone, so each is blamed or cleared by itself.
+    // A trial runs alone, so its crash is evidence against one request only.
     poison.record_crash(2, &[trial(CRASHING)], now);
     assert_eq!(suspicion(&poison, CRASHING, now), Suspicion::Refused);
     assert_eq!(suspicion(&poison, POPULAR, now), Suspicion::Suspect);
--- a/crates/node/src/ingress/body.rs
+++ b/crates/node/src/ingress/body.rs
@@ -28,8 +28,8 @@
 
 /// Reads the body of a request that is rejected, for [`DISCARD_TIME`] at most.
 ///
-/// After an answer to a request that it has not read whole, the server goes on reading the connection for a
-/// second and discards what comes, further requests of the caller too.
+/// If the body is incomplete when the answer is sent, the HTTP library keeps reading the connection for up to
+/// a second and discards the data, including further requests.
 pub(super) async fn discard(mut payload: Payload) {
     let read_all = async { while let Some(Ok(_)) = payload.next().await {} };
     let _ = timeout(DISCARD_TIME, read_all).await;
