--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -33,6 +33,7 @@
 mod name;
 mod named;
 mod note;
+mod organisation;
 mod overlay;
 mod poison;
 mod quality;
@@ -83,13 +84,14 @@
     listing::{Listing, RegistrationAnswer, RestorationFilter},
     message::{Contact, Digest, Hello, Message, SnapshotPart, Versions},
     name::{
-        DomainName, MAX_NAME_BYTES, RegionName, RouteName, ServiceName, UpstreamName, VmName,
-        is_name,
+        DomainName, MAX_NAME_BYTES, OrganisationName, RegionName, RouteName, ServiceName,
+        UpstreamName, VmName, is_name,
     },
     note::{
         Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, SplitPart, UpstreamSpec,
         UpstreamStart,
     },
+    organisation::{KeyDigest, Organisation, QuotaRate},
     overlay::{Overlay, parent_positions},
     poison::{InFlight, PoisonReport, PoisonTracker, Suspicion, trial_rank},
     quality::Quality,
--- a/crates/coordination/src/name.rs
+++ b/crates/coordination/src/name.rs
@@ -74,6 +74,10 @@
     /// Name of a region.
     RegionName
 );
+name_type!(
+    /// Name of an organisation.
+    OrganisationName
+);
 name_type!(
     /// Name of a service.
     ServiceName
