Spread the starts of a cold upstream evenly, and decide at once what a joining node waits for

Two causes: processes took 0.85 to 1.0 s from their start until they accepted requests, of which 0.2 s passed until the list of VMs led to a decision, 0.15 s until a configuration did, and 0.2 s in the mean before the first read; and the first requests of each second, whatever their rank, took the whole cold rate of that second.

With limits.cold_slack, starts at a cold upstream follow a generic cell rate, so that urgent requests that come later get their share, and a new process no longer has to wait for a second.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod contact;
 mod link;
+mod pace;
 mod queue;
 mod ramp;
 mod rank;
@@ -82,6 +83,9 @@
     /// Requests per second that a cold upstream can handle, if its service configures this rate; it
     /// replaces the ramp.
     pub cold_per_second: Option<u32>,
+    /// Requests that may start at once at the cold rate, which is then spread evenly over time; if
+    /// `None`, it limits the starts within each second only.
+    pub cold_burst: Option<u32>,
     /// Bandwidth of the link of the upstream's VM in bytes per second, if known.
     pub link_rate: Option<u64>,
 }
@@ -108,7 +112,7 @@
             settings,
             adaptive_limit: AdaptiveLimit::new(settings.slots),
             ramp: Ramp::default(),
-            rates: RateLimits::new(settings.cold_per_second),
+            rates: RateLimits::new(settings.cold_per_second, settings.cold_burst),
             link_backlog: LinkBacklog::new(settings.link_rate),
             queue: RankedQueue::default(),
             stats: RankStats::default(),
@@ -318,12 +322,20 @@
         self.rates.cold_mut().set_cold_until(now + time);
     }
 
-    /// Assumes that an earlier sidecar process started as many requests as a cold upstream can
-    /// handle in a second, just before this process started.
+    /// Assumes that an earlier sidecar process started as many requests as it was allowed to, just
+    /// before this process started: a second's worth, or the burst where starts are spread evenly.
     pub fn assume_prior_starts(&mut self, started_at: Instant) {
         self.rates.fill(started_at);
     }
 
+    /// Returns the time until the limits on the rate allow the next queued request to start; `None`
+    /// if nothing is queued or no rate holds it back.
+    #[must_use]
+    pub fn next_start_in(&self, now: Instant) -> Option<Duration> {
+        let wait = self.rates.queue_wait(0, now);
+        (self.queued() > 0 && !wait.is_zero()).then_some(wait)
+    }
+
     /// Takes over the starts of requests that count for the same address, because the upstream there
     /// has restarted.
     pub fn inherit_starts(&mut self, earlier: &Self) {
@@ -374,7 +386,8 @@
         if settings.cold_per_second.is_some() {
             self.ramp.finish();
         }
-        self.rates.cold_mut().set_rate(settings.cold_per_second);
+        let cold = self.rates.cold_mut();
+        cold.set_rate(settings.cold_per_second, settings.cold_burst);
         self.link_backlog.set_rate(settings.link_rate);
         self.adaptive_limit.set_slots(settings.slots);
     }
--- a/crates/coordination/src/admission/cold.rs
+++ b/crates/coordination/src/admission/cold.rs
@@ -2,27 +2,30 @@
 
 use std::time::Instant;
 
-use crate::admission::start_log::Allowance;
+use crate::admission::{pace::Spacing, start_log::Allowance};
 
 /// Limits how many requests start within any second while the upstream is cold.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ColdRate {
     per_second: Option<u32>,
+    burst: Option<u32>,
     cold_until: Option<Instant>,
 }
 
 impl ColdRate {
     /// Returns the limit of a warm upstream.
-    pub(super) fn new(per_second: Option<u32>) -> Self {
+    pub(super) fn new(per_second: Option<u32>, burst: Option<u32>) -> Self {
         Self {
             per_second,
+            burst,
             cold_until: None,
         }
     }
 
-    /// Changes the rate.
-    pub(super) fn set_rate(&mut self, per_second: Option<u32>) {
+    /// Changes the rate and the burst.
+    pub(super) fn set_rate(&mut self, per_second: Option<u32>, burst: Option<u32>) {
         self.per_second = per_second;
+        self.burst = burst;
     }
 
     /// Sets the time until which the upstream is cold.
@@ -42,6 +45,12 @@
             .map(|rate| Allowance::per_second(rate.into()))
     }
 
+    /// Returns how starts are spread while the upstream is cold; `None` if they are not.
+    pub(super) fn cold_spacing(&self) -> Option<Spacing> {
+        let rate = self.per_second.filter(|rate| *rate > 0)?;
+        self.burst.map(|burst| Spacing::per_second(rate, burst))
+    }
+
     /// Returns how many requests may start at present; `None` if the upstream is warm.
     pub(super) fn allowance(&self, now: Instant) -> Option<Allowance> {
         self.cold_allowance().filter(|_| self.is_cold(now))
--- a/crates/coordination/src/admission/rates.rs
+++ b/crates/coordination/src/admission/rates.rs
@@ -5,6 +5,7 @@
 use crate::{
     admission::{
         cold::ColdRate,
+        pace::{Pace, Spacing},
         start_log::{Allowance, StartLog},
         stated::StatedRate,
     },
@@ -18,13 +19,14 @@
     cold: ColdRate,
     stated: StatedRate,
     starts: StartLog,
+    pace: Pace,
 }
 
 impl RateLimits {
     /// Returns the limits of a warm upstream that has stated nothing.
-    pub(super) fn new(cold_per_second: Option<u32>) -> Self {
+    pub(super) fn new(cold_per_second: Option<u32>, cold_burst: Option<u32>) -> Self {
         Self {
-            cold: ColdRate::new(cold_per_second),
+            cold: ColdRate::new(cold_per_second, cold_burst),
             ..Self::default()
         }
     }
@@ -42,10 +44,15 @@
     /// Takes over the starts that were recorded by other limits.
     pub(super) fn inherit_starts(&mut self, earlier: &Self) {
         self.starts.clone_from(&earlier.starts);
+        self.pace.clone_from(&earlier.pace);
     }
 
-    /// Records as many starts at one time as the cold rate allows per second.
+    /// Records as many starts as the cold rate allows at one time.
     pub(super) fn fill(&mut self, at: Instant) {
+        if let Some(spacing) = self.cold.cold_spacing() {
+            self.pace.exhaust(spacing, at);
+            return;
+        }
         let allowance = self.cold.cold_allowance();
         for _ in 0..allowance.map_or(0, Allowance::count) {
             self.starts.record(at);
@@ -76,12 +83,14 @@
     /// Records that a request starts.
     pub(super) fn record_start(&mut self, now: Instant) {
         self.starts.record(now);
+        if let Some(spacing) = self.cold.cold_spacing() {
+            self.pace.record(spacing, now);
+        }
     }
 
     /// Returns whether one more request may start.
     pub(super) fn can_start(&self, now: Instant) -> bool {
-        let mut allowances = self.allowances(now);
-        allowances.all(|it| it.next_start_in(&self.starts, now).is_zero())
+        self.queue_wait(0, now).is_zero()
     }
 
     /// Returns how long a request waits behind `ahead` queued requests.
@@ -89,7 +98,9 @@
         let waits = self
             .allowances(now)
             .map(|it| it.queue_wait(ahead, &self.starts, now));
-        waits.max().unwrap_or_default()
+        let spacing = self.spacing(now);
+        let paced = spacing.map(|it| self.pace.next_start_in(it, ahead, now));
+        waits.chain(paced).max().unwrap_or_default()
     }
 
     /// Returns how many requests of a latency run at once; `None` if no limit applies.
@@ -97,6 +108,10 @@
         self.allowances(now).map(|it| it.concurrency(latency)).min()
     }
 
+    fn spacing(&self, now: Instant) -> Option<Spacing> {
+        self.cold.cold_spacing().filter(|_| self.cold.is_cold(now))
+    }
+
     fn allowances(&self, now: Instant) -> impl Iterator<Item = Allowance> {
         let cold = self.cold.allowance(now);
         cold.into_iter().chain(self.stated.allowance())
--- a/crates/coordination/src/admission/tests.rs
+++ b/crates/coordination/src/admission/tests.rs
@@ -20,6 +20,7 @@
         has_limit: true,
         has_ramp: true,
         cold_per_second: None,
+        cold_burst: None,
         link_rate: None,
     }
 }
--- a/crates/coordination/src/admission/tests/cold.rs
+++ b/crates/coordination/src/admission/tests/cold.rs
@@ -88,3 +88,106 @@
         .count();
     assert_eq!(starts, SLOTS as usize);
 }
+
+/// Bound of the users on the requests that a cold upstream gets in any second, and the settings that
+/// follow from it: a stated rate of 19, an overage of 1.5 and a slack of 8.
+const MAX_IN_A_SECOND: usize = 36;
+const PACED_RATE: u32 = 28;
+const PACED_BURST: u32 = 4;
+
+fn paced() -> AdmissionSettings {
+    AdmissionSettings {
+        cold_per_second: Some(PACED_RATE),
+        cold_burst: Some(PACED_BURST),
+        ..settings()
+    }
+}
+
+/// Returns the times at which requests of a closed loop start at a cold upstream until `end`.
+fn starts_until(fixture: &mut Fixture, end: Instant) -> Vec<Instant> {
+    let mut starts = Vec::new();
+    while fixture.now < end {
+        match fixture.submit(1, ms(1)) {
+            AdmissionDecision::Start => {
+                starts.push(fixture.now);
+                fixture.admission.release(ms(1), false, Rank::default());
+                fixture.running.pop();
+            }
+            AdmissionDecision::Wait(ticket) => {
+                fixture.admission.cancel(ticket);
+            }
+            AdmissionDecision::Refuse(_) => {}
+        }
+        fixture.now += ms(1);
+    }
+    starts
+}
+
+/// Load pattern: the sidecar process of a cold upstream is killed under full load and restarts after
+/// a short time. The bound holds over both processes, and the new one need not pause for a second.
+#[test]
+fn paced_starts_of_two_processes_keep_the_bound() {
+    let mut old = Fixture::new(paced());
+    old.admission.set_cold_for(ms(10_000), old.now);
+    let killed_at = old.now + ms(1_500);
+    let mut starts = starts_until(&mut old, killed_at);
+    let mut new = Fixture::new(paced());
+    new.now = killed_at + ms(50);
+    let restarted_at = new.now;
+    new.admission.assume_prior_starts(restarted_at);
+    new.admission.set_cold_for(ms(10_000), new.now);
+    let end = new.now + ms(2_000);
+    starts.extend(starts_until(&mut new, end));
+    for (index, first) in starts.iter().enumerate() {
+        let in_second = starts[index..]
+            .iter()
+            .take_while(|at| **at < *first + ms(1_000));
+        let count = in_second.count();
+        assert!(count <= MAX_IN_A_SECOND, "{count} starts in a second");
+    }
+    let early = starts
+        .iter()
+        .filter(|at| **at >= restarted_at && **at < restarted_at + ms(500));
+    assert!(early.count() >= 10, "the new process waited for a second");
+}
+
+/// Load pattern: all upstreams of a service are cold, and requests of low priority come first in each
+/// second. Without pacing they take the rate of the whole second from urgent ones that come later.
+#[test]
+fn urgent_requests_get_a_paced_start_before_others_that_came_earlier() {
+    let mut fixture = Fixture::new(paced());
+    fixture.admission.set_cold_for(ms(10_000), fixture.now);
+    let submit = |fixture: &mut Fixture, priority| {
+        let rank = Rank {
+            priority,
+            ..Rank::default()
+        };
+        let request = AdmissionRequest {
+            caller: 1,
+            deadline: fixture.now + ms(2_000),
+            target: None,
+            expires_at: None,
+            rank,
+            alone: false,
+        };
+        fixture.admission.submit(request, fixture.now)
+    };
+    for _ in 0..8 {
+        let _ = submit(&mut fixture, 2);
+    }
+    fixture.now += ms(100);
+    let AdmissionDecision::Wait(urgent) = submit(&mut fixture, 0) else {
+        panic!("the burst is used up, and the urgent request must be queued");
+    };
+    fixture.now += ms(40);
+    let first = fixture.admission.next_decision(fixture.now);
+    assert_eq!(first, Some(QueueDecision::Start(urgent)));
+}
+
+/// Failure: a sidecar that spreads starts would let a warm upstream wait.
+#[test]
+fn a_warm_upstream_is_not_paced() {
+    let mut fixture = Fixture::new(paced());
+    let starts = (0..SLOTS).filter(|_| fixture.submit(1, ms(100)) == AdmissionDecision::Start);
+    assert_eq!(starts.count(), SLOTS as usize);
+}
--- a/crates/coordination/src/replica.rs
+++ b/crates/coordination/src/replica.rs
@@ -85,6 +85,9 @@
     fleet_due: Instant,
     children_due: Instant,
     last_tick: Instant,
+    /// Whether the periodic work has to run at once, because a joining node learned something that it
+    /// waited for.
+    is_tick_due: bool,
     outputs: Vec<Output>,
 }
 
@@ -128,6 +131,7 @@
             fleet_due: now,
             children_due: now + Duration::from_secs(2),
             last_tick: now,
+            is_tick_due: false,
             outputs: Vec::new(),
         }
     }
@@ -236,6 +240,7 @@
 
     /// Runs the periodic work: sends due messages, closes timed-out links and opens missing ones.
     pub fn tick(&mut self, now: Instant, rng: &mut impl Rng) {
+        self.is_tick_due = false;
         self.detect_pause(now);
         self.close_timed_out_links(now, rng);
         self.plan_links(now, rng);
@@ -281,6 +286,7 @@
         if events.is_empty() {
             return;
         }
+        self.is_tick_due |= !self.is_serving;
         let origin = self.origin_of(from);
         for event in events {
             self.emit(ReplicaEvent::Fold(event, origin.clone()));
@@ -309,6 +315,7 @@
         if self.vms.number > 0 && list.era() > self.vms.era() {
             self.restored_at = Some(now);
         }
+        self.is_tick_due |= self.overlay.is_empty();
         self.vms = Arc::clone(list);
         self.overlay = Overlay::new(list);
         self.parents = self
--- a/crates/coordination/src/replica/platform.rs
+++ b/crates/coordination/src/replica/platform.rs
@@ -23,8 +23,9 @@
 const RELAY_PROMOTION_DELAY: Duration = Duration::from_secs(1);
 /// Maximum delay before a node without seeds reads the list of VMs.
 const MAX_VMS_DELAY_MS: u64 = 2_000;
-/// Maximum delay on a platform where reading the list is cheap.
-const MAX_CHEAP_VMS_DELAY_MS: u64 = 400;
+/// Maximum delay on a platform where reading the list is cheap. Callers wait while a fleet starts, and
+/// a node that others reach before needs no read.
+const MAX_CHEAP_VMS_DELAY_MS: u64 = 150;
 /// Range of the additional delay of a node with seeds; a quarter of the drawn value is used.
 const SEEDS_VMS_DELAY_MS: u64 = 4_000;
 
@@ -161,6 +162,7 @@
         let position = self.effective_position();
         let position = u32::try_from(position).unwrap_or(u32::MAX);
         self.readers.record(self.identity.vm.clone(), position, now);
+        self.is_tick_due |= !self.is_serving;
         self.report_contact(None, now);
     }
 
--- a/crates/coordination/src/replica/propagation.rs
+++ b/crates/coordination/src/replica/propagation.rs
@@ -39,6 +39,9 @@
     /// Returns the time until the next tick is due.
     #[must_use]
     pub fn next_tick_delay(&self, now: Instant) -> Duration {
+        if self.is_tick_due {
+            return Duration::ZERO;
+        }
         let pulls = self.links.values().filter_map(|link| link.pull_due);
         let others = self.platform_due().into_iter().chain(self.list_due());
         let next = pulls.chain(others).filter(|due| *due > now).min();
--- a/crates/coordination/src/replica/receive.rs
+++ b/crates/coordination/src/replica/receive.rs
@@ -167,6 +167,7 @@
             .filter_map(|contact| self.readers.record_contact(contact, now))
             .collect();
         let newest = times.into_iter().max();
+        self.is_tick_due |= newest.is_some() && !self.is_serving;
         if let Some(link) = self.links.get_mut(&id) {
             link.contact_known = link.contact_known.max(newest);
         }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -18,7 +18,7 @@
     logging,
     mutant::{self, Mutant},
     peers::{Peers, PeersHandle},
-    settings::Settings,
+    settings::{SettingOverride, Settings},
     sidecar::Sidecar,
     source::Source,
     stall::StallWatch,
@@ -39,6 +39,10 @@
     /// Settings file of the node.
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
+    /// Setting that replaces the value in the file, such as `limits.grace_s=10`. An empty value
+    /// changes nothing.
+    #[arg(long = "set", value_name = "NAME=VALUE")]
+    overrides: Vec<SettingOverride>,
     /// Checks the settings and exits.
     #[arg(long)]
     check: bool,
@@ -56,7 +60,7 @@
     let system = actix::System::new();
     // Installed before anything else, because the default action of the signal ends the process.
     let hangups = system.block_on(async { signal(SignalKind::hangup()) });
-    let settings = match Settings::load(&arguments.settings) {
+    let settings = match Settings::load(&arguments.settings, &arguments.overrides) {
         Ok(settings) => settings,
         Err(err) => {
             eprintln!("error: {err}");
@@ -67,7 +71,7 @@
         println!("{}: settings are valid", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    let result = system.block_on(run_node(Arc::new(settings), arguments.settings, hangups));
+    let result = system.block_on(run_node(Arc::new(settings), arguments, hangups));
     if let Err(err) = &result {
         error!("{err}");
         eprintln!("error: {err}");
@@ -81,7 +85,7 @@
 
 async fn run_node(
     settings: Arc<Settings>,
-    path: PathBuf,
+    arguments: Arguments,
     hangups: io::Result<Signal>,
 ) -> Result<(), NodeError> {
     let context = Context::new(settings);
@@ -90,7 +94,11 @@
     logging::start(context.settings(), context.view().clone());
     match hangups {
         Ok(hangups) => {
-            actix_rt::spawn(check_settings_on_hangup(hangups, path, context.clone()));
+            actix_rt::spawn(check_settings_on_hangup(
+                hangups,
+                arguments,
+                context.clone(),
+            ));
         }
         Err(err) => warn!("can't install the SIGHUP handler: {err}"),
     }
@@ -116,9 +124,9 @@
 
 /// Checks the settings file on each SIGHUP. Changes take effect at the next start, so an invalid
 /// file is reported before a restart needs it.
-async fn check_settings_on_hangup(mut hangups: Signal, path: PathBuf, context: Context) {
+async fn check_settings_on_hangup(mut hangups: Signal, arguments: Arguments, context: Context) {
     while hangups.recv().await.is_some() {
-        match Settings::load(&path) {
+        match Settings::load(&arguments.settings, &arguments.overrides) {
             Ok(settings) if settings == **context.settings() => info!("settings are unchanged"),
             Ok(_) => info!("settings have changed; the changes take effect at the next start"),
             Err(err) => warn!("settings are invalid: {err}"),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,13 +3,14 @@
 mod check;
 mod error;
 mod limits;
+mod overrides;
 mod policies;
 mod protocol;
 #[cfg(test)]
 mod tests;
 
-pub(crate) use self::limits::StopTimes;
 pub use self::{error::SettingsError, limits::Limits, policies::Policies, protocol::Protocol};
+pub(crate) use self::{limits::StopTimes, overrides::SettingOverride};
 
 use std::{
     collections::BTreeMap,
@@ -19,12 +20,13 @@
 };
 
 use serde::Deserialize;
+use serde_yaml_ng::Value;
 use snafu::ResultExt;
 use wagtaillever_coordination::{
     DomainName, FleetRetryBudget, NoteError, RegionName, ServiceName, VmName, parse_yaml,
 };
 
-use crate::settings::error::ReadSnafu;
+use crate::settings::error::{OverrideSnafu, ReadSnafu};
 
 /// Settings of a node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -85,14 +87,14 @@
 }
 
 impl Settings {
-    /// Reads and checks a settings file.
+    /// Reads and checks a settings file, with the settings of the command line in place of its own.
     ///
     /// # Errors
     ///
     /// Returns an error with the file, the line and the expected value.
-    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+    pub(crate) fn load(path: &Path, overrides: &[SettingOverride]) -> Result<Self, SettingsError> {
         let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        Self::parse(path, &text)
+        Self::parse_with(path, &text, overrides)
     }
 
     /// Parses and checks the text of a settings file.
@@ -101,7 +103,19 @@
     ///
     /// Returns an error with the file, the line and the expected value.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        Self::parse_with(path, text, &[])
+    }
+
+    fn parse_with(
+        path: &Path,
+        text: &str,
+        overrides: &[SettingOverride],
+    ) -> Result<Self, SettingsError> {
         let settings: Self = parse_yaml(text.as_bytes()).map_err(|err| syntax_error(path, &err))?;
+        let settings = match overrides {
+            [] => settings,
+            _ => overridden(path, text, overrides)?,
+        };
         let Err(invalid) = settings.check() else {
             return Ok(settings);
         };
@@ -114,6 +128,27 @@
     }
 }
 
+/// Parses a settings file again with the settings of the command line in place of its own.
+fn overridden(
+    path: &Path,
+    text: &str,
+    overrides: &[SettingOverride],
+) -> Result<Settings, SettingsError> {
+    let mut settings: Value =
+        parse_yaml(text.as_bytes()).map_err(|err| syntax_error(path, &err))?;
+    for setting in overrides {
+        let name = setting.name();
+        let invalid = |reason: String| OverrideSnafu { name, reason }.build();
+        setting.apply(&mut settings).map_err(invalid)?;
+        let result = serde_yaml_ng::from_value::<Settings>(settings.clone());
+        result.map_err(|err| invalid(err.to_string()))?;
+    }
+    serde_yaml_ng::from_value(settings).map_err(|err| {
+        let reason = err.to_string();
+        OverrideSnafu { name: "", reason }.build()
+    })
+}
+
 fn syntax_error(path: &Path, err: &NoteError) -> SettingsError {
     SettingsError::Syntax {
         path: path.into(),
--- a/crates/node/src/settings/error.rs
+++ b/crates/node/src/settings/error.rs
@@ -26,6 +26,14 @@
         /// What was expected.
         reason: String,
     },
+    /// A setting of the command line is unknown or has an invalid value.
+    #[snafu(display("--set {name}: {reason}"))]
+    Override {
+        /// Path of the setting, such as `limits.cold_slack`.
+        name: String,
+        /// What was expected.
+        reason: String,
+    },
     /// A field has an invalid value.
     #[snafu(display("{}:{line}: {field}: {reason}", path.display()))]
     Invalid {
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -30,6 +30,9 @@
     /// Factor by which the request rate of a cold upstream may exceed the rate that its service
     /// states, if its operators allow it; 1 by default.
     pub cold_overage: f64,
+    /// Requests in addition to that rate that a cold upstream may get in one second. If there are
+    /// any, its requests are spread evenly over time; 0 by default.
+    pub cold_slack: u32,
 }
 
 /// Largest share of the grace period that the notice takes.
@@ -57,6 +60,8 @@
 }
 
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
+/// Divisor that gives the burst of a cold upstream as a part of its slack.
+const COLD_BURST_DIVISOR: u32 = 2;
 
 impl Limits {
     /// Returns the times of a planned stop. Calls get as much of the grace period as possible.
@@ -93,6 +98,15 @@
         let rate = rate as u32;
         rate.max(1)
     }
+
+    /// Returns how many requests may start at once at the cold rate, if starts are spread evenly.
+    ///
+    /// The rest of the slack is for requests that arrive closer together than they were sent, and for
+    /// those of an earlier process: two processes may each use the burst within one second.
+    pub(crate) fn cold_burst(&self) -> Option<u32> {
+        let burst = (self.cold_slack / COLD_BURST_DIVISOR).max(1);
+        (self.cold_slack > 0).then_some(burst)
+    }
 }
 
 impl Default for Limits {
@@ -106,6 +120,7 @@
             skew_ms: 2_000,
             link_mbps: None,
             cold_overage: 1.0,
+            cold_slack: 0,
         }
     }
 }
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -10,7 +10,7 @@
 
 use awc::{Client, Connector};
 use log::info;
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time::sleep};
 use wagtaillever_coordination::{
     Admission, AdmissionRequest, AdmissionSettings, CrashDetector, Dialect, InFlight,
     LeavingUpstreams, Quality, QueueTicket, Rank, Rejection, RejectionCause, Sample, SampleResult,
@@ -56,6 +56,8 @@
     reported: Cell<(u32, bool)>,
     probes: Cell<u32>,
     is_checking: Cell<bool>,
+    /// Whether a later dispatch is scheduled.
+    is_dispatch_due: Cell<bool>,
     /// Whether queued and further requests are refused.
     is_retired: Cell<bool>,
     /// Whether a later process has the address.
@@ -110,6 +112,7 @@
             reported,
             probes: Cell::default(),
             is_checking: Cell::default(),
+            is_dispatch_due: Cell::default(),
             is_retired: Cell::default(),
             is_superseded: Cell::default(),
         }
@@ -353,6 +356,7 @@
         loop {
             let next = self.admission.borrow_mut().next_decision(Instant::now());
             let Some(next) = next else {
+                self.schedule_dispatch();
                 return;
             };
             let (ticket, rejection) = decision_parts(next);
@@ -370,6 +374,23 @@
         }
     }
 
+    /// Dispatches again when the rate of a cold upstream allows the next queued request to start.
+    fn schedule_dispatch(self: &Rc<Self>) {
+        let wait = self.admission.borrow().next_start_in(Instant::now());
+        let Some(wait) = wait.filter(|_| self.limits.cold_burst().is_some()) else {
+            return;
+        };
+        if self.is_dispatch_due.replace(true) {
+            return;
+        }
+        let upstream = Rc::clone(self);
+        actix_rt::spawn(async move {
+            sleep(wait).await;
+            upstream.is_dispatch_due.set(false);
+            upstream.dispatch();
+        });
+    }
+
     /// Records what the upstream states of itself in an answer to a request that was sent at
     /// `sent_at`.
     pub(super) fn record_statement(
@@ -527,6 +548,7 @@
     let is_listed = spec.start.is_some();
     let cold_per_second = service.and_then(|service| service.cold_per_second);
     AdmissionSettings {
+        cold_burst: limits.cold_burst(),
         cold_per_second: cold_per_second
             .filter(|_| is_listed)
             .map(|rate| limits.cold_rate(rate)),
