--- a/crates/coordination/src/store.rs
+++ b/crates/coordination/src/store.rs
@@ -8,6 +8,7 @@
 use crate::{
     config::Config,
     drain::{DrainAction, DrainList, DrainOrder, DrainScope},
+    era::{era_of, ordered_revision},
     name::{DomainName, UpstreamName},
     registrations::Registration,
 };
@@ -63,6 +64,16 @@
 }
 
 impl StoreState {
+    /// Lowers the revision to the first one of its era, for contents that may be older than it.
+    ///
+    /// A list of VMs that follows from them then replaces no list of a reader, which may know that an
+    /// upstream is leaving or that one without a registration still serves.
+    #[must_use]
+    pub fn with_lowest_revision(mut self) -> Self {
+        self.revision = ordered_revision(era_of(self.revision), 0);
+        self
+    }
+
     /// Returns the orders that result from a read: the active drain orders, and a restore order for
     /// each known drain order that is no longer active.
     ///
--- a/crates/coordination/src/store/tests.rs
+++ b/crates/coordination/src/store/tests.rs
@@ -1,7 +1,9 @@
+use std::time::Instant;
+
 use proptest::prelude::*;
 
 use super::*;
-use crate::era::ordered_revision;
+use crate::{registrations::Registrations, vm::ListedUpstream};
 
 fn known_drains(orders: &[(&str, u64)]) -> DrainList {
     let mut list = DrainList::default();
@@ -74,6 +76,42 @@
     assert_eq!(state.orders(&known, false), [ended]);
 }
 
+/// Failure: a starting node read an old state of the registrations under the newest revision, and its
+/// list replaced the one that named an upstream as leaving on all nodes.
+#[test]
+fn a_list_from_contents_that_may_be_old_replaces_no_other_list() {
+    let now = Instant::now();
+    let registration = |is_leaving| Registration {
+        upstream: ListedUpstream {
+            name: "i-1".into(),
+            service: "orders".into(),
+            address: "10.1.0.41:8628".parse().unwrap(),
+            slots: 8,
+            started: 1,
+            cold_ms: 0,
+        },
+        vm: "10.1.0.41".into(),
+        domain: "ragusa".into(),
+        region: "sicily".into(),
+        node: "10.1.0.41:7600".parse().unwrap(),
+        is_leaving,
+    };
+    let list_of = |state: StoreState| {
+        let mut registrations = Registrations::default();
+        registrations.replace(state.registrations, state.revision, now);
+        registrations.changed_list(now).unwrap()
+    };
+    let state = |is_leaving| StoreState {
+        registrations: vec![registration(is_leaving)],
+        revision: ordered_revision(2, 99),
+        ..StoreState::default()
+    };
+    let read = list_of(state(true));
+    let stale = list_of(state(false).with_lowest_revision());
+    assert!(stale.number > 0 && stale.number < read.number);
+    assert_eq!(stale.era(), read.era());
+}
+
 proptest! {
     /// After a restoration, revisions start again below those that were given out before.
     #[test]
--- a/crates/node/src/source/store_reader.rs
+++ b/crates/node/src/source/store_reader.rs
@@ -138,6 +138,7 @@
     async fn read_registrations_only(&mut self) -> Result<(), S::Error> {
         let asked_at = Instant::now();
         let state = self.store.read_registrations().await?;
+        let state = state.with_lowest_revision();
         self.apply_state(state, asked_at).await;
         // There may be no registrations yet shortly after a start.
         tokio::select! {
