Add organisations with key digests, caller limits and public routes to the configuration

Config holds organisations by name and caller limits, both optional and left out when absent, so that the text and the digest of other configurations stay as they are.

Config and Base are no longer Eq, as quotas are floating-point numbers; nothing used it.

--- a/crates/bench/src/layout.rs
+++ b/crates/bench/src/layout.rs
@@ -165,6 +165,7 @@
             services: additions(services.map(|shape| ServiceSpec::with_name(shape.name.clone()))),
             routes: additions(routes),
             upstreams: additions(upstreams),
+            ..ReleaseNote::default()
         }
     }
 }
--- a/crates/coordination/src/base.rs
+++ b/crates/coordination/src/base.rs
@@ -18,7 +18,7 @@
 };
 
 /// Value of the platform's `base` key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Base {
     /// The index of a configuration that is split by service.
@@ -89,6 +89,15 @@
             merge(&mut joined.services, part.services)?;
             merge(&mut joined.routes, part.routes)?;
             merge(&mut joined.upstreams, part.upstreams)?;
+            if let Some(organisations) = part.organisations {
+                let joined = joined.organisations.get_or_insert_default();
+                merge(joined, organisations)?;
+            }
+            if joined.caller_limits.is_some() && part.caller_limits.is_some() {
+                let reason = "the caller limits are in two parts";
+                return Err(NoteError::new(Rule::Unique, reason));
+            }
+            joined.caller_limits = joined.caller_limits.or(part.caller_limits);
         }
         joined.validate()?;
         Ok(joined)
@@ -168,18 +177,22 @@
         published
     }
 
-    /// Returns the JSON of the parts, each filled with services up to `limit` bytes.
+    /// Returns the JSON of the parts, each filled with services up to `limit` bytes. The first one
+    /// also holds the organisations and the caller limits.
     ///
     /// A part holds at least one service with its routes and upstreams, even if that alone exceeds
     /// the limit.
     fn split(&self, limit: usize) -> Vec<String> {
         let mut parts = Vec::new();
         let mut current = self.empty_part();
+        current.organisations = self.organisations.clone();
+        current.caller_limits = self.caller_limits;
         let mut bytes = to_json(&current).len();
         for service in self.services.keys() {
             let subset = self.service_subset(service);
             let subset_bytes = to_json(&subset).len();
-            if bytes + subset_bytes > limit && !current.services.is_empty() {
+            let is_empty = current.services.is_empty() && current.organisations.is_none();
+            if bytes + subset_bytes > limit && !is_empty {
                 parts.push(to_json(&current));
                 current = self.empty_part();
                 bytes = to_json(&current).len();
--- a/crates/coordination/src/border.rs
+++ b/crates/coordination/src/border.rs
@@ -16,13 +16,16 @@
 mod generated;
 mod nesting;
 mod note;
+mod organisation;
 mod parse;
 mod shape;
 mod unique_map;
 mod vms;
 
 pub(crate) use self::{
-    generated::{Base, BaseIndex, Method, ReleaseNote, Route, Service, Upstream},
+    generated::{
+        Base, BaseIndex, CallerLimits, Method, Organisation, ReleaseNote, Route, Service, Upstream,
+    },
     parse::from_json,
 };
 
@@ -54,6 +57,22 @@
     Err(NoteError::new(Rule::Name, reason))
 }
 
+/// Validates a name that may hold any visible ASCII characters and converts it to its internal type.
+fn convert_label<N: for<'a> From<&'a str>>(
+    kind: Kind,
+    label: &generated::Label,
+) -> Result<N, NoteError> {
+    if label.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Ok(N::from(label.as_str()));
+    }
+    let reason = format!(
+        "{} {:?}: the name may hold only visible ASCII characters",
+        kind.as_str(),
+        label.as_str()
+    );
+    Err(NoteError::new(Rule::Name, reason).with_subject(kind, label.as_str()))
+}
+
 /// Returns a function that adds the enclosing resource to an error as its subject.
 fn with_subject(kind: Kind, name: &generated::Name) -> impl Fn(NoteError) -> NoteError {
     move |err| err.with_subject(kind, name.as_str())
--- a/crates/coordination/src/border/config.rs
+++ b/crates/coordination/src/border/config.rs
@@ -4,6 +4,7 @@
 
 use super::{generated, unique_map::UniqueMap};
 use crate::{
+    caller_limits::CallerLimits,
     config::Config,
     error::{Kind, NoteError},
     named::Named,
@@ -20,6 +21,8 @@
             services: convert(base.services)?,
             routes: convert(base.routes)?,
             upstreams: convert(base.upstreams)?,
+            organisations: base.organisations.map(convert).transpose()?,
+            caller_limits: base.caller_limits.map(CallerLimits::from),
         })
     }
 }
--- a/crates/coordination/src/border/generated.rs
+++ b/crates/coordination/src/border/generated.rs
@@ -37,6 +37,13 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Base {
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub caller_limits: ::std::option::Option<CallerLimits>,
+    ///Organisations by name; absent if the deployment has none.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub organisations: ::std::option::Option<
+        crate::border::unique_map::UniqueMap<::std::string::String, Organisation>,
+    >,
     ///Routes by name.
     pub routes: crate::border::unique_map::UniqueMap<::std::string::String, Route>,
     ///Sequence number of the last note folded into the base.
@@ -66,6 +73,25 @@
         value.clone()
     }
 }
+///Limits on what callers may send and for how long they may stay idle.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    ///Maximum size of the body of a request in bytes.
+    pub body_bytes: ::std::num::NonZeroU64,
+    ///Maximum size of the head of a request in bytes.
+    pub header_bytes: ::std::num::NonZeroU32,
+    ///Time in milliseconds within which the head of a request must be complete.
+    pub header_timeout_ms: ::std::num::NonZeroU64,
+    ///Time in milliseconds for which a connection may stay idle.
+    pub idle_timeout_ms: ::std::num::NonZeroU64,
+}
+impl ::std::convert::From<&CallerLimits> for CallerLimits {
+    fn from(value: &CallerLimits) -> Self {
+        value.clone()
+    }
+}
 ///Whether an order takes its scope out of service or returns it to service.
 ///
 #[derive(
@@ -190,6 +216,77 @@
         Self(value)
     }
 }
+///Name of an organisation: visible ASCII characters.
+///
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Label(::std::string::String);
+impl ::std::ops::Deref for Label {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Label> for ::std::string::String {
+    fn from(value: Label) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&Label> for Label {
+    fn from(value: &Label) -> Self {
+        value.clone()
+    }
+}
+impl ::std::str::FromStr for Label {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        if value.chars().count() > 200usize {
+            return Err("longer than 200 characters".into());
+        }
+        if value.chars().count() < 1usize {
+            return Err("shorter than 1 characters".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Label {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for Label {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Label {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Label {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
 ///Upstream that the platform lists on a VM.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -372,14 +469,79 @@
             })
     }
 }
+///An organisation, whose callers present API keys.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    ///SHA-256 digests of the API keys, in 64 hexadecimal digits each.
+    pub digests: ::std::vec::Vec<crate::organisation::KeyDigest>,
+    pub name: Label,
+    ///Priority of the organisation's calls, which takes precedence over that of the route; 0 is the highest.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub priority: ::std::option::Option<u8>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub quota: ::std::option::Option<QuotaRate>,
+}
+impl ::std::convert::From<&Organisation> for Organisation {
+    fn from(value: &Organisation) -> Self {
+        value.clone()
+    }
+}
+///Changes to organisations. Once a note has added one, requests need an API key unless their route is public.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationChanges {
+    ///Organisations to add; none may exist yet.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub add: ::std::vec::Vec<Organisation>,
+    ///Organisations to replace; each must exist.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub change: ::std::vec::Vec<Organisation>,
+    ///Names of organisations to remove; each must exist.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub withdraw: ::std::vec::Vec<Label>,
+}
+impl ::std::convert::From<&OrganisationChanges> for OrganisationChanges {
+    fn from(value: &OrganisationChanges) -> Self {
+        value.clone()
+    }
+}
+impl ::std::default::Default for OrganisationChanges {
+    fn default() -> Self {
+        Self {
+            add: Default::default(),
+            change: Default::default(),
+            withdraw: Default::default(),
+        }
+    }
+}
+///Limit on the requests of an organisation over all nodes.
+///
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct QuotaRate {
+    pub burst: f64,
+    pub per_second: f64,
+}
+impl ::std::convert::From<&QuotaRate> for QuotaRate {
+    fn from(value: &QuotaRate) -> Self {
+        value.clone()
+    }
+}
 ///A release note: additions, changes and withdrawals that are applied atomically.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct ReleaseNote {
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub caller_limits: ::std::option::Option<CallerLimits>,
     ///Sequence number under which the note is published.
     pub note: u64,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub organisations: ::std::option::Option<OrganisationChanges>,
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub routes: ::std::option::Option<RouteChanges>,
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub services: ::std::option::Option<ServiceChanges>,
@@ -417,6 +579,9 @@
     ///Priority of the route's calls under overload; 0 is the highest.
     #[serde(default)]
     pub priority: u8,
+    ///Whether requests need no API key even if there are organisations.
+    #[serde(default)]
+    pub public: bool,
     pub service: Name,
     ///Services that share the calls by weight; used instead of `service`.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
--- a/crates/coordination/src/border/note.rs
+++ b/crates/coordination/src/border/note.rs
@@ -5,8 +5,9 @@
     sync::Arc,
 };
 
-use super::{MAX_PATH_BYTES, convert_name, generated, with_subject};
+use super::{MAX_PATH_BYTES, convert_label, convert_name, generated, with_subject};
 use crate::{
+    caller_limits::CallerLimits,
     error::{Kind, NoteError},
     note::{Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, SplitPart, UpstreamSpec},
     rule::Rule,
@@ -20,6 +21,9 @@
         let services = note.services.unwrap_or_default();
         let routes = note.routes.unwrap_or_default();
         let upstreams = note.upstreams.unwrap_or_default();
+        let organisations = note.organisations.unwrap_or_default();
+        let withdrawn = organisations.withdraw.iter();
+        let withdrawn = withdrawn.map(|name| convert_label(Kind::Organisation, name));
         Ok(Self {
             note: Sequence(note.note),
             summary: note.summary,
@@ -38,6 +42,12 @@
                 change: convert_all(upstreams.change)?,
                 withdraw: convert_names(Kind::Upstream, &upstreams.withdraw)?,
             },
+            organisations: Changes {
+                add: convert_all(organisations.add)?,
+                change: convert_all(organisations.change)?,
+                withdraw: withdrawn.collect::<Result<_, _>>()?,
+            },
+            caller_limits: note.caller_limits.map(CallerLimits::from),
         })
     }
 }
@@ -74,6 +84,7 @@
             attempts: route.attempts.map(NonZeroU32::get),
             target_ms: route.target_ms.map(NonZeroU64::get),
             priority: route.priority,
+            public: route.public,
         })
     }
 }
--- a/crates/coordination/src/config.rs
+++ b/crates/coordination/src/config.rs
@@ -12,10 +12,12 @@
 
 use crate::{
     border,
+    caller_limits::CallerLimits,
     config::changes::apply_changes,
     error::NoteError,
-    name::{RouteName, ServiceName, UpstreamName},
-    note::{ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    name::{OrganisationName, RouteName, ServiceName, UpstreamName},
+    note::{Changes, ReleaseNote, RouteSpec, ServiceSpec, UpstreamSpec},
+    organisation::Organisation,
     sequence::Sequence,
 };
 
@@ -29,7 +31,7 @@
 /// The complete configuration at one sequence number; never modified in place.
 ///
 /// Its serialised form is the platform's `base` value and the snapshot that peers exchange.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "border::Base")]
 pub struct Config {
     /// Sequence of the last folded note.
@@ -40,6 +42,12 @@
     pub routes: BTreeMap<RouteName, Arc<Route>>,
     /// Upstreams by name.
     pub upstreams: BTreeMap<UpstreamName, Arc<Upstream>>,
+    /// Organisations by name; `None` if the deployment has none and requests need no API key.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<BTreeMap<OrganisationName, Arc<Organisation>>>,
+    /// Limits on callers; `None` if the built-in ones apply.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
 }
 
 impl Config {
@@ -54,6 +62,11 @@
         apply_changes(&mut next.services, &note.services)?;
         apply_changes(&mut next.routes, &note.routes)?;
         apply_changes(&mut next.upstreams, &note.upstreams)?;
+        if note.organisations != Changes::default() {
+            let organisations = next.organisations.get_or_insert_default();
+            apply_changes(organisations, &note.organisations)?;
+        }
+        next.caller_limits = note.caller_limits.or(next.caller_limits);
         next.check(note)?;
         Ok(next)
     }
--- a/crates/coordination/src/config/check.rs
+++ b/crates/coordination/src/config/check.rs
@@ -5,8 +5,9 @@
 use super::{Config, Route, Upstream};
 use crate::{
     error::{Kind, NoteError},
-    name::{DomainName, ServiceName, VmName},
+    name::{DomainName, OrganisationName, ServiceName, VmName},
     note::ReleaseNote,
+    organisation::{KeyDigest, QuotaRate},
     rule::Rule,
 };
 
@@ -22,7 +23,8 @@
         }
         self.check_overlap()?;
         self.check_addresses()?;
-        self.check_domains()
+        self.check_domains()?;
+        self.check_organisations()
     }
 
     fn check_route(&self, route: &Route, note: &ReleaseNote) -> Result<(), NoteError> {
@@ -129,6 +131,38 @@
         }
         Ok(())
     }
+
+    /// Checks quotas, and that each API key identifies one organisation.
+    fn check_organisations(&self) -> Result<(), NoteError> {
+        let mut seen: BTreeMap<KeyDigest, &OrganisationName> = BTreeMap::new();
+        for organisation in self.organisations.iter().flat_map(BTreeMap::values) {
+            let name = &organisation.name;
+            if let Some(quota) = organisation.quota {
+                check_quota(name, quota)?;
+            }
+            for digest in &organisation.digests {
+                let other = *seen.entry(*digest).or_insert(name);
+                if other != name {
+                    let reason = format!("organisations {other} and {name} have the same API key");
+                    return Err(NoteError::new(Rule::Unique, reason)
+                        .with_subject(Kind::Organisation, name.as_str())
+                        .with_subject(Kind::Organisation, other.as_str()));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_quota(name: &OrganisationName, quota: QuotaRate) -> Result<(), NoteError> {
+    if !(quota.per_second.is_finite() && quota.per_second > 0.0) {
+        return Err(range_error(Kind::Organisation, name.as_str(), "per_second"));
+    }
+    if quota.burst.is_finite() && quota.burst >= 0.0 {
+        return Ok(());
+    }
+    let reason = format!("organisation {name}: burst must not be negative");
+    Err(NoteError::new(Rule::Range, reason).with_subject(Kind::Organisation, name.as_str()))
 }
 
 fn conflict_error(rule: Rule, reason: String, a: &Upstream, b: &Upstream) -> NoteError {
--- a/crates/coordination/src/dialect.rs
+++ b/crates/coordination/src/dialect.rs
@@ -19,6 +19,11 @@
     /// Service of the VM on which a call entered the mesh. The ingress overwrites any value sent by
     /// the caller.
     pub caller_service: Option<&'static str>,
+    /// API key of the organisation that a request belongs to. It is not forwarded.
+    pub api_key: Option<&'static str>,
+    /// Organisation whose API key a request carried. The ingress overwrites any value sent by the
+    /// caller.
+    pub organisation: Option<&'static str>,
     /// Upstream for which a request is intended; any other upstream rejects it.
     pub target_upstream: Option<&'static str>,
     /// Identifier of the upstream process that answered.
--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -30,6 +30,8 @@
     Route,
     /// An upstream.
     Upstream,
+    /// An organisation.
+    Organisation,
     /// The note itself.
     Note,
 }
@@ -41,6 +43,7 @@
             Self::Service => "service",
             Self::Route => "route",
             Self::Upstream => "upstream",
+            Self::Organisation => "organisation",
             Self::Note => "note",
         }
     }
@@ -51,6 +54,7 @@
             Self::Service => "services",
             Self::Route => "routes",
             Self::Upstream => "upstreams",
+            Self::Organisation => "organisations",
             Self::Note => "note",
         }
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,6 +11,7 @@
 mod border;
 mod budget;
 mod caller_age;
+mod caller_limits;
 mod candidates;
 mod config;
 mod crash;
@@ -65,6 +66,7 @@
     border::parse_yaml,
     budget::{PLATFORM_READS_PER_S, ReadBudget},
     caller_age::CallerAges,
+    caller_limits::CallerLimits,
     candidates::{Candidate, Candidates},
     config::{Config, Route, Service, Upstream},
     crash::CrashDetector,
@@ -91,7 +93,7 @@
         Changes, Method, ReleaseNote, RouteSpec, ServiceSpec, SplitPart, UpstreamSpec,
         UpstreamStart,
     },
-    organisation::{KeyDigest, Organisation, QuotaRate},
+    organisation::{KeyDigest, KeyTable, Organisation, QuotaRate},
     overlay::{Overlay, parent_positions},
     poison::{InFlight, PoisonReport, PoisonTracker, Suspicion, trial_rank},
     quality::Quality,
--- a/crates/coordination/src/named.rs
+++ b/crates/coordination/src/named.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     error::Kind,
-    name::{RouteName, ServiceName, UpstreamName},
+    name::{OrganisationName, RouteName, ServiceName, UpstreamName},
     note::{RouteSpec, ServiceSpec, UpstreamSpec},
+    organisation::Organisation,
 };
 
 /// A resource that release notes add, change and withdraw by name.
@@ -43,3 +44,12 @@
         &self.name
     }
 }
+
+impl Named for Organisation {
+    type Name = OrganisationName;
+    const KIND: Kind = Kind::Organisation;
+
+    fn name(&self) -> &OrganisationName {
+        &self.name
+    }
+}
--- a/crates/coordination/src/note.rs
+++ b/crates/coordination/src/note.rs
@@ -6,8 +6,10 @@
 
 use crate::{
     border,
+    caller_limits::CallerLimits,
     error::NoteError,
-    name::{DomainName, RouteName, ServiceName, UpstreamName, VmName},
+    name::{DomainName, OrganisationName, RouteName, ServiceName, UpstreamName, VmName},
+    organisation::Organisation,
     sequence::Sequence,
 };
 
@@ -26,6 +28,12 @@
     pub routes: Changes<RouteSpec, RouteName>,
     /// Changes of upstreams.
     pub upstreams: Changes<UpstreamSpec, UpstreamName>,
+    /// Changes of organisations.
+    #[serde(skip_serializing_if = "is_default")]
+    pub organisations: Changes<Organisation, OrganisationName>,
+    /// Limits on callers, which replace those in force.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub caller_limits: Option<CallerLimits>,
 }
 
 impl ReleaseNote {
@@ -128,6 +136,9 @@
     /// Priority of the calls under overload; 0 is the highest.
     #[serde(skip_serializing_if = "is_default")]
     pub priority: u8,
+    /// Whether requests need no API key even if the configuration has organisations.
+    #[serde(skip_serializing_if = "is_default")]
+    pub public: bool,
 }
 
 impl RouteSpec {
@@ -151,6 +162,7 @@
             attempts: None,
             target_ms: None,
             priority: 0,
+            public: false,
         }
     }
 
--- a/crates/coordination/src/routing/tests.rs
+++ b/crates/coordination/src/routing/tests.rs
@@ -27,6 +27,7 @@
             attempts: None,
             target_ms: None,
             priority: 0,
+            public: false,
         };
         self.config.routes.insert(name.into(), Arc::new(route));
         self
--- a/crates/coordination/src/statement/tests.rs
+++ b/crates/coordination/src/statement/tests.rs
@@ -9,6 +9,8 @@
     hops: None,
     note: None,
     caller_service: None,
+    api_key: None,
+    organisation: None,
     target_upstream: None,
     process: None,
     answered_by: None,
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -377,6 +377,7 @@
             attempts: None,
             target_ms: None,
             priority: 0,
+            public: false,
         };
         config.routes.insert(name.into(), Arc::new(route));
     }
--- a/crates/node/src/settings/protocol.rs
+++ b/crates/node/src/settings/protocol.rs
@@ -40,6 +40,8 @@
     hops: Some("x-hops"),
     note: Some("x-note"),
     caller_service: None,
+    api_key: Some("authorization"),
+    organisation: Some("x-organisation"),
     target_upstream: None,
     process: Some("x-start"),
     answered_by: None,
--- a/crates/xtask/src/generator.rs
+++ b/crates/xtask/src/generator.rs
@@ -13,6 +13,14 @@
 const FILE_HEADER: &str =
     "// Generated from `schema/` by `cargo run -p xtask -- generate`; do not edit.\n\n";
 
+/// Formats of strings and the types that parse them. An API key becomes its digest, so that no
+/// generated type can show it.
+const FORMATS: [(&str, &str); 3] = [
+    ("socket-address", "::std::net::SocketAddr"),
+    ("key-digest", "crate::organisation::KeyDigest"),
+    ("api-key", "crate::api_key::ApiKey"),
+];
+
 /// Returns the code of the types that the schemas define.
 ///
 /// # Errors
@@ -46,19 +54,18 @@
     let mut settings = TypeSpaceSettings::default();
     settings.with_derive("PartialEq".into());
     settings.with_map_type("crate::border::unique_map::UniqueMap".to_string());
-    settings.with_conversion(
-        socket_address(),
-        "::std::net::SocketAddr",
-        [TypeSpaceImpl::FromStr, TypeSpaceImpl::Display].into_iter(),
-    );
+    for (format, type_name) in FORMATS {
+        let implemented = [TypeSpaceImpl::FromStr, TypeSpaceImpl::Display];
+        settings.with_conversion(string_of(format), type_name, implemented.into_iter());
+    }
     settings
 }
 
-/// Returns the schema of a socket address, which is parsed by the standard library.
-fn socket_address() -> SchemaObject {
+/// Returns the schema of a string with a format.
+fn string_of(format: &str) -> SchemaObject {
     SchemaObject {
         instance_type: Some(InstanceType::String.into()),
-        format: Some("socket-address".into()),
+        format: Some(format.into()),
         ..SchemaObject::default()
     }
 }
