Check API keys at the ingress and tell upstreams the organisation

The configuration holds organisations, but the ingress forwarded every request with its Authorization header and the priority of the route.

If there are organisations, a request on a route that is not public needs a known key. Otherwise it gets 401 (did-not-run) before it counts against its caller's share of calls in flight. The key and a stated organisation are removed from the forwarded headers, the organisation is added for each attempt, its priority takes precedence, and the key is checked again before each attempt. The fingerprint of a request includes the organisation in place of the key. A node without any configuration answers 503 in place of 404.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod channel;
+mod credential;
 mod dispatch;
 mod feedback;
 mod fingerprint;
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -74,7 +74,11 @@
 
 /// Returns the response to a call that no upstream answered.
 pub(super) fn refusal_response(refusal: &Refusal, dialect: &Dialect) -> HttpResponseBuilder {
-    let mut builder = HttpResponse::build(status_code(refusal));
+    let status_code = status_code(refusal);
+    let mut builder = HttpResponse::build(status_code);
+    if status_code == StatusCode::UNAUTHORIZED {
+        builder.insert_header(("www-authenticate", "Bearer"));
+    }
     if dialect.outcome_headers {
         builder.insert_header(("x-outcome", outcome_text(refusal.outcome)));
         builder.insert_header(("x-reason", reason_text(refusal.reason)));
@@ -105,6 +109,7 @@
         (RefusalReason::BadKey | RefusalReason::TooManyHops | RefusalReason::BadCallId, _) => {
             StatusCode::BAD_REQUEST
         }
+        (reason, Outcome::DidNotRun) if reason.is_about_api_key() => StatusCode::UNAUTHORIZED,
         (RefusalReason::InProgress, _) => StatusCode::CONFLICT,
         (_, Outcome::DidNotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (RefusalReason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
@@ -140,5 +145,7 @@
         RefusalReason::BadAnswer => "bad-answer",
         RefusalReason::NoRoute => "no-route",
         RefusalReason::BadCallId => "bad-call-id",
+        RefusalReason::NoApiKey => "no-api-key",
+        RefusalReason::UnknownApiKey => "unknown-api-key",
     }
 }
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -91,7 +91,10 @@
             let destination = match self.destination() {
                 Ok(destination) => destination,
                 Err(refusal) => {
-                    return self.refuse(last_refusal.unwrap_or(refusal), open_call);
+                    let refusal = last_refusal
+                        .filter(|_| !refusal.reason.is_about_api_key())
+                        .unwrap_or(refusal);
+                    return self.refuse(refusal, open_call);
                 }
             };
             open_call.record_attempt(&destination.upstream.name);
@@ -162,6 +165,9 @@
         if self.is_refused_by_stop() {
             return Err(refused_by_stop());
         }
+        let dialect = self.worker.header_rules().dialect;
+        let checked = self.request.check_key(&self.worker.routing(), dialect);
+        checked.map_err(|reason| did_not_run(reason, 0))?;
         match self.request.key {
             Some(_) => self.owner_destination(),
             None => self.balanced_destination(),
@@ -308,10 +314,12 @@
 
     fn call_fields(&self) -> CallFields<'_> {
         let request = &self.request;
+        let organisation = request.organisation.as_ref();
         CallFields {
             call: &request.call_id,
             route: &request.route.name,
             service: &request.service,
+            organisation: organisation.map(|organisation| &organisation.name),
             attempts: self.attempts.made(),
             arrived: request.arrived,
             age: self.age,
@@ -381,10 +389,10 @@
             stage,
             method: request.method.clone(),
             target: request.target.clone(),
-            headers: request.headers.clone(),
+            headers: request.attempt_headers(self.worker.header_rules().dialect),
             length: request.length,
             left_ms,
-            priority: request.route.priority,
+            priority: request.priority(),
             target_ms: request.route.target_ms.map(saturating_u32),
             waited_ms: saturating_u32(waited.as_millis()),
             hops: request.hops,
--- a/crates/node/src/ingress/fingerprint.rs
+++ b/crates/node/src/ingress/fingerprint.rs
@@ -26,6 +26,9 @@
     if let Some(key) = &request.key {
         hash_field(&mut hash, key.as_str().as_bytes());
     }
+    if let Some(organisation) = &request.organisation {
+        hash_field(&mut hash, organisation.name.as_str().as_bytes());
+    }
     let headers = request.headers.iter();
     for (name, value) in headers.filter(|(name, _)| CALLER_HEADERS.contains(&name.as_str())) {
         hash_field(&mut hash, name.as_bytes());
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -10,7 +10,7 @@
     },
     web,
 };
-use wagtaillever_coordination::{Dialect, Route};
+use wagtaillever_coordination::{Dialect, Route, Sequence};
 
 use crate::{
     ingress::{
@@ -96,11 +96,12 @@
     if !worker.routing().view.phase.can_accept_calls() || worker.is_quarantined() {
         return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
     }
-    let permit = Permit::acquire(worker, caller_name(request))
-        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
+    let routing = worker.routing();
+    if routing.routes.sequence() == Sequence::ZERO {
+        return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
+    }
     let choose_service = |route: &Route| worker.choose_service(route);
-    let routes = Rc::clone(&worker.routing().routes);
-    let call = CallerRequest::parse(request, &routes, rules, choose_service, arrived);
+    let call = CallerRequest::parse(request, &routing, rules, choose_service, arrived);
     let call = call.map_err(|err| match err {
         RequestError::NoRoute => {
             record_rejection(RefusalReason::NoRoute);
@@ -108,6 +109,8 @@
         }
         RequestError::Invalid(reason) => reject(reason, 0),
     })?;
+    let permit = Permit::acquire(worker, caller_name(request))
+        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
     Ok((call, permit))
 }
 
--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -7,7 +7,7 @@
 
 use log::info;
 use wagtaillever_coordination::{
-    AttemptFailure, HealthChange, RouteName, ServiceName, UpstreamName,
+    AttemptFailure, HealthChange, OrganisationName, RouteName, ServiceName, UpstreamName,
 };
 
 use crate::{
@@ -39,6 +39,8 @@
     pub(super) route: &'a RouteName,
     /// Service to which the call is routed.
     pub(super) service: &'a ServiceName,
+    /// Organisation of the caller, if the call needs an API key.
+    pub(super) organisation: Option<&'a OrganisationName>,
     /// Attempts made so far.
     pub(super) attempts: u32,
     /// Time at which the request arrived.
@@ -49,6 +51,13 @@
     pub(super) list: u64,
 }
 
+impl CallFields<'_> {
+    /// Returns the name of the organisation as a log value.
+    fn organisation(&self) -> Option<&str> {
+        self.organisation.map(OrganisationName::as_str)
+    }
+}
+
 impl Recorder {
     pub(super) fn new(timeline: Timeline) -> Self {
         Self {
@@ -74,7 +83,7 @@
         if let Some(left_out) = self.take_line() {
             info!(
                 call = fields.call, route:% = fields.route, service:% = service,
-                upstream:% = upstream, status, attempts = fields.attempts,
+                organisation = fields.organisation(), upstream:% = upstream, status, attempts = fields.attempts,
                 took_ms = millis(took), age_ms = millis(fields.age), list = fields.list, left_out;
                 "call answered"
             );
@@ -96,7 +105,7 @@
             info!(
                 call = fields.call, upstream:% = upstream, attempt = fields.attempts, reason,
                 outcome = outcome_text(refusal.outcome), is_arrived = failure.may_have_arrived(),
-                broken_by = broken_by.map(BreakCause::as_str),
+                organisation = fields.organisation(), broken_by = broken_by.map(BreakCause::as_str),
                 list = fields.list, left_out;
                 "attempt failed"
             );
@@ -120,7 +129,8 @@
         metrics::counter!("refusals_total", "reason" => reason).increment(1);
         if let Some(left_out) = self.take_line() {
             info!(
-                call, route:% = fields.route, service:% = service, reason, outcome,
+                call, route:% = fields.route, service:% = service,
+                organisation = fields.organisation(), reason, outcome,
                 after_ms = refusal.after_ms, attempts = fields.attempts,
                 took_ms = millis(fields.arrived.elapsed()), age_ms = millis(fields.age),
                 list = fields.list, left_out;
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -9,10 +9,12 @@
 use actix_web::{HttpRequest, http::header::HeaderMap};
 use uuid::Uuid;
 use wagtaillever_coordination::{
-    Dialect, IdempotencyKey, Method, RequestKind, Route, RouteTable, Sequence, ServiceName,
+    Dialect, IdempotencyKey, Method, Organisation, RequestKind, Route, RouteTable, Sequence,
+    ServiceName,
 };
 
 use crate::{
+    ingress::{credential::Credential, routing::RoutingView},
     mutant::{self, Mutant},
     wire::RefusalReason,
 };
@@ -55,6 +57,11 @@
     pub(super) target: String,
     /// Headers that are forwarded.
     pub(super) headers: Vec<(String, Vec<u8>)>,
+    /// Organisation whose API key the request carries; `None` if the request needs no key.
+    pub(super) organisation: Option<Arc<Organisation>>,
+    credential: Credential,
+    /// Configuration by which the key was checked.
+    checked: Sequence,
     /// Length of the body in bytes, if it is known.
     pub(super) length: Option<u64>,
     /// Time at which the request arrived.
@@ -80,7 +87,7 @@
     /// Returns an error if no route matches or the request is invalid.
     pub(super) fn parse(
         request: &HttpRequest,
-        routes: &RouteTable,
+        routing: &RoutingView,
         header_rules: HeaderRules<'_>,
         choose_service: impl FnOnce(&Route) -> ServiceName,
         arrived: Instant,
@@ -89,7 +96,13 @@
         let dialect = header_rules.dialect;
         let target = request.uri().path_and_query().map_or("/", |t| t.as_str());
         let host = header_text(headers, "host").unwrap_or_default();
+        let routes = &routing.routes;
         let route = find_route(routes, host, request.method().as_str(), target)?;
+        let mut credential = Credential::default();
+        let mut forwarded = forwarded_headers(headers, header_rules);
+        let organisation = credential
+            .check(&mut forwarded, &routing.keys, route.public, dialect)
+            .map_err(RequestError::Invalid)?;
         let hops = hops(headers, dialect)?;
         let idempotent = is_idempotent(&route, request.method().as_str());
         let key = if idempotent {
@@ -104,7 +117,10 @@
             sequence: routes.sequence(),
             method: request.method().to_string(),
             target: target.to_string(),
-            headers: forwarded_headers(headers, header_rules),
+            headers: forwarded,
+            organisation,
+            credential,
+            checked: routes.sequence(),
             length: length(headers),
             arrived,
             caller_timeout: caller_timeout(headers, dialect),
@@ -137,6 +153,45 @@
         true
     }
 
+    /// Checks the API key again by a newer configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason to refuse the request if its key is not known any more.
+    pub(super) fn check_key(
+        &mut self,
+        routing: &RoutingView,
+        dialect: &Dialect,
+    ) -> Result<(), RefusalReason> {
+        let sequence = routing.routes.sequence();
+        if self.checked == sequence {
+            return Ok(());
+        }
+        let route = find_route(&routing.routes, &self.host, &self.method, &self.target);
+        let is_public = route.map_or(self.route.public, |route| route.public);
+        let keys = &routing.keys;
+        let credential = &mut self.credential;
+        self.organisation = credential.check(&mut self.headers, keys, is_public, dialect)?;
+        self.checked = sequence;
+        Ok(())
+    }
+
+    /// Returns the headers of an attempt, with the organisation.
+    pub(super) fn attempt_headers(&self, dialect: &Dialect) -> Vec<(String, Vec<u8>)> {
+        let mut headers = self.headers.clone();
+        if let (Some(header), Some(organisation)) = (dialect.organisation, &self.organisation) {
+            headers.push((header.into(), organisation.name.as_str().into()));
+        }
+        headers
+    }
+
+    /// Returns the priority of the request; 0 is the highest.
+    pub(super) fn priority(&self) -> u8 {
+        let organisation = self.organisation.as_ref();
+        let priority = organisation.and_then(|organisation| organisation.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     /// Returns the kind of the request, which decides how it may be resent.
     pub(super) fn kind(&self) -> RequestKind {
         match (self.idempotent, &self.key) {
@@ -157,7 +212,7 @@
 pub(super) enum RequestError {
     /// No route matches the request.
     NoRoute,
-    /// The request has a malformed header or too many hops.
+    /// The request has a malformed header, too many hops or no known API key.
     Invalid(RefusalReason),
 }
 
--- a/crates/node/src/ingress/routing.rs
+++ b/crates/node/src/ingress/routing.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, sync::Arc};
 
 use wagtaillever_coordination::{
-    Candidates, DrainList, RouteTable, VmEntry, VmList, VmName, VmState,
+    Candidates, DrainList, KeyTable, RouteTable, VmEntry, VmList, VmName, VmState,
 };
 
 use crate::{
@@ -20,6 +20,8 @@
 pub(super) struct RoutingView {
     pub(super) view: Arc<View>,
     pub(super) routes: Rc<RouteTable>,
+    /// Organisations by API key.
+    pub(super) keys: Rc<KeyTable>,
     /// Upstreams that may get new calls.
     pub(super) candidates: Candidates,
     /// Sidecars to which connections are kept open.
@@ -27,8 +29,8 @@
 }
 
 impl RoutingView {
-    /// Derives the tables from a view for the node with these settings. Reuses the route table of
-    /// `previous` if the configuration is the same.
+    /// Derives the tables from a view for the node with these settings. Reuses the tables of
+    /// the configuration in `previous` if the configuration is the same.
     pub(super) fn new(view: Arc<View>, settings: &Settings, previous: Option<&Self>) -> Self {
         let candidates = candidates(&view).ordered_for(&settings.vm, &settings.domain);
         check_candidates(&candidates, &view);
@@ -36,11 +38,14 @@
             previous.filter(|previous| Arc::ptr_eq(&previous.view.config, &view.config));
         let routes = unchanged.map(|previous| Rc::clone(&previous.routes));
         let routes = routes.unwrap_or_else(|| Rc::new(RouteTable::new(&view.config)));
+        let keys = unchanged.map(|previous| Rc::clone(&previous.keys));
+        let keys = keys.unwrap_or_else(|| Rc::new(KeyTable::new(&view.config)));
         let preconnected = candidates.neighbours(&settings.domain, MAX_PRECONNECTED);
         let preconnected = Rc::new(preconnected);
         Self {
             view,
             routes,
+            keys,
             candidates,
             preconnected,
         }
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -1,6 +1,7 @@
 mod bodies;
 mod fake;
 mod lifecycle;
+mod organisations;
 mod outcomes;
 mod rejections;
 mod silence;
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -343,12 +343,12 @@
     }
 }
 
-fn free_address() -> SocketAddr {
+pub(super) fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
 
-fn settings(peers: SocketAddr, max_calls: usize) -> Arc<Settings> {
+pub(super) fn settings(peers: SocketAddr, max_calls: usize) -> Arc<Settings> {
     let bytes = max_calls << 16;
     let text = format!(
         "{{vm: v, domain: a, region: r, address: 127.0.0.1, callers: '127.0.0.1:0', \
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -33,7 +33,7 @@
     pub(crate) length: Option<u64>,
     /// Time left until the deadline, in milliseconds.
     pub(crate) left_ms: u64,
-    /// Priority of the route; 0 is the highest.
+    /// Priority of the organisation or else of the route; 0 is the highest.
     pub(crate) priority: u8,
     /// Target latency of the route in milliseconds, if the route states one.
     pub(crate) target_ms: Option<u32>,
@@ -149,6 +149,17 @@
     NoRoute,
     /// The ID that the caller gave is too long or not printable ASCII.
     BadCallId,
+    /// The request needs an API key and has none.
+    NoApiKey,
+    /// No organisation holds the API key of the request.
+    UnknownApiKey,
+}
+
+impl RefusalReason {
+    /// Returns whether a request is refused for want of a known API key.
+    pub(crate) fn is_about_api_key(self) -> bool {
+        matches!(self, Self::NoApiKey | Self::UnknownApiKey)
+    }
 }
 
 /// Load of a sidecar, a hint for the selection of upstreams.
