--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -14,7 +14,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
 use crate::{caller::Connection, store::TestStore, upstream::TestUpstream};
@@ -165,6 +165,11 @@
 
     /// Writes a configuration with a route to each service.
     pub(crate) fn put_config(&self, version: u64) {
+        self.put_config_with(version, |_| {});
+    }
+
+    /// Does the same with changes to the configuration.
+    pub(crate) fn put_config_with(&self, version: u64, change: impl FnOnce(&mut Value)) {
         let services = ["orders", "other", SINGLE_SERVICE, LATE_SERVICE, RAW_SERVICE];
         let routes = services.map(|name| {
             json!({
@@ -175,7 +180,7 @@
         });
         let services = services
             .map(|name| json!({"name": name, "health_check": "/health", "max_connections": 120}));
-        let config = json!({
+        let mut config = json!({
             "version": version,
             "routes": routes,
             "services": services,
@@ -183,11 +188,12 @@
                        "header_timeout_s": 3, "idle_timeout_s": 15},
             "base_version": 0,
         });
+        change(&mut config);
         self.store.put("op/config", config.to_string().as_bytes());
     }
 
     /// Returns the registration of the upstream of a VM.
-    pub(crate) fn entry(&self, vm: &Vm) -> serde_json::Value {
+    pub(crate) fn entry(&self, vm: &Vm) -> Value {
         let slots = if vm.service == SINGLE_SERVICE { 1 } else { 64 };
         json!({
             "service": vm.service, "address": vm.upstream_address(), "zone": "ragusa",
--- a/crates/node/tests/deployed/main.rs
+++ b/crates/node/tests/deployed/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod cut_answers;
 mod fleet;
+mod keys;
 mod late_bodies;
 mod late_connections;
 mod odd_entries;
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -17,6 +20,23 @@
     /// Name under which the upstream registers.
     pub(crate) name: String,
     started: Arc<Mutex<Vec<String>>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    is_refusing: Arc<AtomicBool>,
+}
+
+/// Request as it arrived.
+#[derive(Clone)]
+pub(crate) struct Seen {
+    id: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Seen {
+    /// Returns the values of a header.
+    pub(crate) fn values(&self, name: &str) -> Vec<&str> {
+        let same = self.headers.iter().filter(|(other, _)| other == name);
+        same.map(|(_, value)| value.as_str()).collect()
+    }
 }
 
 impl TestUpstream {
@@ -24,6 +44,8 @@
         Self {
             name,
             started: Arc::default(),
+            seen: Arc::default(),
+            is_refusing: Arc::default(),
         }
     }
 
@@ -40,6 +62,17 @@
         actix_rt::spawn(server.run());
     }
 
+    /// Refuses requests from now on without running them.
+    pub(crate) fn refuse_requests(&self) {
+        self.is_refusing.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the requests with an ID as they arrived.
+    pub(crate) fn seen(&self, id: &str) -> Vec<Seen> {
+        let seen = self.seen.lock().unwrap();
+        seen.iter().filter(|it| it.id == id).cloned().collect()
+    }
+
     /// Returns the number of requests that have begun to run.
     pub(crate) fn runs(&self) -> usize {
         self.started.lock().unwrap().len()
@@ -68,6 +101,20 @@
     if header("target-instance").is_some_and(|target| target != upstream.name) {
         return HttpResponse::MisdirectedRequest().finish();
     }
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes());
+        (name.to_string(), value.into_owned())
+    });
+    upstream.seen.lock().unwrap().push(Seen {
+        id: id.clone(),
+        headers: headers.collect(),
+    });
+    if upstream.is_refusing.load(Ordering::SeqCst) {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header(("not-executed", "1"))
+            .finish();
+    }
     upstream.started.lock().unwrap().push(id.clone());
     let work = request.path().rsplit("/w").next();
     let work = work.and_then(|text| text.parse().ok()).unwrap_or(0);
