Name the route of requests refused for their key, and show organisations in note diff

The line of a request without a known key did not tell its route, which an operator needs to see whether it should be public. The difference of notes left organisations and caller limits out.

Measured: 49 tests of the ingress, 3 process tests of keys and 15 of the command pass.

--- a/crates/cli/src/command/note/diff.rs
+++ b/crates/cli/src/command/note/diff.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde_json::Value;
 use snafu::ResultExt;
-use wagtaillever_coordination::{Config, Sequence};
+use wagtaillever_coordination::{CallerLimits, Config, Sequence};
 
 use super::input;
 use crate::{
@@ -35,6 +35,8 @@
     services: Changes,
     routes: Changes,
     upstreams: Changes,
+    organisations: Changes,
+    limits: Changes,
 }
 
 #[derive(Default, Serialize)]
@@ -60,6 +62,11 @@
             services: compare(&old.services, &new.services)?,
             routes: compare(&old.routes, &new.routes)?,
             upstreams: compare(&old.upstreams, &new.upstreams)?,
+            organisations: compare(
+                &old.organisations.clone().unwrap_or_default(),
+                &new.organisations.clone().unwrap_or_default(),
+            )?,
+            limits: compare(&limits(&old), &limits(&new))?,
         };
         output::print(json, &difference, render)?;
         Ok(Exit::Success)
@@ -77,6 +84,15 @@
     old.apply_text(sequence, &text).context(NoteSnafu { path })
 }
 
+/// Returns the limits on callers under the name that the difference shows.
+fn limits(config: &Config) -> BTreeMap<&'static str, Arc<CallerLimits>> {
+    let limits = config.caller_limits.map(Arc::new);
+    limits
+        .map(|limits| ("callers", limits))
+        .into_iter()
+        .collect()
+}
+
 fn compare<N, T>(old: &BTreeMap<N, Arc<T>>, new: &BTreeMap<N, Arc<T>>) -> Result<Changes, CliError>
 where
     N: Ord + ToString,
@@ -109,6 +125,8 @@
         ("service", &difference.services),
         ("route", &difference.routes),
         ("upstream", &difference.upstreams),
+        ("organisation", &difference.organisations),
+        ("limits", &difference.limits),
     ];
     let heading = format!("from note {} to note {}\n", difference.from, difference.to);
     let lines = kinds
--- a/crates/cli/tests/command/notes.rs
+++ b/crates/cli/tests/command/notes.rs
@@ -200,3 +200,24 @@
         .exits_with(1)
         .prints_error(&format!("failed to read {out}/base/1.json:"));
 }
+
+/// Guards against a review of a note that hides who gets or loses access.
+#[actix_web::test]
+async fn the_difference_names_organisations_and_limits() {
+    let directory = TempDir::new().unwrap();
+    let base = r#"{"sequence": 1, "services": {}, "routes": {}, "upstreams": {},
+        "organisations": {"acme": {"name": "acme", "digests": []}}}"#;
+    let base = write_file(&directory, "base.json", base);
+    let note = write_file(
+        &directory,
+        "2.yaml",
+        "note: 2\norganisations:\n  add: [{name: bolt, digests: [], priority: 1}]\n  withdraw: [acme]\n\
+         caller_limits: {header_bytes: 1, body_bytes: 2, header_timeout_ms: 3, idle_timeout_ms: 4}\n",
+    );
+    run(["note", "diff", &base, &note])
+        .await
+        .exits_with(0)
+        .prints("+ organisation bolt")
+        .prints("- organisation acme")
+        .prints("+ limits callers");
+}
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -10,7 +10,7 @@
     },
     web,
 };
-use wagtaillever_coordination::{Dialect, Route, Sequence};
+use wagtaillever_coordination::{Dialect, Route, RouteName, Sequence};
 
 use crate::{
     ingress::{
@@ -83,14 +83,14 @@
     }
     let rules = worker.header_rules();
     let dialect = rules.dialect;
-    let record_rejection = |reason: RefusalReason| {
+    let record_rejection = |reason: RefusalReason, route: Option<&RouteName>| {
         let call = request.headers().get(dialect.call_id);
         let call = call.and_then(|call| call.to_str().ok()).unwrap_or_default();
         let reason = answer::reason_text(reason);
-        worker.recorder.record_rejection(call, reason);
+        worker.recorder.record_rejection(call, reason, route);
     };
     let reject = |reason: RefusalReason, after_ms: u64| {
-        record_rejection(reason);
+        record_rejection(reason, None);
         rejection(dialect, reason, after_ms)
     };
     if !worker.routing().view.phase.can_accept_calls() || worker.is_quarantined() {
@@ -104,9 +104,13 @@
     let call = CallerRequest::parse(request, &routing, rules, choose_service, arrived);
     let call = call.map_err(|err| match err {
         RequestError::NoRoute => {
-            record_rejection(RefusalReason::NoRoute);
+            record_rejection(RefusalReason::NoRoute, None);
             answer::no_route()
         }
+        RequestError::Unauthorized(reason, route) => {
+            record_rejection(reason, Some(&route));
+            rejection(dialect, reason, 0)
+        }
         RequestError::Invalid(reason) => reject(reason, 0),
     })?;
     let permit = Permit::acquire(worker, caller_name(request))
--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -112,11 +112,17 @@
         }
     }
 
-    /// Records that a request was rejected before its first attempt.
-    pub(super) fn record_rejection(&self, call: &str, reason: &'static str) {
+    /// Records that a request was rejected before its first attempt, with its route if that was found.
+    pub(super) fn record_rejection(
+        &self,
+        call: &str,
+        reason: &'static str,
+        route: Option<&RouteName>,
+    ) {
         metrics::counter!("requests_turned_away_total", "reason" => reason).increment(1);
         if let Some(left_out) = self.take_line() {
-            info!(call, reason, left_out; "request rejected");
+            let route = route.map(RouteName::as_str);
+            info!(call, route, reason, left_out; "request rejected");
         }
     }
 
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -9,8 +9,8 @@
 use actix_web::{HttpRequest, http::header::HeaderMap};
 use uuid::Uuid;
 use wagtaillever_coordination::{
-    Dialect, IdempotencyKey, Method, Organisation, RequestKind, Route, RouteTable, Sequence,
-    ServiceName,
+    Dialect, IdempotencyKey, Method, Organisation, RequestKind, Route, RouteName, RouteTable,
+    Sequence, ServiceName,
 };
 
 use crate::{
@@ -102,7 +102,7 @@
         let mut forwarded = forwarded_headers(headers, header_rules);
         let organisation = credential
             .check(&mut forwarded, &routing.keys, route.public, dialect)
-            .map_err(RequestError::Invalid)?;
+            .map_err(|reason| RequestError::Unauthorized(reason, route.name.clone()))?;
         let hops = hops(headers, dialect)?;
         let idempotent = is_idempotent(&route, request.method().as_str());
         let key = if idempotent {
@@ -208,11 +208,13 @@
 }
 
 /// Reason for rejecting a request before its first attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum RequestError {
     /// No route matches the request.
     NoRoute,
-    /// The request has a malformed header, too many hops or no known API key.
+    /// The request has no known API key, which its route needs.
+    Unauthorized(RefusalReason, RouteName),
+    /// The request has a malformed header or too many hops.
     Invalid(RefusalReason),
 }
 
@@ -335,12 +337,12 @@
     let Some(key) = keys.next() else {
         return Ok(None);
     };
-    let bad_key = RequestError::Invalid(RefusalReason::BadKey);
+    let bad_key = || RequestError::Invalid(RefusalReason::BadKey);
     if keys.next().is_some() {
-        return Err(bad_key);
+        return Err(bad_key());
     }
-    let key = key.to_str().map_err(|_| bad_key)?;
-    let key = IdempotencyKey::parse(key).map_err(|_| bad_key)?;
+    let key = key.to_str().map_err(|_| bad_key())?;
+    let key = IdempotencyKey::parse(key).map_err(|_| bad_key())?;
     Ok(Some(key))
 }
 
--- a/crates/node/tests/deployed/keys.rs
+++ b/crates/node/tests/deployed/keys.rs
@@ -106,7 +106,11 @@
         assert_eq!(fleet.count_log_lines(key), 0, "{key} is in a log");
     }
     assert!(fleet.log(0).contains("organisation=Acme:1"));
-    assert!(fleet.log(0).contains("reason=unknown-api-key"));
+    assert!(
+        fleet
+            .log(0)
+            .contains("route=r-orders reason=unknown-api-key")
+    );
 }
 
 /// Guards against a key that stays valid on a connection on which it was checked before, also when the
