--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -10,7 +10,7 @@
     },
     web,
 };
-use wagtaillever_coordination::{Dialect, Route};
+use wagtaillever_coordination::{Dialect, Route, RouteName, Sequence};
 
 use crate::{
     ingress::{
@@ -83,31 +83,38 @@
     }
     let rules = worker.header_rules();
     let dialect = rules.dialect;
-    let record_rejection = |reason: RefusalReason| {
+    let record_rejection = |reason: RefusalReason, route: Option<&RouteName>| {
         let call = request.headers().get(dialect.call_id);
         let call = call.and_then(|call| call.to_str().ok()).unwrap_or_default();
         let reason = answer::reason_text(reason);
-        worker.recorder.record_rejection(call, reason);
+        worker.recorder.record_rejection(call, reason, route);
     };
     let reject = |reason: RefusalReason, after_ms: u64| {
-        record_rejection(reason);
+        record_rejection(reason, None);
         rejection(dialect, reason, after_ms)
     };
     if !worker.routing().view.phase.can_accept_calls() || worker.is_quarantined() {
         return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
     }
-    let permit = Permit::acquire(worker, caller_name(request))
-        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
+    let routing = worker.routing();
+    if routing.routes.sequence() == Sequence::ZERO {
+        return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
+    }
     let choose_service = |route: &Route| worker.choose_service(route);
-    let routes = Rc::clone(&worker.routing().routes);
-    let call = CallerRequest::parse(request, &routes, rules, choose_service, arrived);
+    let call = CallerRequest::parse(request, &routing, rules, choose_service, arrived);
     let call = call.map_err(|err| match err {
         RequestError::NoRoute => {
-            record_rejection(RefusalReason::NoRoute);
+            record_rejection(RefusalReason::NoRoute, None);
             answer::no_route()
         }
+        RequestError::Unauthorized(reason, route) => {
+            record_rejection(reason, Some(&route));
+            rejection(dialect, reason, 0)
+        }
         RequestError::Invalid(reason) => reject(reason, 0),
     })?;
+    let permit = Permit::acquire(worker, caller_name(request))
+        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
     Ok((call, permit))
 }
 
