--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -1,5 +1,6 @@
 //! Load balancing: selects the upstream for each call.
 
+mod scored;
 mod tracked;
 
 #[cfg(test)]
@@ -14,7 +15,10 @@
 use rand::Rng;
 
 pub use self::tracked::ReportedLoad;
-use self::tracked::TrackedUpstream;
+use self::{
+    scored::{Scored, best_of_two, score},
+    tracked::TrackedUpstream,
+};
 use crate::{
     candidates::{Candidate, Candidates, MAX_REMOTE_CHOICES},
     health::{Evidence, HealthChange, HealthStatus},
@@ -22,18 +26,9 @@
     name::{DomainName, UpstreamName},
 };
 
-/// Load, as a share of the concurrency limit, at which calls spill over to other failure domains
-/// while the response time of the upstream is unknown.
-const SPILLOVER_LOAD: f64 = 0.7;
-/// Share of the target latency within which an upstream of the local failure domain is preferred
-/// whatever the others offer: traffic between failure domains is expensive, and latency varies.
-const IN_TIME_SHARE: f64 = 0.6;
 /// Factor by which the best local upstream may be slower than the best remote one and still be
 /// preferred, when it is not expected to answer in time.
 const LOCAL_ADVANTAGE: f64 = 1.3;
-/// Relative increase in response time of an upstream at its limit, approximating the wait for a
-/// slot and the contention with other requests.
-const FULL_LOAD_SLOWDOWN: f64 = 2.0;
 /// Time after the end of an ejection from which non-idempotent calls may also probe the upstream.
 const ANY_CALL_PROBE_DELAY: Duration = Duration::from_secs(1);
 /// Retry delay returned to a caller when no ejection determines it.
@@ -375,67 +370,8 @@
     }
 }
 
-/// Reported cost of an answer that takes exactly the target latency.
-const COST_UNIT: f64 = 1000.0;
 /// Shortest retry delay returned to a caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
-/// Factor applied to the score of an upstream whose last calls failed.
-const SUSPECT_FACTOR: f64 = 1.5;
-
-#[derive(Clone, Copy, Debug)]
-struct Scored<'a> {
-    candidate: &'a Candidate,
-    weight: f64,
-    /// Requests in use as a share of the concurrency limit.
-    load: f64,
-    /// Estimated response time relative to that of the fastest upstream without load; lower is
-    /// better.
-    score: f64,
-    /// Estimated response time relative to the target latency, if known.
-    expected: Option<f64>,
-}
-
-impl Scored<'_> {
-    /// Returns whether the upstream is expected to answer well within the target latency, judged by
-    /// its load while its response time is unknown.
-    fn is_in_time(&self) -> bool {
-        match self.expected {
-            Some(expected) => expected <= IN_TIME_SHARE,
-            None => self.load < SPILLOVER_LOAD,
-        }
-    }
-}
-
-/// Returns the concurrency limit assumed before the first report.
-///
-/// An upstream listed by the platform gets all of its slots, because its sidecar knows whether it
-/// is cold. Any other upstream may have just started and gets a single slot.
-fn initial_limit(candidate: &Candidate) -> u32 {
-    let upstream = &candidate.upstream;
-    upstream.start.map_or(1, |_| upstream.slots.max(1))
-}
-
-fn score<'a>(
-    candidate: &'a Candidate,
-    tracked: &TrackedUpstream,
-    lowest: f64,
-    now: Instant,
-) -> Scored<'a> {
-    let is_suspect = tracked.health.status(now) == HealthStatus::Suspect;
-    let cost = tracked.cost(lowest, now);
-    let limit = f64::from(tracked.limit().unwrap_or_else(|| initial_limit(candidate)));
-    let load = tracked.in_use(now) / limit;
-    let suspect_factor = if is_suspect { SUSPECT_FACTOR } else { 1.0 };
-    let slowdown = suspect_factor * (1.0 + FULL_LOAD_SLOWDOWN * load * load);
-    let is_known = tracked.reported_cost().is_some();
-    Scored {
-        candidate,
-        weight: limit / cost,
-        load,
-        score: cost * slowdown,
-        expected: is_known.then(|| lowest * cost * slowdown / COST_UNIT),
-    }
-}
 
 #[derive(Default)]
 struct Selectable<'a> {
@@ -443,33 +379,3 @@
     probe: Option<Scored<'a>>,
     retry_after: Duration,
 }
-
-/// Draws two candidates at random by weight and returns the one with the lower score.
-fn best_of_two<'a>(candidates: &[&Scored<'a>], rng: &mut impl Rng) -> Option<Scored<'a>> {
-    let first = draw(candidates, None, rng)?;
-    let second = draw(candidates, Some(first), rng).unwrap_or(first);
-    let (first, second) = (candidates[first], candidates[second]);
-    Some(if second.score < first.score {
-        *second
-    } else {
-        *first
-    })
-}
-
-fn draw(candidates: &[&Scored<'_>], excluded: Option<usize>, rng: &mut impl Rng) -> Option<usize> {
-    let weights = || {
-        let all = candidates.iter().enumerate();
-        all.filter(move |(i, _)| Some(*i) != excluded)
-    };
-    let total: f64 = weights().map(|(_, scored)| scored.weight).sum();
-    let mut left = rng.random::<f64>() * total;
-    let mut drawn = None;
-    for (i, scored) in weights() {
-        drawn = Some(i);
-        left -= scored.weight;
-        if left <= 0.0 {
-            break;
-        }
-    }
-    drawn
-}
