Decide per service which share of the calls leaves the failure domain

The present rule decides each call alone, from two upstreams on either side, and doesn't know what the domains as a whole bear. With the new setting policies.spillover (off by default) the node keeps one share per service and destination, moved in damped steps by expected response times, reported loads, round trips and the required gain of a crossing. Off, the present rule is unchanged.

--- a/crates/coordination/src/balancer.rs
+++ b/crates/coordination/src/balancer.rs
@@ -1,6 +1,7 @@
 //! Load balancing: selects the upstream for each call.
 
 mod scored;
+mod spill;
 mod tracked;
 
 #[cfg(test)]
@@ -24,6 +25,7 @@
     health::{Evidence, HealthChange, HealthStatus},
     leaving::LeavingUpstreams,
     name::{DomainName, UpstreamName},
+    spillover::{Spillover, SpilloverSettings},
 };
 
 /// Factor by which the best local upstream may be slower than the best remote one and still be
@@ -41,6 +43,9 @@
     pub balance: bool,
     /// Excludes failing upstreams.
     pub ejection: bool,
+    /// Decides per service which share of the calls leaves the failure domain; if absent, each call
+    /// is decided alone.
+    pub spillover: Option<SpilloverSettings>,
 }
 
 /// Constraints of a call on the selection.
@@ -91,6 +96,7 @@
     upstreams: HashMap<UpstreamName, TrackedUpstream>,
     next_id: u64,
     cursor: usize,
+    spillover: Option<Spillover>,
 }
 
 impl Balancer {
@@ -103,6 +109,7 @@
             upstreams: HashMap::new(),
             next_id: 0,
             cursor: 0,
+            spillover: policy.spillover.map(Spillover::new),
         }
     }
 
@@ -123,7 +130,9 @@
         if let Some(probe) = selectable.probe {
             return Ok(self.assign(probe, true, now));
         }
-        let chosen = if self.policy.balance {
+        let chosen = if self.policy.balance && self.spillover.is_some() {
+            self.choose_by_share(&selectable, constraints, now, rng)
+        } else if self.policy.balance {
             self.choose_by_load(&selectable.usable, rng)
         } else {
             self.choose_round_robin(&selectable.usable)
@@ -200,6 +209,7 @@
 
     /// Removes upstreams that are no longer candidates and have no outstanding calls.
     pub fn retain(&mut self, candidates: &Candidates) {
+        self.retain_shares(candidates);
         let mut known = HashSet::new();
         known.extend(candidates.iter().map(|c| c.upstream.name.clone()));
         self.upstreams
@@ -211,6 +221,9 @@
         for tracked in self.upstreams.values_mut() {
             tracked.clear_load();
         }
+        if let Some(spillover) = &mut self.spillover {
+            spillover.clear();
+        }
     }
 
     fn assign<'a>(
@@ -285,6 +298,9 @@
                 HealthStatus::Healthy | HealthStatus::Suspect
                     if is_unreachable || tracked.is_backed_off(constraints.target_ms, now) =>
                 {
+                    if !is_unreachable {
+                        selectable.paused.push(scored);
+                    }
                     backed_off.push(scored);
                 }
                 HealthStatus::Healthy | HealthStatus::Suspect => {
@@ -310,6 +326,7 @@
         }
         if selectable.usable.is_empty() {
             selectable.usable = backed_off;
+            selectable.paused.clear();
         }
         let earliest = ejected.iter().map(|(remaining, ..)| *remaining).min();
         selectable.retry_after = earliest.unwrap_or(DEFAULT_RETRY_AFTER).max(MIN_RETRY_AFTER);
@@ -376,6 +393,8 @@
 #[derive(Default)]
 struct Selectable<'a> {
     usable: Vec<Scored<'a>>,
+    /// Upstreams that get no calls until the end of a backoff, while there are usable ones.
+    paused: Vec<Scored<'a>>,
     probe: Option<Scored<'a>>,
     retry_after: Duration,
 }
--- a/crates/coordination/src/balancer/scored.rs
+++ b/crates/coordination/src/balancer/scored.rs
@@ -43,6 +43,11 @@
             None => self.load < SPILLOVER_LOAD,
         }
     }
+
+    /// Returns whether all of the concurrency limit is in use.
+    pub(super) fn is_full(&self) -> bool {
+        self.load >= 1.0
+    }
 }
 
 /// Returns the concurrency limit assumed before the first report.
@@ -77,7 +82,10 @@
 }
 
 /// Draws two candidates at random by weight and returns the one with the lower score.
-pub(super) fn best_of_two<'a>(candidates: &[&Scored<'a>], rng: &mut impl Rng) -> Option<Scored<'a>> {
+pub(super) fn best_of_two<'a>(
+    candidates: &[&Scored<'a>],
+    rng: &mut impl Rng,
+) -> Option<Scored<'a>> {
     let first = draw(candidates, None, rng)?;
     let second = draw(candidates, Some(first), rng).unwrap_or(first);
     let (first, second) = (candidates[first], candidates[second]);
--- a/crates/coordination/src/balancer/tests.rs
+++ b/crates/coordination/src/balancer/tests.rs
@@ -18,6 +18,7 @@
 const ALL_ENABLED: BalancerPolicy = BalancerPolicy {
     balance: true,
     ejection: true,
+    spillover: None,
 };
 
 impl Fixture {
@@ -223,6 +224,7 @@
     let policy = BalancerPolicy {
         balance: false,
         ejection: false,
+        spillover: None,
     };
     let mut fixture = Fixture::new(&[("a1", "a"), ("b1", "b")], policy, 1);
     fixture.fail("a1", Evidence::Failed);
--- a/crates/coordination/src/balancer/tracked.rs
+++ b/crates/coordination/src/balancer/tracked.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::health::Health;
+use crate::{health::Health, spillover::UpstreamReport};
 
 /// Time constant of the exponential decay of a reported load.
 const LOAD_DECAY: Duration = Duration::from_millis(300);
@@ -105,6 +105,19 @@
         self.limit
     }
 
+    /// Returns the last report without any assumption about what changed since, except for the calls
+    /// of this ingress; `None` if no report stated a cost.
+    pub(crate) fn report(&self, is_backed_off: bool, now: Instant) -> Option<UpstreamReport> {
+        let (other_calls, at) = self.other_calls?;
+        Some(UpstreamReport {
+            in_use: f64::from(other_calls) + f64::from(self.outstanding),
+            limit: f64::from(self.limit?),
+            cost: self.reported_cost()?,
+            age: now.saturating_duration_since(at),
+            is_backed_off,
+        })
+    }
+
     /// Returns the estimated number of requests that run or wait on the upstream.
     pub(crate) fn in_use(&self, now: Instant) -> f64 {
         let other_calls = self.other_calls.map_or(0.0, |(other_calls, at)| {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -46,6 +46,7 @@
 mod sequence;
 mod share;
 mod soft_report;
+mod spillover;
 mod split;
 mod stall;
 mod statement;
@@ -113,6 +114,7 @@
     sequence::Sequence,
     share::CallShares,
     soft_report::SoftReport,
+    spillover::{ShareChange, SpilloverSettings},
     split::Splitter,
     stall::{MIN_STALL, StallDetector},
     statement::{RequestRate, StatedLimit, Statement},
--- a/crates/node/src/ingress/channel.rs
+++ b/crates/node/src/ingress/channel.rs
@@ -1,9 +1,10 @@
 //! Connection to a sidecar, checked by a ping when it is opened.
 
 use std::{
+    cell::Cell,
     net::{IpAddr, SocketAddr},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use h2::{Ping, PingPong};
@@ -23,6 +24,7 @@
     connection: Connection,
     suspected: CancellationToken,
     call_started: Rc<Notify>,
+    round_trip: Cell<Duration>,
 }
 
 impl Channel {
@@ -38,13 +40,16 @@
     ) -> Result<(Self, PingPong), TransportError> {
         let connection = connect_with_window(local, address, CALL_WINDOW_BYTES).await?;
         let mut ping = connection.take_ping().ok_or(TransportError::Ended)?;
+        let sent_at = Instant::now();
         let pong = timeout(FIRST_PONG_TIMEOUT, ping.ping(Ping::opaque())).await;
         pong.map_err(|_| TransportError::Ended)??;
+        let round_trip = sent_at.elapsed();
         let suspected = CancellationToken::new();
         let channel = Self {
             connection,
             suspected,
             call_started: Rc::default(),
+            round_trip: Cell::new(round_trip),
         };
         Ok((channel, ping))
     }
@@ -53,6 +58,16 @@
         &self.connection
     }
 
+    /// Records how long a ping took.
+    pub(super) fn record_round_trip(&self, round_trip: Duration) {
+        self.round_trip.set(self.round_trip.get().min(round_trip));
+    }
+
+    /// Returns the shortest time that a ping took. Longer ones are mostly those of a busy machine.
+    pub(super) fn round_trip(&self) -> Duration {
+        self.round_trip.get()
+    }
+
     /// Signals that a call starts, so that pings follow at the shorter interval.
     pub(super) fn notify_call_start(&self) {
         self.call_started.notify_one();
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -23,7 +23,7 @@
         fingerprint::fingerprint,
         guards::{CallGuard, Permit},
         open_calls::OpenCall,
-        record::CallFields,
+        record::{self, CallFields},
         refusal::{
             NO_UPSTREAM_RETRY_MS, bad_answer, did_not_run, no_upstream, refused_by_stop,
             with_earliest_retry,
@@ -211,8 +211,15 @@
         let mut rng = self.worker.rng.borrow_mut();
         let chosen = balancer.choose(candidates, constraints, now, &mut *rng);
         let (candidate, ticket) = chosen.map_err(no_upstream)?;
+        let recorder = &self.worker.recorder;
+        for change in balancer.take_share_changes() {
+            recorder.record_share_change(&change, routing.view.vms.number);
+        }
+        let settings = &self.worker.shared.settings;
+        let is_leaving_domain = candidate.upstream.domain != settings.domain;
+        record::count_direction(&self.request.service, is_leaving_domain);
         if ticket.is_probe() {
-            self.worker.recorder.record_probe(&candidate.upstream.name);
+            recorder.record_probe(&candidate.upstream.name);
         }
         Ok(Destination {
             upstream: Arc::clone(&candidate.upstream),
@@ -266,6 +273,9 @@
         if let Some(load) = feedback.load {
             balancer.record_load(ticket, load, now);
         }
+        if let Some(round_trip) = self.worker.pool.round_trip(destination.address) {
+            balancer.record_round_trip(&destination.upstream.domain, round_trip);
+        }
         if let Some(backoff) = feedback.backoff {
             let target_ms = self.request.route.target_ms;
             balancer.back_off(ticket, target_ms, now + backoff, now);
--- a/crates/node/src/ingress/keepalive.rs
+++ b/crates/node/src/ingress/keepalive.rs
@@ -77,7 +77,10 @@
         if !is_open(&channel) {
             return;
         }
+        let sent_at = Instant::now();
         if is_responsive(&mut ping, &alarm).await {
+            let round_trip = sent_at.elapsed();
+            with_channel(&channel, |channel| channel.record_round_trip(round_trip));
             continue;
         }
         info!("sidecar at {address} does not answer pings; sending it no new calls");
--- a/crates/node/src/ingress/pool.rs
+++ b/crates/node/src/ingress/pool.rs
@@ -93,6 +93,15 @@
         unreachable.map(|entry| entry.address).collect()
     }
 
+    /// Returns the round trip to a sidecar, as measured by pings; `None` without a connection.
+    pub(super) fn round_trip(&self, address: SocketAddr) -> Option<Duration> {
+        let entries = self.entries.borrow();
+        match &*entries.get(&address)?.state.borrow() {
+            State::Ready(channel) => Some(channel.round_trip()),
+            _ => None,
+        }
+    }
+
     /// Starts opening the connection to an address if there is none.
     pub(super) fn preconnect(&self, address: SocketAddr) {
         let entry = self.entry(address);
--- a/crates/node/src/ingress/record.rs
+++ b/crates/node/src/ingress/record.rs
@@ -7,7 +7,7 @@
 
 use log::info;
 use wagtaillever_coordination::{
-    AttemptFailure, HealthChange, RouteName, ServiceName, UpstreamName,
+    AttemptFailure, DomainName, HealthChange, RouteName, ServiceName, ShareChange, UpstreamName,
 };
 
 use crate::{
@@ -174,6 +174,23 @@
         }
     }
 
+    /// Records that the share of a service that leaves the failure domain changed noticeably. `list` is
+    /// the number of the VM list in force.
+    pub(super) fn record_share_change(&self, change: &ShareChange, list: u64) {
+        let service = &change.service;
+        metrics::gauge!("spillover_share", "service" => service.to_string()).set(change.share);
+        metrics::counter!("spillover_share_changes_total").increment(1);
+        if let Some(left_out) = self.take_line() {
+            info!(
+                service:% = service, share = change.share,
+                domain = change.domain.as_ref().map(DomainName::as_str),
+                own_expected = change.own_expected, other_expected = change.other_expected,
+                other_age_ms = change.other_age.map(millis), list, left_out;
+                "share of calls to other failure domains changed"
+            );
+        }
+    }
+
     /// Takes a line from the budget and returns how many lines were left out before it; `None` if
     /// this line must be left out.
     fn take_line(&self) -> Option<u64> {
@@ -192,6 +209,16 @@
     }
 }
 
+/// Counts an attempt by whether its upstream is in the failure domain of the node.
+pub(super) fn count_direction(service: &ServiceName, is_leaving_domain: bool) {
+    let direction = if is_leaving_domain { "leaves" } else { "stays" };
+    metrics::counter!(
+        "attempts_by_direction_total",
+        "service" => service.to_string(), "direction" => direction
+    )
+    .increment(1);
+}
+
 fn count_call(service: &ServiceName, outcome: &'static str, attempts: u32) {
     let service = service.to_string();
     metrics::counter!("calls_total", "service" => service.clone(), "outcome" => outcome)
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
     Balancer, BalancerPolicy, CallShares, CallerAges, LeavingUpstreams, RetryBudget, RetryRates,
-    Route, Sequence, ServiceName, Splitter,
+    Route, Sequence, ServiceName, SpilloverSettings, Splitter,
 };
 
 use crate::{
@@ -90,6 +90,9 @@
         let policy = BalancerPolicy {
             balance: settings.policies.balance,
             ejection: settings.policies.ejection,
+            spillover: settings.policies.spillover.then_some(SpilloverSettings {
+                crossing_gain: settings.limits.crossing_gain,
+            }),
         };
         let max_calls = settings.limits.body_bytes / BYTES_PER_CALL;
         let routing = RoutingView::new(shared.view.load(), settings, None);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -72,7 +72,7 @@
     /// Limits of the node.
     #[serde(default)]
     pub limits: Limits,
-    /// Policies, all enabled by default, that experiments can disable.
+    /// Policies, all but `spillover` enabled by default, that experiments can change.
     #[serde(default)]
     pub policies: Policies,
     /// Injected faults to enable.
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -130,7 +130,9 @@
             .is_none_or(|rate| rate.is_finite() && rate > 0.0);
         ensure(is_positive_rate, "limits.link_mbps", above_zero)?;
         let is_valid_factor = limits.cold_overage.is_finite() && limits.cold_overage >= 1.0;
-        ensure(is_valid_factor, "limits.cold_overage", "must be 1 or more")
+        ensure(is_valid_factor, "limits.cold_overage", "must be 1 or more")?;
+        let is_valid_gain = limits.crossing_gain.is_finite() && limits.crossing_gain > 0.0;
+        ensure(is_valid_gain, "limits.crossing_gain", above_zero)
     }
 }
 
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use wagtaillever_coordination::ApplyTiming;
+use wagtaillever_coordination::{ApplyTiming, SpilloverSettings};
 
 /// Limits of a node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -30,6 +30,9 @@
     /// Factor by which the request rate of a cold upstream may exceed the rate that its service
     /// states, if its operators allow it; 1 by default.
     pub cold_overage: f64,
+    /// Gain in expected response time, relative to the target latency, that a call to another failure
+    /// domain must bring, if the policy `spillover` is enabled; 0.25 by default.
+    pub crossing_gain: f64,
 }
 
 /// Largest share of the grace period that the notice takes.
@@ -106,6 +109,7 @@
             skew_ms: 2_000,
             link_mbps: None,
             cold_overage: 1.0,
+            crossing_gain: SpilloverSettings::default().crossing_gain,
         }
     }
 }
--- a/crates/node/src/settings/policies.rs
+++ b/crates/node/src/settings/policies.rs
@@ -29,6 +29,9 @@
     pub stall: bool,
     /// Requests that crash upstreams are refused.
     pub poison: bool,
+    /// Calls leave the failure domain by a share per service; if disabled, each call is decided
+    /// alone. Disabled by default.
+    pub spillover: bool,
 }
 
 impl Default for Policies {
@@ -45,6 +48,7 @@
             ejection: true,
             stall: true,
             poison: true,
+            spillover: false,
         }
     }
 }
