--- a/crates/coordination/src/spillover/tests.rs
+++ b/crates/coordination/src/spillover/tests.rs
@@ -13,8 +13,8 @@
     Balancer, BalancerPolicy, Candidate, Constraints, Evidence, LeavingUpstreams, ReportedLoad,
 };
 
-/// Difference of shares of calls that one seed can show by chance: five standard errors of a share of
-/// 0.99 over the 10,000 calls of a run.
+/// Difference of shares of calls that one seed can show by chance: some five standard errors of a
+/// share of 0.99 over the 8,000 calls of the pattern with the fewest clients.
 const CHANCE: f64 = 0.005;
 
 /// Runs all rules and checks that the share answers no fewer calls in time than any other rule, and
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -67,6 +67,8 @@
     assert_eq!(settings.limits.grace_s, 30.0);
     assert_eq!(settings.log, "info,actix_server=warn");
     assert!(settings.policies.relay);
+    assert!(!settings.policies.spillover);
+    assert_eq!(settings.limits.crossing_gain, 0.25);
     assert!(settings.token.is_none());
 }
 
@@ -272,6 +274,13 @@
     }
 }
 
+/// Guards against a price of zero, at which every call may cross.
+#[test]
+fn crossing_gain_must_be_above_zero() {
+    let text = format!("{VALID}limits:\n  crossing_gain: 0\n");
+    Case { text }.assert_refused("10", "limits.crossing_gain: must be above 0");
+}
+
 #[test]
 fn cold_overage_must_not_lower_the_stated_rate() {
     let text = format!("{VALID}limits:\n  cold_overage: 0.9\n");
