--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use wagtaillever_coordination::ApplyTiming;
+use wagtaillever_coordination::{ApplyTiming, SpilloverSettings};
 
 /// Limits of a node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -33,6 +33,9 @@
     /// Requests in addition to that rate that a cold upstream may get in one second. If there are
     /// any, its requests are spread evenly over time; 0 by default.
     pub cold_slack: u32,
+    /// Gain in expected response time, relative to the target latency, that a call to another failure
+    /// domain must bring, if the policy `spillover` is enabled; 0.25 by default.
+    pub crossing_gain: f64,
 }
 
 /// Largest share of the grace period that the notice takes.
@@ -121,6 +124,7 @@
             link_mbps: None,
             cold_overage: 1.0,
             cold_slack: 0,
+            crossing_gain: SpilloverSettings::default().crossing_gain,
         }
     }
 }
