--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -11,6 +11,7 @@
 mod rank;
 mod rates;
 mod request;
+mod reserve;
 mod sample;
 mod slowdown;
 mod start_log;
@@ -30,6 +31,7 @@
         ramp::Ramp,
         rank::RankedQueue,
         rates::RateLimits,
+        reserve::Reservation,
         slowdown::SlowdownDetector,
         stats::RankStats,
     },
@@ -67,6 +69,7 @@
     start_count: u64,
     shed_history: u8,
     contact: Contact,
+    reservation: Reservation,
 }
 
 /// Limits and switches of admission control.
@@ -122,6 +125,7 @@
             start_count: 0,
             shed_history: 0,
             contact: Contact::default(),
+            reservation: Reservation::default(),
         };
         admission.record_restart(now);
         admission
@@ -139,14 +143,20 @@
         if request.alone {
             return self.submit_alone(request, now);
         }
+        let time = self.estimated_duration(request.rank);
+        request.rank.is_late |= request.target.is_some_and(|target| now + time > target);
+        self.reservation.record(request.rank, now);
         let is_next = self.queue.is_empty() && self.has_link_capacity(request.rank);
-        if is_next && self.has_capacity(now) && !self.alone_queue.blocks_others(now) {
+        let is_free = self.has_capacity(request.rank, now);
+        if is_next && is_free && !self.alone_queue.blocks_others(now) {
             self.start(now);
             return AdmissionDecision::Start;
         }
-        let time = self.estimated_duration(request.rank);
-        request.rank.is_late |= request.target.is_some_and(|target| now + time > target);
         let wait = self.estimated_wait(request.rank, now);
+        if request.rank.is_late && self.rates.spacing(now).is_some() {
+            let wait = wait.max(self.rates.cold().time_left(now));
+            return AdmissionDecision::Refuse(rejection(RejectionCause::QueueFull, wait));
+        }
         if now + wait + time > request.deadline {
             return AdmissionDecision::Refuse(rejection(RejectionCause::DeadlineExceeded, wait));
         }
@@ -210,13 +220,16 @@
         if let Some(decision) = self.next_alone(now) {
             return Some(decision);
         }
-        if !self.has_capacity(now) || self.alone_queue.blocks_others(now) {
+        if self.alone_queue.blocks_others(now) {
             return None;
         }
         let rank = self
             .queue
             .ranks()
             .find(|rank| self.has_link_capacity(*rank))?;
+        if !self.has_capacity(rank, now) {
+            return None;
+        }
         let (ticket, request) = self.queue.pop_rank(rank)?;
         if now + self.estimated_duration(request.rank) > request.deadline {
             return Some(QueueDecision::Refuse(
@@ -332,7 +345,9 @@
     /// if nothing is queued or no rate holds it back.
     #[must_use]
     pub fn next_start_in(&self, now: Instant) -> Option<Duration> {
-        let wait = self.rates.queue_wait(0, now);
+        let best = self.queue.ranks().next();
+        let reserve = best.map_or(0, |rank| self.reserve(rank, now));
+        let wait = self.rates.queue_wait(0, reserve, now);
         (self.queued() > 0 && !wait.is_zero()).then_some(wait)
     }
 
@@ -456,7 +471,7 @@
     }
 
     fn submit_alone(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionDecision {
-        if self.active == 0 && self.alone_queue.len() == 0 && self.rates.can_start(now) {
+        if self.active == 0 && self.alone_queue.len() == 0 && self.rates.can_start(0, now) {
             self.start(now);
             self.alone_queue.start(now);
             return AdmissionDecision::Start;
@@ -471,9 +486,8 @@
     }
 
     fn next_alone(&mut self, now: Instant) -> Option<QueueDecision> {
-        let is_free =
-            self.active == 0 || self.has_capacity(now) && self.alone_queue.is_overdue(now);
-        if self.alone_queue.is_running() || !is_free || !self.rates.can_start(now) {
+        let is_free = self.active == 0 || self.has_slot(now) && self.alone_queue.is_overdue(now);
+        if self.alone_queue.is_running() || !is_free || !self.rates.can_start(0, now) {
             return None;
         }
         let (ticket, request) = self.alone_queue.pop(now)?;
@@ -491,12 +505,26 @@
         Some(QueueDecision::Start(ticket))
     }
 
-    fn has_capacity(&self, now: Instant) -> bool {
+    /// Returns whether a request of a rank may start: a slot is free, and the limits on the rate allow
+    /// it without using up what is reserved for better ranks.
+    fn has_capacity(&self, rank: Rank, now: Instant) -> bool {
+        self.has_slot(now) && self.rates.can_start(self.reserve(rank, now), now)
+    }
+
+    fn has_slot(&self, now: Instant) -> bool {
         let limit = match self.contact.is_limited(now) {
             true => 1,
             false => self.limit(),
         };
-        self.active < limit && self.rates.can_start(now)
+        self.active < limit
+    }
+
+    /// Returns how many starts of the burst a request of a rank leaves to others.
+    fn reserve(&self, rank: Rank, now: Instant) -> u32 {
+        let spacing = self.rates.spacing(now);
+        spacing.map_or(0, |spacing| {
+            self.reservation.reserve(rank, spacing.burst(), now)
+        })
     }
 
     fn count_start(&mut self, now: Instant) {
@@ -537,7 +565,9 @@
         let link = self
             .link_backlog
             .start_delay(stats, rank.target(), ahead_bytes);
-        wait.max(self.rates.queue_wait(ahead, now)).max(link)
+        let reserve = self.reserve(rank, now);
+        wait.max(self.rates.queue_wait(ahead, reserve, now))
+            .max(link)
     }
 
     /// Returns the estimated time from the start of a request of a rank until its response is sent.
--- a/crates/coordination/src/admission/cold.rs
+++ b/crates/coordination/src/admission/cold.rs
@@ -1,6 +1,6 @@
 //! Rate limit of a cold upstream whose service configures a cold rate.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::admission::{pace::Spacing, start_log::Allowance};
 
@@ -33,6 +33,12 @@
         self.cold_until = Some(cold_until);
     }
 
+    /// Returns the time until the upstream is warm.
+    pub(super) fn time_left(&self, now: Instant) -> Duration {
+        let cold_until = self.cold_until.unwrap_or(now);
+        cold_until.saturating_duration_since(now)
+    }
+
     /// Returns whether the upstream is cold.
     pub(super) fn is_cold(&self, now: Instant) -> bool {
         self.per_second.is_some() && self.cold_until.is_some_and(|cold_until| now < cold_until)
--- a/crates/coordination/src/admission/pace.rs
+++ b/crates/coordination/src/admission/pace.rs
@@ -22,6 +22,19 @@
         }
     }
 
+    /// Returns the burst.
+    pub(super) fn burst(self) -> u32 {
+        self.burst
+    }
+
+    /// Returns the spacing for requests that must leave `reserve` starts of the burst to others.
+    pub(super) fn with_reserve(self, reserve: u32) -> Self {
+        Self {
+            burst: self.burst.saturating_sub(reserve).max(1),
+            ..self
+        }
+    }
+
     fn tolerance(self) -> Duration {
         self.interval * (self.burst - 1)
     }
--- a/crates/coordination/src/admission/rates.rs
+++ b/crates/coordination/src/admission/rates.rs
@@ -88,17 +88,19 @@
         }
     }
 
-    /// Returns whether one more request may start.
-    pub(super) fn can_start(&self, now: Instant) -> bool {
-        self.queue_wait(0, now).is_zero()
+    /// Returns whether one more request may start that leaves `reserve` starts of the burst to others.
+    pub(super) fn can_start(&self, reserve: u32, now: Instant) -> bool {
+        self.queue_wait(0, reserve, now).is_zero()
     }
 
-    /// Returns how long a request waits behind `ahead` queued requests.
-    pub(super) fn queue_wait(&self, ahead: usize, now: Instant) -> Duration {
+    /// Returns how long a request waits behind `ahead` queued requests, if it leaves `reserve` starts
+    /// of the burst to others.
+    pub(super) fn queue_wait(&self, ahead: usize, reserve: u32, now: Instant) -> Duration {
         let waits = self
             .allowances(now)
             .map(|it| it.queue_wait(ahead, &self.starts, now));
         let spacing = self.spacing(now);
+        let spacing = spacing.map(|it| it.with_reserve(reserve));
         let paced = spacing.map(|it| self.pace.next_start_in(it, ahead, now));
         waits.chain(paced).max().unwrap_or_default()
     }
@@ -108,7 +110,8 @@
         self.allowances(now).map(|it| it.concurrency(latency)).min()
     }
 
-    fn spacing(&self, now: Instant) -> Option<Spacing> {
+    /// Returns how starts are spread at present; `None` if they are not.
+    pub(super) fn spacing(&self, now: Instant) -> Option<Spacing> {
         self.cold.cold_spacing().filter(|_| self.cold.is_cold(now))
     }
 
--- a/crates/coordination/src/admission/tests/cold.rs
+++ b/crates/coordination/src/admission/tests/cold.rs
@@ -191,3 +191,107 @@
     let starts = (0..SLOTS).filter(|_| fixture.submit(1, ms(100)) == AdmissionDecision::Start);
     assert_eq!(starts.count(), SLOTS as usize);
 }
+
+/// Requests that came at a cold upstream at fixed intervals, and how many of them started.
+struct Stream {
+    interval: Duration,
+    target: Duration,
+    waited: Duration,
+    priority: u8,
+    next: Instant,
+    started: usize,
+}
+
+impl Stream {
+    fn new(interval: u64, waited: u64, priority: u8, now: Instant) -> Self {
+        Self {
+            interval: ms(interval),
+            target: ms(500),
+            waited: ms(waited),
+            priority,
+            next: now,
+            started: 0,
+        }
+    }
+}
+
+/// Submits the requests of all streams for a time and returns how many of each started.
+fn started(streams: &mut [Stream], fixture: &mut Fixture, time: Duration) -> Vec<usize> {
+    let end = fixture.now + time;
+    let mut tickets = std::collections::BTreeMap::new();
+    while fixture.now < end {
+        for (index, stream) in streams.iter_mut().enumerate() {
+            if stream.next > fixture.now {
+                continue;
+            }
+            stream.next += stream.interval;
+            let request = AdmissionRequest {
+                caller: 1,
+                deadline: fixture.now + ms(2_000),
+                target: Some(fixture.now + stream.target - stream.waited),
+                expires_at: None,
+                rank: Rank {
+                    priority: stream.priority,
+                    target_ms: 500,
+                    ..Rank::default()
+                },
+                alone: false,
+            };
+            match fixture.admission.submit(request, fixture.now) {
+                AdmissionDecision::Start => {
+                    stream.started += 1;
+                    fixture.admission.release(ms(20), false, request.rank);
+                }
+                AdmissionDecision::Wait(ticket) => {
+                    tickets.insert(ticket, index);
+                }
+                AdmissionDecision::Refuse(_) => {}
+            }
+        }
+        while let Some(decision) = fixture.admission.next_decision(fixture.now) {
+            if let QueueDecision::Start(ticket) = decision {
+                streams[tickets[&ticket]].started += 1;
+                fixture.admission.release(ms(20), false, Rank::default());
+            }
+        }
+        fixture.now += ms(1);
+    }
+    streams.iter().map(|stream| stream.started).collect()
+}
+
+/// Load pattern: after all VMs have lost power, resends of requests that are already late come
+/// together with new ones that can still be answered in time, above the cold rate of 28 a second.
+#[test]
+fn late_resends_take_no_cold_starts_from_requests_in_time() {
+    let mut fixture = Fixture::new(paced());
+    fixture.admission.set_cold_for(ms(10_000), fixture.now);
+    let now = fixture.now;
+    let mut streams = [Stream::new(10, 600, 0, now), Stream::new(40, 0, 2, now)];
+    let counts = started(&mut streams, &mut fixture, ms(4_000));
+    // 100 requests in time came; late ones get what is left of 112 starts.
+    assert!(counts[1] >= 95, "in time: {}", counts[1]);
+    assert!(counts[0] + counts[1] <= 4 * PACED_RATE as usize + PACED_BURST as usize);
+}
+
+/// Failure: cold capacity that nobody else needs must still serve late requests.
+#[test]
+fn late_requests_use_cold_starts_that_nobody_else_needs() {
+    let mut fixture = Fixture::new(paced());
+    fixture.admission.set_cold_for(ms(10_000), fixture.now);
+    let mut streams = [Stream::new(10, 600, 0, fixture.now)];
+    let counts = started(&mut streams, &mut fixture, ms(4_000));
+    assert!(counts[0] >= 3 * PACED_RATE as usize, "{counts:?}");
+}
+
+/// Load pattern: urgent requests need most of the cold rate, and others of lower priority come four
+/// times as often.
+#[test]
+fn urgent_requests_find_a_cold_start_reserved() {
+    let mut fixture = Fixture::new(paced());
+    fixture.admission.set_cold_for(ms(10_000), fixture.now);
+    let now = fixture.now;
+    let mut streams = [Stream::new(10, 0, 1, now), Stream::new(40, 0, 0, now)];
+    let counts = started(&mut streams, &mut fixture, ms(4_000));
+    assert!(counts[1] >= 95, "urgent: {}", counts[1]);
+    assert!(counts[0] > 0, "others get what is left");
+}
