Count requests at a cold upstream as late only when their target time has passed

A cold upstream is slow for all requests, so that new ones and internal calls (target 150 ms) counted as late from the start and were refused while a third of the cold rate went unused; each refused internal call failed a request that already ran.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -144,7 +144,7 @@
             return self.submit_alone(request, now);
         }
         let time = self.estimated_duration(request.rank);
-        request.rank.is_late |= request.target.is_some_and(|target| now + time > target);
+        request.rank.is_late |= self.is_late(&request, time, now);
         self.reservation.record(request.rank, now);
         let is_next = self.queue.is_empty() && self.has_link_capacity(request.rank);
         let is_free = self.has_capacity(request.rank, now);
@@ -167,6 +167,17 @@
         AdmissionDecision::Wait(self.queue.push(request))
     }
 
+    /// Returns whether a request counts as late: it will miss its target time or, while starts are
+    /// spread evenly, has missed it already. A cold upstream is slow for all requests, and those that
+    /// came just now may be calls whose callers are served in time by a later answer.
+    fn is_late(&self, request: &AdmissionRequest, time: Duration, now: Instant) -> bool {
+        let time = match self.rates.spacing(now) {
+            Some(_) => Duration::ZERO,
+            None => time,
+        };
+        request.target.is_some_and(|target| now + time > target)
+    }
+
     /// Returns whether one more request may be queued.
     ///
     /// A request with a target time may be queued as long as it can still meet that time; the
@@ -188,7 +199,9 @@
         {
             Some(target) => {
                 let slack = target.saturating_duration_since(now);
-                wait <= slack.saturating_sub(time).mul_f64(MAX_SLACK_SHARE)
+                let max_wait = slack.saturating_sub(time).mul_f64(MAX_SLACK_SHARE);
+                let is_paced = self.rates.spacing(now).is_some();
+                wait <= max_wait || is_paced && wait <= TARGET_QUEUE_TIME
             }
             None if has_samples && request.target.is_some() => wait <= TARGET_QUEUE_TIME,
             None => self.queue.len() < self.queue_bound() || self.queue.make_room(request),
