Serve callers' HTTP/1.1 connections in a loop of the node's own

Change: ingress/connection reads and writes with the codec of actix-http. One task serves a connection and polls all of its calls. The order of requests is decided in connection/pipeline.rs, without network or clock. Handler, dispatch and answers use the types of actix-http. Existing tests are unchanged.

--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod channel;
+mod connection;
 mod dispatch;
 mod feedback;
 mod fingerprint;
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -1,16 +1,17 @@
 //! HTTP responses to callers.
 
-use actix_web::{
-    HttpResponse, HttpResponseBuilder,
-    http::{
-        StatusCode,
-        header::{HeaderName, HeaderValue},
-    },
+use actix_http::{
+    Response, ResponseBuilder, StatusCode,
+    body::BoxBody,
+    header::{HeaderName, HeaderValue},
 };
 use wagtaillever_coordination::{Dialect, RetryAfterFormat, Sequence, UpstreamName};
 
 use crate::wire::{Outcome, Refusal, RefusalReason};
 
+/// Response to a caller.
+pub(super) type CallerResponse = Response<BoxBody>;
+
 /// Headers of an upstream's answer that are not forwarded: hop-by-hop headers and those that the
 /// node sets itself.
 const RESERVED_HEADERS: [&str; 13] = [
@@ -37,9 +38,9 @@
     upstream: &UpstreamName,
     note: Sequence,
     dialect: &Dialect,
-) -> Option<HttpResponseBuilder> {
+) -> Option<ResponseBuilder> {
     let status_code = StatusCode::from_u16(status_code).ok()?;
-    let mut builder = HttpResponse::build(status_code);
+    let mut builder = Response::build(status_code);
     for (name, value) in headers {
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
         let value = HeaderValue::from_bytes(value).ok()?;
@@ -55,9 +56,19 @@
     Some(builder)
 }
 
+/// Returns the response with a body, or one that states an error if the head is invalid.
+pub(super) fn with_body(builder: &mut ResponseBuilder, body: BoxBody) -> CallerResponse {
+    builder.message_body(body).unwrap_or_else(Response::from)
+}
+
+/// Returns the response without a body.
+pub(super) fn without_body(builder: &mut ResponseBuilder) -> CallerResponse {
+    builder.finish().map_into_boxed_body()
+}
+
 /// Returns the response to a request that matches no route.
-pub(super) fn no_route() -> HttpResponseBuilder {
-    let mut builder = HttpResponse::build(StatusCode::NOT_FOUND);
+pub(super) fn no_route() -> ResponseBuilder {
+    let mut builder = Response::build(StatusCode::NOT_FOUND);
     builder.insert_header(("x-outcome", outcome_text(Outcome::DidNotRun)));
     builder.insert_header(("x-reason", "no-route"));
     builder
@@ -65,16 +76,16 @@
 
 /// Returns the response to a request in an HTTP version before 1.1, in which a truncated body
 /// can't be told from a complete one.
-pub(super) fn unsupported_version() -> HttpResponseBuilder {
-    let mut builder = HttpResponse::build(StatusCode::HTTP_VERSION_NOT_SUPPORTED);
+pub(super) fn unsupported_version() -> ResponseBuilder {
+    let mut builder = Response::build(StatusCode::HTTP_VERSION_NOT_SUPPORTED);
     builder.insert_header(("x-outcome", outcome_text(Outcome::DidNotRun)));
     builder.insert_header(("x-reason", "http-version"));
     builder
 }
 
 /// Returns the response to a call that no upstream answered.
-pub(super) fn refusal_response(refusal: &Refusal, dialect: &Dialect) -> HttpResponseBuilder {
-    let mut builder = HttpResponse::build(status_code(refusal));
+pub(super) fn refusal_response(refusal: &Refusal, dialect: &Dialect) -> ResponseBuilder {
+    let mut builder = Response::build(status_code(refusal));
     if dialect.outcome_headers {
         builder.insert_header(("x-outcome", outcome_text(refusal.outcome)));
         builder.insert_header(("x-reason", reason_text(refusal.reason)));
@@ -96,7 +107,7 @@
 }
 
 /// Adds the call ID, under which the timeline lists the call.
-pub(super) fn add_call_id(builder: &mut HttpResponseBuilder, call_id: &str, dialect: &Dialect) {
+pub(super) fn add_call_id(builder: &mut ResponseBuilder, call_id: &str, dialect: &Dialect) {
     builder.insert_header((dialect.call_id, call_id));
 }
 
--- a/crates/node/src/ingress/body.rs
+++ b/crates/node/src/ingress/body.rs
@@ -10,12 +10,11 @@
     time::Duration,
 };
 
-use actix_web::web::Payload;
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
 use tokio::time::timeout;
 
-use crate::transport::FrameWriter;
+use crate::{ingress::connection::Payload, transport::FrameWriter};
 
 /// Size of the largest body that is buffered for another attempt.
 const MAX_BUFFERED_BYTES: u64 = 64 << 10;
@@ -28,8 +27,8 @@
 
 /// Reads the body of a request that is rejected, for [`DISCARD_TIME`] at most.
 ///
-/// If the body is incomplete when the answer is sent, the HTTP library keeps reading the connection for up to
-/// a second and discards the data, including further requests.
+/// If the body is incomplete when the answer is sent, the connection closes, as the start of the next request
+/// is unknown. What arrives within a second after the answer is discarded.
 pub(super) async fn discard(mut payload: Payload) {
     let read_all = async { while let Some(Ok(_)) = payload.next().await {} };
     let _ = timeout(DISCARD_TIME, read_all).await;
--- /dev/null
+++ b/crates/node/src/ingress/connection/closing.rs
@@ -0,0 +1,54 @@
+//! The end of a connection.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::ingress::connection::{close_cause::CloseCause, output::Output};
+
+/// Time for which data of the caller is discarded after the last response.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Bytes that are discarded at most, so that the body of a refused request is not read at length.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// Bytes that are discarded at once.
+const DISCARD_BUFFER_BYTES: usize = 4 << 10;
+
+/// A connection without requests that is being closed.
+///
+/// Closing a socket whose received data was not read resets the connection, and the reset can destroy the
+/// last response before the caller has read it. So the node ends its own direction first and discards what
+/// the caller still sends.
+pub(super) struct Closing {
+    stream: TcpStream,
+    cause: CloseCause,
+}
+
+impl Closing {
+    pub(super) fn new(stream: TcpStream, cause: CloseCause) -> Self {
+        Self { stream, cause }
+    }
+
+    /// Closes the connection. The output is empty, or its caller takes no more of it.
+    pub(super) async fn finish(mut self, output: Output) {
+        drop(output);
+        if !self.cause.is_after_response() || self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let _ = timeout(DISCARD_TIME, self.discard()).await;
+    }
+
+    async fn discard(&mut self) {
+        let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES {
+            match self.stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => discarded += count,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/ingress/connection/open.rs
@@ -0,0 +1,251 @@
+//! A connection that serves requests.
+
+mod input;
+mod response;
+
+use std::{
+    collections::VecDeque,
+    future::Future,
+    mem,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use actix_http::{Response, ServiceConfig, StatusCode};
+use tokio::{io::Interest, net::TcpStream, time::Instant};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+
+use self::input::BodyInput;
+use crate::{
+    ingress::{
+        connection::{
+            close_cause::CloseCause,
+            limits::ConnectionLimits,
+            output::Output,
+            pipeline::{Pipeline, Repeat},
+            reader::Reader,
+            slot::Slot,
+            timer::Timer,
+        },
+        worker::Worker,
+    },
+    view::Phase,
+};
+
+/// Interval at which a connection that is not read, because its calls are slower than its caller, is
+/// checked for a close. Upstreams must stop within half a second after the close.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A connection that serves requests.
+pub(super) struct OpenConnection {
+    stream: TcpStream,
+    peer: SocketAddr,
+    worker: Rc<Worker>,
+    limits: ConnectionLimits,
+    reader: Reader,
+    output: Output,
+    pipeline: Pipeline,
+    /// The requests of the pipeline, in the same order.
+    slots: VecDeque<Slot>,
+    /// Body of the last request, until its end is decoded.
+    body: Option<BodyInput>,
+    /// Whether decoding waits until a call takes more of its body.
+    is_held: bool,
+    /// Set once the connection closes as soon as all encoded bytes are written.
+    closing: Option<CloseCause>,
+    timer: Timer,
+    /// When the last response was complete, or the connection was opened.
+    idle_since: Instant,
+    /// When the head that is being received began.
+    head_since: Option<Instant>,
+    /// When the caller last took a part of a response.
+    written_at: Instant,
+    /// When the connection was last read, or checked for a close.
+    read_at: Instant,
+    /// Whether a call starts that was held back.
+    has_started: bool,
+    /// Completes when idle connections are to be closed.
+    stopped: Pin<Box<WaitForCancellationFutureOwned>>,
+}
+
+impl OpenConnection {
+    pub(super) fn new(
+        stream: TcpStream,
+        peer: SocketAddr,
+        worker: Rc<Worker>,
+        config: &ServiceConfig,
+        stop: &CancellationToken,
+    ) -> Self {
+        let limits = ConnectionLimits::current(&worker);
+        let now = Instant::now();
+        Self {
+            stream,
+            peer,
+            worker,
+            limits,
+            reader: Reader::new(config.clone()),
+            output: Output::new(config.clone()),
+            pipeline: Pipeline::new(limits.capacity),
+            slots: VecDeque::new(),
+            body: None,
+            is_held: false,
+            closing: None,
+            timer: Timer::new(),
+            idle_since: now,
+            head_since: None,
+            written_at: now,
+            read_at: now,
+            has_started: false,
+            stopped: Box::pin(stop.clone().cancelled_owned()),
+        }
+    }
+
+    /// Drops the calls and returns what is left for the close.
+    pub(super) fn into_parts(self) -> (TcpStream, Output) {
+        (self.stream, self.output)
+    }
+
+    /// Serves requests and returns the cause once the connection is to be closed. All calls that are
+    /// left then are dropped with the connection.
+    pub(super) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<CloseCause> {
+        match self.advance(cx) {
+            Ok(()) => self.poll_timers(cx),
+            Err(cause) => Poll::Ready(cause),
+        }
+    }
+
+    /// Reads, decodes, runs and writes until nothing can go on.
+    fn advance(&mut self, cx: &mut Context<'_>) -> Result<(), CloseCause> {
+        let mut must_run = true;
+        loop {
+            let is_read = self.read(cx)?;
+            must_run |= self.decode(cx);
+            if must_run {
+                self.slots.iter_mut().for_each(|slot| slot.poll_call(cx));
+            }
+            let is_written = self.write(cx)?;
+            if self.output.is_empty()
+                && let Some(cause) = self.closing
+            {
+                return Err(cause);
+            }
+            let is_released = self.is_held && self.body.as_ref().is_some_and(|b| b.has_room(cx));
+            if !(is_read || is_written || is_released) {
+                return Ok(());
+            }
+            // Further polls of the calls would find nothing new.
+            must_run = mem::take(&mut self.has_started);
+        }
+    }
+
+    /// Reads from the connection, unless as much as allowed waits to be decoded.
+    fn read(&mut self, cx: &mut Context<'_>) -> Result<bool, CloseCause> {
+        if self.closing.is_some() || !self.reader.has_room(self.max_buffered()) {
+            return Ok(false);
+        }
+        match self.reader.poll_fill(&mut self.stream, cx) {
+            Poll::Pending => Ok(false),
+            Poll::Ready(Ok(count)) if count > 0 => {
+                self.read_at = Instant::now();
+                Ok(true)
+            }
+            Poll::Ready(_) => Err(CloseCause::Caller),
+        }
+    }
+
+    fn poll_timers(&mut self, cx: &mut Context<'_>) -> Poll<CloseCause> {
+        if self.is_idle() {
+            self.reader.release();
+            self.output.release();
+            if self.stopped.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(CloseCause::Stop);
+            }
+        }
+        while let Some((deadline, event)) = self.next_event() {
+            if self.timer.poll(deadline, cx).is_pending() {
+                return Poll::Pending;
+            }
+            match event {
+                Event::Close(cause) => return Poll::Ready(cause),
+                Event::HeadTimeout => {
+                    self.refuse_input(StatusCode::REQUEST_TIMEOUT, CloseCause::HeadTimeout);
+                    if let Err(cause) = self.advance(cx) {
+                        return Poll::Ready(cause);
+                    }
+                }
+                Event::CloseCheck if self.is_closed_by_caller() => {
+                    return Poll::Ready(CloseCause::Caller);
+                }
+                Event::CloseCheck => self.read_at = Instant::now(),
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Returns what happens next if nothing else does.
+    fn next_event(&self) -> Option<(Instant, Event)> {
+        let limits = &self.limits;
+        let stalled = (!self.output.is_empty()).then(|| {
+            let deadline = self.written_at + limits.idle_timeout;
+            (deadline, Event::Close(CloseCause::Stalled))
+        });
+        let head = self.head_since.map(|since| since + limits.head_timeout);
+        let head = head.map(|deadline| (deadline, Event::HeadTimeout));
+        let idle = (self.is_idle() && head.is_none()).then(|| {
+            let deadline = self.idle_since + limits.idle_timeout;
+            (deadline, Event::Close(CloseCause::Idle))
+        });
+        let is_unread = !self.slots.is_empty() && !self.reader.has_room(self.max_buffered());
+        let check = is_unread.then(|| {
+            let deadline = self.read_at + CLOSE_CHECK_INTERVAL;
+            (deadline, Event::CloseCheck)
+        });
+        let events = [stalled, head, idle, check].into_iter().flatten();
+        events.min_by_key(|(deadline, _)| *deadline)
+    }
+
+    /// Returns whether no request is without a complete response. A part of a head may have arrived.
+    fn is_idle(&self) -> bool {
+        self.slots.is_empty() && self.output.is_empty()
+    }
+
+    /// Returns whether the caller closed the connection, without reading what it sent before.
+    fn is_closed_by_caller(&self) -> bool {
+        let mut cx = Context::from_waker(std::task::Waker::noop());
+        let ready = pin!(self.stream.ready(Interest::READABLE)).poll(&mut cx);
+        match ready {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
+    /// Returns whether connections stay open after the responses that are due.
+    fn is_serving(&self) -> bool {
+        self.worker.routing().view.phase == Phase::Serving
+    }
+
+    /// Adds the last response of the connection, to a request that can't be read.
+    fn refuse_input(&mut self, status: StatusCode, cause: CloseCause) {
+        self.reader.end();
+        self.head_since = None;
+        let response = Response::new(status);
+        self.pipeline.push(Repeat::Allowed);
+        self.pipeline.end();
+        self.slots.push_back(Slot::last(response, cause));
+    }
+}
+
+/// What happens to a connection at a time.
+#[derive(Clone, Copy)]
+enum Event {
+    /// It is closed.
+    Close(CloseCause),
+    /// A head is not complete in time.
+    HeadTimeout,
+    /// It is checked whether the caller closed it.
+    CloseCheck,
+}
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -7,7 +7,6 @@
     time::{Duration, Instant},
 };
 
-use actix_web::HttpResponse;
 use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
     AttemptFailure, AttemptLimit, Attempts, Constraints, Evidence, RequestKind, RetryDecision,
@@ -16,7 +15,7 @@
 
 use crate::{
     ingress::{
-        answer,
+        answer::{self, CallerResponse},
         attempt::{AttemptResult, Reply, send_call},
         body::{DISCARD_TIME, RequestAborted, RequestBody},
         feedback::{Feedback, feedback},
@@ -78,7 +77,7 @@
 
     /// Makes attempts until an upstream answers or no further attempt is allowed, and returns the
     /// response. The permit is held until the end of the response body.
-    pub(super) async fn run(mut self, permit: Permit, open_call: OpenCall) -> HttpResponse {
+    pub(super) async fn run(mut self, permit: Permit, open_call: OpenCall) -> CallerResponse {
         let service = self.request.service.clone();
         let now = Instant::now();
         self.worker
@@ -400,7 +399,7 @@
         destination: Destination,
         permit: Permit,
         open_call: OpenCall,
-    ) -> HttpResponse {
+    ) -> CallerResponse {
         let ReplyHead::Answer {
             status,
             headers,
@@ -427,22 +426,22 @@
         recorder.record_answer(&fields, &destination.upstream.name, *status);
         if self.request.method == "HEAD" {
             open_call.finish();
-            return builder.body(empty_body(length));
+            return answer::with_body(&mut builder, empty_body(length));
         }
         if is_bodiless(*status) {
             open_call.finish();
-            return builder.finish();
+            return answer::without_body(&mut builder);
         }
         let idle_timeout = Duration::from_millis(self.request.route.timeout_ms);
         open_call.record_answer();
         let guards = (destination.guard, permit, open_call);
         let body = reply_body(reply, length, idle_timeout, guards);
-        builder.body(body)
+        answer::with_body(&mut builder, body)
     }
 
     /// Returns the final response to a call that no upstream answered. If any attempt may have run
     /// the request, the outcome is unknown even if the last attempt did not run it.
-    fn refuse(&self, mut refusal: Refusal, open_call: OpenCall) -> HttpResponse {
+    fn refuse(&self, mut refusal: Refusal, open_call: OpenCall) -> CallerResponse {
         if refusal.outcome == Outcome::DidNotRun && !self.attempts.has_not_run() {
             refusal.outcome = Outcome::Unknown;
         }
@@ -461,7 +460,7 @@
         let mut builder = answer::refusal_response(&refusal, dialect);
         answer::add_call_id(&mut builder, &self.request.call_id, dialect);
         open_call.finish();
-        builder.finish()
+        answer::without_body(&mut builder)
     }
 }
 
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -2,70 +2,72 @@
 
 use std::{rc::Rc, sync::Arc, time::Instant};
 
-use actix_web::{
-    HttpRequest, HttpResponse, HttpResponseBuilder,
-    http::{
-        ConnectionType, Version,
-        header::{HeaderName, HeaderValue},
-    },
-    web,
-};
+use actix_http::{Request, ResponseBuilder, Version};
+use futures_util::future::{FutureExt, LocalBoxFuture};
 use wagtaillever_coordination::{Dialect, Route};
 
 use crate::{
     ingress::{
-        answer,
+        answer::{self, CallerResponse},
         body::{self, RequestBody},
+        connection::{Payload, Repeat},
         dispatch::Dispatch,
         guards::Permit,
         refusal::NOT_READY_RETRY_MS,
         request::{CallerRequest, RequestError, caller_name},
         worker::Worker,
     },
-    view::Phase,
     wire::{Outcome, Refusal, RefusalReason},
 };
 
 /// Retry-after time of a call that exceeds its caller's share of calls in flight.
 const OVERLOADED_RETRY_MS: u64 = 250;
-/// Time for which callers may reuse an idle connection, shorter than the time after which the server
-/// closes it.
-const STATED_KEEP_ALIVE: &str = "timeout=60";
 
-/// Handles a request and returns the response. Until the node stops, it states for how long the caller
-/// may reuse the connection.
-pub(super) async fn handle(
-    request: HttpRequest,
-    payload: web::Payload,
-    worker: web::Data<Rc<Worker>>,
-) -> HttpResponse {
-    let worker = Rc::clone(&worker);
-    let mut response = respond(request, payload, &worker).await;
-    let head = response.head_mut();
-    if worker.routing().view.phase == Phase::Serving {
-        let reuse_time = HeaderValue::from_static(STATED_KEEP_ALIVE);
-        let name = HeaderName::from_static("keep-alive");
-        head.headers_mut().insert(name, reuse_time);
-    } else {
-        head.set_connection_type(ConnectionType::Close);
+/// Routes a request that arrived at `arrived`. Returns whether it may run more than once, and the
+/// response to it. The call starts when the response is first polled.
+pub(super) fn handle(
+    request: Request,
+    payload: Payload,
+    worker: &Rc<Worker>,
+    arrived: Instant,
+) -> (Repeat, LocalBoxFuture<'static, CallerResponse>) {
+    match accept_call(&request, worker, arrived) {
+        Ok((call, permit)) => {
+            let repeat = if call.idempotent {
+                Repeat::Allowed
+            } else {
+                Repeat::Forbidden
+            };
+            let response = respond(Rc::clone(worker), call, permit, payload);
+            (repeat, response.boxed_local())
+        }
+        Err(rejection) => {
+            // A caller that waits for an interim response learns of the rejection instead.
+            let payload = (!request.head().expect()).then_some(payload);
+            let response = reject(rejection, payload);
+            (Repeat::Allowed, response.boxed_local())
+        }
     }
-    response
 }
 
-async fn respond(request: HttpRequest, payload: web::Payload, worker: &Rc<Worker>) -> HttpResponse {
-    let (call, permit) = match accept_call(&request, worker) {
-        Ok(accepted) => accepted,
-        Err(mut rejection) => {
-            body::discard(payload).await;
-            return rejection.finish();
-        }
-    };
+async fn respond(
+    worker: Rc<Worker>,
+    call: CallerRequest,
+    permit: Permit,
+    payload: Payload,
+) -> CallerResponse {
     let open_calls = &worker.shared.open_calls;
     let open_call = open_calls.open(Arc::clone(&call.call_id), call.arrived);
     let body = RequestBody::new(payload, call.length);
-    Dispatch::new(worker, call, body)
-        .run(permit, open_call)
-        .await
+    let dispatch = Dispatch::new(&worker, call, body);
+    dispatch.run(permit, open_call).await
+}
+
+async fn reject(mut rejection: ResponseBuilder, payload: Option<Payload>) -> CallerResponse {
+    if let Some(payload) = payload {
+        body::discard(payload).await;
+    }
+    answer::without_body(&mut rejection)
 }
 
 /// Routes the call of a request.
@@ -74,17 +76,17 @@
 ///
 /// Returns the response if the request is rejected.
 fn accept_call(
-    request: &HttpRequest,
+    request: &Request,
     worker: &Rc<Worker>,
-) -> Result<(CallerRequest, Permit), HttpResponseBuilder> {
-    let arrived = Instant::now();
+    arrived: Instant,
+) -> Result<(CallerRequest, Permit), ResponseBuilder> {
     if request.version() < Version::HTTP_11 {
         return Err(answer::unsupported_version());
     }
     let rules = worker.header_rules();
     let dialect = rules.dialect;
     let record_rejection = |reason: RefusalReason| {
-        let call = request.headers().get(dialect.call_id);
+        let call = request.head().headers().get(dialect.call_id);
         let call = call.and_then(|call| call.to_str().ok()).unwrap_or_default();
         let reason = answer::reason_text(reason);
         worker.recorder.record_rejection(call, reason);
@@ -112,7 +114,7 @@
 }
 
 /// Returns the response to a request that is refused before any attempt.
-fn rejection(dialect: &Dialect, reason: RefusalReason, after_ms: u64) -> HttpResponseBuilder {
+fn rejection(dialect: &Dialect, reason: RefusalReason, after_ms: u64) -> ResponseBuilder {
     let refusal = Refusal {
         outcome: Outcome::DidNotRun,
         is_arrived: false,
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_web::body::{BodyStream, BoxBody, SizedStream};
+use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use bytes::Bytes;
 use futures_util::{
     Stream,
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use actix_web::{HttpRequest, http::header::HeaderMap};
+use actix_http::{Request, header::HeaderMap};
 use uuid::Uuid;
 use wagtaillever_coordination::{
     Dialect, IdempotencyKey, Method, RequestKind, Route, RouteTable, Sequence, ServiceName,
@@ -79,13 +79,13 @@
     ///
     /// Returns an error if no route matches or the request is invalid.
     pub(super) fn parse(
-        request: &HttpRequest,
+        request: &Request,
         routes: &RouteTable,
         header_rules: HeaderRules<'_>,
         choose_service: impl FnOnce(&Route) -> ServiceName,
         arrived: Instant,
     ) -> Result<Self, RequestError> {
-        let headers = request.headers();
+        let headers = request.head().headers();
         let dialect = header_rules.dialect;
         let target = request.uri().path_and_query().map_or("/", |t| t.as_str());
         let host = header_text(headers, "host").unwrap_or_default();
@@ -163,8 +163,8 @@
 
 /// Returns the name by which the calls in flight of a caller are counted: its `x-caller` header or
 /// its IP address.
-pub(super) fn caller_name(request: &HttpRequest) -> Arc<str> {
-    let named = header_text(request.headers(), "x-caller");
+pub(super) fn caller_name(request: &Request) -> Arc<str> {
+    let named = header_text(request.head().headers(), "x-caller");
     if let Some(name) = named.filter(|name| !name.is_empty()) {
         return name.into();
     }
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -1,34 +1,40 @@
-//! HTTP server for callers.
+//! Server for callers: the listener, its thread, and the stop.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use actix_web::{App, HttpServer, dev::ServerHandle, web};
+use actix_rt::Arbiter;
 use log::{info, warn};
-use tokio::time::{sleep, timeout_at};
-use tokio_util::task::TaskTracker;
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{sleep, timeout_at},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     ingress::{
-        handler::handle,
+        connection::Connections,
         open_calls::OpenCalls,
         worker::{SharedState, Worker},
     },
     kernel::StopDeadlines,
 };
 
-/// Time after which a connection without requests is closed.
-const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// Largest number of open connections of callers.
 const MAX_CONNECTIONS: usize = 4096;
-/// Time within which a caller must send the head of its request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Connections that the kernel accepts ahead of the node, enough for callers that all connect at once.
+const BACKLOG: u32 = 1024;
+/// Pause after a connection could not be accepted, as when descriptors have run out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time for which a stopping node still accepts connections so that callers learn of the stop,
 /// including the `notice_ms` of the settings.
 const STOP_NOTICE: Duration = Duration::from_secs(2);
 
-/// HTTP server for callers with a single worker thread.
+/// Server for callers with a single thread.
 pub(super) struct Server {
-    handle: ServerHandle,
+    arbiter: Arbiter,
+    /// Cancelled when no more connections are accepted and idle ones are closed.
+    stop: CancellationToken,
     stop_delay: Duration,
     open_calls: OpenCalls,
     /// Open connections of callers.
@@ -44,36 +50,25 @@
     ///
     /// Returns an error if the address can't be bound.
     pub(super) fn start(shared: SharedState) -> io::Result<Self> {
-        let address = shared.settings.callers;
+        let listener = listen(shared.settings.callers)?;
+        let addresses = vec![listener.local_addr()?];
+        info!("listening for callers on {addresses:?}");
         let times = shared.settings.limits.stop_times();
         let open_calls = shared.open_calls.clone();
-        let stop_seconds = times.calls.as_secs() + 1;
-        let connections = TaskTracker::new();
-        let opened = connections.clone();
-        let app = move || {
-            let worker = web::Data::new(Rc::clone(&Worker::spawn(shared.clone())));
-            App::new().app_data(worker).default_service(web::to(handle))
+        let acceptor = Acceptor {
+            stop: CancellationToken::new(),
+            connections: TaskTracker::new(),
+            permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
         };
-        let server = HttpServer::new(app)
-            .workers(1)
-            .keep_alive(KEEP_ALIVE)
-            .client_request_timeout(HEAD_TIMEOUT)
-            .h1_allow_half_closed(false)
-            .tcp_nodelay(true)
-            .max_connections(MAX_CONNECTIONS)
-            .on_connect(move |_, data| {
-                data.insert(opened.token());
-            })
-            .shutdown_timeout(stop_seconds)
-            .disable_signals()
-            .bind(address)?;
-        let addresses = server.addrs();
-        info!("listening for callers on {addresses:?}");
-        let server = server.run();
-        let handle = server.handle();
-        actix_rt::spawn(server);
+        let stop = acceptor.stop.clone();
+        let connections = acceptor.connections.clone();
+        let arbiter = Arbiter::try_new()?;
+        arbiter.spawn_fn(move || {
+            actix_rt::spawn(acceptor.run(listener, shared));
+        });
         Ok(Self {
-            handle,
+            arbiter,
+            stop,
             stop_delay: STOP_NOTICE.saturating_sub(times.notice),
             open_calls,
             connections,
@@ -87,17 +82,90 @@
     pub(super) async fn stop(self, deadlines: StopDeadlines) {
         sleep(self.stop_delay).await;
         info!(calls = self.open_calls.len(); "no longer accepting callers on {:?}", self.addresses);
+        self.stop.cancel();
         self.connections.close();
-        let closed = async {
-            tokio::select! {
-                () = self.handle.stop(true) => {}
-                // The server itself looks for closed connections once a second only.
-                () = self.connections.wait() => {}
-            }
-        };
-        if timeout_at(deadlines.answers, closed).await.is_err() {
+        let closed = timeout_at(deadlines.answers, self.connections.wait()).await;
+        if closed.is_err() {
+            // Answers whose body is under way go on until the process ends.
             warn!("stop deadline reached; not waiting for the open connections of callers");
+        } else {
+            self.arbiter.stop();
         }
         self.open_calls.record_cut();
     }
 }
+
+/// Binds an address without a runtime, as the listener belongs to the server's thread.
+fn listen(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.into_std()
+}
+
+/// Accepts connections and serves each in a task.
+struct Acceptor {
+    stop: CancellationToken,
+    connections: TaskTracker,
+    permits: Arc<Semaphore>,
+}
+
+impl Acceptor {
+    async fn run(self, listener: std::net::TcpListener, shared: SharedState) {
+        // The listener counts as a connection, so that a stop waits until it is closed.
+        let _open = self.connections.token();
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(err) => return warn!("can't accept callers: {err}"),
+        };
+        let connections = Connections::new(Worker::spawn(shared), self.stop.clone());
+        let connections = Rc::new(connections);
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = self.stop.cancelled() => return,
+                accepted = self.accept(&listener) => accepted,
+            };
+            match accepted {
+                Ok((stream, peer, permit)) => self.serve(stream, peer, permit, &connections),
+                Err(err) => {
+                    warn!("can't accept a caller: {err}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Accepts a connection once there are fewer than [`MAX_CONNECTIONS`].
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+    ) -> io::Result<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+        let permit = Arc::clone(&self.permits).acquire_owned().await;
+        let permit = permit.map_err(io::Error::other)?;
+        let (stream, peer) = listener.accept().await?;
+        Ok((stream, peer, permit))
+    }
+
+    fn serve(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        permit: OwnedSemaphorePermit,
+        connections: &Rc<Connections>,
+    ) {
+        if stream.set_nodelay(true).is_err() {
+            // The caller has closed the connection already.
+            return;
+        }
+        let connections = Rc::clone(connections);
+        let open = self.connections.token();
+        actix_rt::spawn(async move {
+            connections.serve(stream, peer).await;
+            drop((permit, open));
+        });
+    }
+}
