Test pipelining and framing with sockets, and check chunked framing

Cause: the decoder of the codec takes a bare LF behind the last chunk for the start of trailers, so the request behind it counts as trailers here and as a request elsewhere. Found by bodies_with_invalid_chunks_are_refused.

Change: chunk_scan.rs checks the framing of chunked bodies before they are decoded. tests/pipelining.rs and tests/framing.rs cover order, concurrency, closes, stops and request smuggling.

--- a/crates/node/src/ingress/connection/reader.rs
+++ b/crates/node/src/ingress/connection/reader.rs
@@ -17,7 +17,10 @@
 use tokio::{io::AsyncReadExt, net::TcpStream};
 use tokio_util::codec::Decoder;
 
-use crate::ingress::connection::head_scan::{HeadError, HeadScan};
+use crate::ingress::connection::{
+    chunk_scan::{ChunkScan, InvalidChunk},
+    head_scan::{HeadError, HeadScan},
+};
 
 /// Bytes that are read at once while a head is expected; most heads are shorter.
 const HEAD_READ_BYTES: usize = 4 << 10;
@@ -65,6 +68,12 @@
     }
 }
 
+impl From<InvalidChunk> for InputError {
+    fn from(InvalidChunk: InvalidChunk) -> Self {
+        Self::Malformed
+    }
+}
+
 /// Time of a read.
 struct Mark {
     /// Bytes that were read from the connection so far.
@@ -77,6 +86,10 @@
     codec: Codec,
     buffer: BytesMut,
     scan: HeadScan,
+    /// Check of the current body, if it is chunked.
+    chunks: Option<ChunkScan>,
+    /// Bytes at the start of the buffer that this check has seen.
+    checked: usize,
     is_in_body: bool,
     is_ended: bool,
     received: u64,
@@ -89,6 +102,8 @@
             codec: Codec::new(config),
             buffer: BytesMut::new(),
             scan: HeadScan::default(),
+            chunks: None,
+            checked: 0,
             is_in_body: false,
             is_ended: false,
             received: 0,
@@ -172,7 +187,12 @@
     }
 
     fn next_of_body(&mut self) -> Result<Option<Input>, InputError> {
+        if let Some(chunks) = &mut self.chunks {
+            chunks.check(&self.buffer[self.checked..])?;
+        }
         let message = self.codec.decode(&mut self.buffer);
+        // The codec takes bytes from the start of the buffer, all of which are checked.
+        self.checked = self.buffer.len();
         match message.map_err(|_| InputError::Malformed)? {
             None => Ok(None),
             Some(Message::Chunk(Some(chunk))) => Ok(Some(Input::Chunk(chunk))),
@@ -204,6 +224,9 @@
         self.scan.reset();
         let message_type = self.codec.message_type();
         self.is_in_body = message_type == MessageType::Payload;
+        let is_chunked = request.head().headers().contains_key("transfer-encoding");
+        self.chunks = (self.is_in_body && is_chunked).then(ChunkScan::new);
+        self.checked = 0;
         // Upgrades and tunnels are not supported. What follows is in the other protocol.
         self.is_ended = message_type == MessageType::Stream;
         Ok(Some(Input::Head(request, arrived, self.is_in_body)))
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -1,7 +1,9 @@
 mod bodies;
 mod fake;
+mod framing;
 mod lifecycle;
 mod outcomes;
+mod pipelining;
 mod rejections;
 mod silence;
 mod stated;
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -310,6 +310,21 @@
         Self { head, rest }
     }
 
+    /// Reads one response with a `content-length`, and nothing behind it.
+    pub(super) async fn read_one(stream: &mut TcpStream) -> Self {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await.unwrap());
+        }
+        let head = String::from_utf8(head).unwrap().to_ascii_lowercase();
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let mut rest = vec![0; length.map_or(0, |text| text.parse().unwrap())];
+        stream.read_exact(&mut rest).await.unwrap();
+        Self { head, rest }
+    }
+
     #[track_caller]
     pub(super) fn assert_status(&self, status: u16) -> &Self {
         let line = format!("http/1.1 {status} ");
