--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -5,6 +5,7 @@
 mod body;
 mod channel;
 mod connection;
+mod credential;
 mod dispatch;
 mod feedback;
 mod fingerprint;
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -4,7 +4,7 @@
 
 use actix_http::{Request, ResponseBuilder, Version};
 use futures_util::future::{FutureExt, LocalBoxFuture};
-use wagtaillever_coordination::{Dialect, Route};
+use wagtaillever_coordination::{Dialect, Route, Sequence};
 
 use crate::{
     ingress::{
@@ -98,11 +98,12 @@
     if !worker.routing().view.phase.can_accept_calls() || worker.is_quarantined() {
         return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
     }
-    let permit = Permit::acquire(worker, caller_name(request))
-        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
+    let routing = worker.routing();
+    if routing.routes.sequence() == Sequence::ZERO {
+        return Err(reject(RefusalReason::NotReady, NOT_READY_RETRY_MS));
+    }
     let choose_service = |route: &Route| worker.choose_service(route);
-    let routes = Rc::clone(&worker.routing().routes);
-    let call = CallerRequest::parse(request, &routes, rules, choose_service, arrived);
+    let call = CallerRequest::parse(request, &routing, rules, choose_service, arrived);
     let call = call.map_err(|err| match err {
         RequestError::NoRoute => {
             record_rejection(RefusalReason::NoRoute);
@@ -110,6 +111,8 @@
         }
         RequestError::Invalid(reason) => reject(reason, 0),
     })?;
+    let permit = Permit::acquire(worker, caller_name(request))
+        .ok_or_else(|| reject(RefusalReason::Overloaded, OVERLOADED_RETRY_MS))?;
     Ok((call, permit))
 }
 
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -2,6 +2,7 @@
 mod fake;
 mod framing;
 mod lifecycle;
+mod organisations;
 mod outcomes;
 mod pipelining;
 mod rejections;
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -358,12 +358,12 @@
     }
 }
 
-fn free_address() -> SocketAddr {
+pub(super) fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
 
-fn settings(peers: SocketAddr, max_calls: usize) -> Arc<Settings> {
+pub(super) fn settings(peers: SocketAddr, max_calls: usize) -> Arc<Settings> {
     let bytes = max_calls << 16;
     let text = format!(
         "{{vm: v, domain: a, region: r, address: 127.0.0.1, callers: '127.0.0.1:0', \
@@ -392,6 +392,7 @@
             attempts: None,
             target_ms: None,
             priority: 0,
+            public: false,
         };
         config.routes.insert(name.into(), Arc::new(route));
     }
