--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -24,6 +24,11 @@
 const UPSTREAM_PORT: u16 = 8_628;
 const STORE_PORT: u16 = 8_627;
 
+/// Memory of a VM in megabytes, less than that of any VM of the platform.
+const MEMORY_MB: u64 = 64;
+/// Descriptors of a process, of which 200 are reserved for files as on the platform.
+const MAX_FDS: u64 = 650;
+
 /// Time in seconds after which the platform kills a stopping node of the large deployment.
 pub(crate) const GRACE_S: u64 = 10;
 /// Time within which nodes serve and follow changes, with headroom for a busy machine.
@@ -59,6 +64,11 @@
         self.at(CALLERS_PORT)
     }
 
+    /// Returns the process ID of the node.
+    pub(crate) fn process(&self) -> u32 {
+        self.node.as_ref().unwrap().id()
+    }
+
     /// Returns the service of the upstream.
     pub(crate) fn service(&self) -> &str {
         &self.service
@@ -71,8 +81,8 @@
 
     /// Sends a signal to the node.
     pub(crate) fn signal(&self, signal: Signal) {
-        let id = self.node.as_ref().unwrap().id();
-        kill(Pid::from_raw(id.try_into().unwrap()), signal).unwrap();
+        let id = Pid::from_raw(self.process().try_into().unwrap());
+        kill(id, signal).unwrap();
     }
 
     /// Waits until the node serves requests for a service.
@@ -249,6 +259,8 @@
             ("bounds.budget_min_retries", "630".into()),
             ("bounds.budget_window_s", "10".into()),
             ("limits.link_mbps", "200.0".into()),
+            ("limits.memory_mb", MEMORY_MB.to_string()),
+            ("limits.max_fds", MAX_FDS.to_string()),
             ("bounds.cold_overage", "1.5".into()),
             ("bounds.config_apply_s", "3".into()),
             ("bounds.drain_s", "3".into()),
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -8,9 +8,12 @@
 
 use actix_web::{
     App, HttpRequest, HttpResponse, HttpServer,
-    web::{self, Data},
+    web::{self, Data, PayloadConfig},
 };
 
+/// Size of the largest body that the upstream takes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
 /// Upstream that works for as long as the path of a request asks.
 #[derive(Clone)]
 pub(crate) struct TestUpstream {
@@ -33,6 +36,7 @@
         let server = HttpServer::new(move || {
             App::new()
                 .app_data(upstream.clone())
+                .app_data(PayloadConfig::new(MAX_BODY_BYTES))
                 .route("/health", web::get().to(HttpResponse::Ok))
                 .default_service(web::to(run))
         });
