--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -121,6 +121,7 @@
             StatusCode::BAD_REQUEST
         }
         (reason, Outcome::DidNotRun) if reason.is_about_api_key() => StatusCode::UNAUTHORIZED,
+        (RefusalReason::BodyTooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
         (RefusalReason::InProgress, _) => StatusCode::CONFLICT,
         (_, Outcome::DidNotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (RefusalReason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
@@ -158,5 +159,7 @@
         RefusalReason::BadCallId => "bad-call-id",
         RefusalReason::NoApiKey => "no-api-key",
         RefusalReason::UnknownApiKey => "unknown-api-key",
+        RefusalReason::BodyTooLarge => "body-too-large",
+        RefusalReason::NoMemory => "no-memory",
     }
 }
--- a/crates/node/src/ingress/connection/limits.rs
+++ b/crates/node/src/ingress/connection/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use wagtaillever_coordination::CallerLimits;
+
 use crate::ingress::worker::Worker;
 
 /// Time after which a connection without requests is closed.
@@ -28,8 +30,9 @@
 
 impl ConnectionLimits {
     /// Returns the limits that are in force.
-    pub(super) fn current(_worker: &Worker) -> Self {
-        Self::default()
+    pub(super) fn current(worker: &Worker) -> Self {
+        let config = worker.routing().view.config.caller_limits;
+        config.map_or_else(Self::default, Self::from)
     }
 
     /// Returns the time for which callers may reuse an idle connection. It is shorter than the time
@@ -39,6 +42,18 @@
     }
 }
 
+impl From<CallerLimits> for ConnectionLimits {
+    fn from(limits: CallerLimits) -> Self {
+        let header_bytes = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX);
+        Self {
+            head_bytes: header_bytes.min(HEAD_BYTES),
+            head_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
+            capacity: CAPACITY,
+        }
+    }
+}
+
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
--- a/crates/node/src/ingress/connection/open.rs
+++ b/crates/node/src/ingress/connection/open.rs
@@ -150,6 +150,7 @@
             Poll::Pending => Ok(false),
             Poll::Ready(Ok(count)) if count > 0 => {
                 self.read_at = Instant::now();
+                self.limits = ConnectionLimits::current(&self.worker);
                 Ok(true)
             }
             Poll::Ready(_) => Err(CloseCause::Caller),
--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -114,7 +114,7 @@
         let Some(first) = self.slots.front_mut() else {
             return;
         };
-        if is_last {
+        if is_last || head.head().connection_type() == ConnectionType::Close {
             first.closes.get_or_insert(CloseCause::Answered);
         }
         if first.closes.is_some() {
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -9,7 +9,7 @@
 use crate::{
     ingress::{
         answer::{self, CallerResponse},
-        body::{self, RequestBody},
+        body::{self, DEFAULT_MAX_BYTES, RequestBody},
         connection::{Payload, Repeat},
         dispatch::Dispatch,
         guards::Permit,
@@ -58,7 +58,10 @@
 ) -> CallerResponse {
     let open_calls = &worker.shared.open_calls;
     let open_call = open_calls.open(Arc::clone(&call.call_id), call.arrived);
-    let body = RequestBody::new(payload, call.length);
+    let limits = worker.routing().view.config.caller_limits;
+    let max_bytes = limits.map_or(DEFAULT_MAX_BYTES, |limits| limits.body_bytes);
+    let budget = &worker.shared.body_budget;
+    let body = RequestBody::new(payload, call.length, max_bytes, budget);
     let dispatch = Dispatch::new(&worker, call, body);
     dispatch.run(permit, open_call).await
 }
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -20,8 +20,6 @@
     kernel::StopDeadlines,
 };
 
-/// Largest number of open connections of callers.
-const MAX_CONNECTIONS: usize = 4096;
 /// Connections that the kernel accepts ahead of the node, enough for callers that all connect at once.
 const BACKLOG: u32 = 1024;
 /// Pause after a connection could not be accepted, as when descriptors have run out.
@@ -53,12 +51,14 @@
         let listener = listen(shared.settings.callers)?;
         let addresses = vec![listener.local_addr()?];
         info!("listening for callers on {addresses:?}");
-        let times = shared.settings.limits.stop_times();
+        let limits = &shared.settings.limits;
+        let times = limits.stop_times();
+        let max_connections = limits.bounds().caller_connections;
         let open_calls = shared.open_calls.clone();
         let acceptor = Acceptor {
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
-            permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            permits: Arc::new(Semaphore::new(max_connections)),
         };
         let stop = acceptor.stop.clone();
         let connections = acceptor.connections.clone();
@@ -139,7 +139,7 @@
         }
     }
 
-    /// Accepts a connection once there are fewer than [`MAX_CONNECTIONS`].
+    /// Accepts a connection once fewer than the bound of the process are open.
     async fn accept(
         &self,
         listener: &TcpListener,
