--- a/crates/node/src/ingress/connection/chunk_scan.rs
+++ b/crates/node/src/ingress/connection/chunk_scan.rs
@@ -3,6 +3,9 @@
 //! The decoder of the codec takes a bare LF behind the last chunk for the start of trailers, where
 //! other parsers see the end of the body.
 
+#[cfg(test)]
+mod tests;
+
 /// Longest line with the size of a chunk and its extensions, which are ignored.
 const MAX_SIZE_LINE_BYTES: usize = 1 << 10;
 /// Longest trailers, which are ignored.
--- a/crates/node/src/ingress/connection/head_scan.rs
+++ b/crates/node/src/ingress/connection/head_scan.rs
@@ -4,6 +4,9 @@
 //! whose limits are in doubt could carry a second one past a check ("request smuggling"), so it is
 //! refused.
 
+#[cfg(test)]
+mod tests;
+
 /// Most empty lines that are ignored before a request.
 pub(super) const MAX_EMPTY_LINES: usize = 4;
 
--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -109,7 +109,7 @@
         }
         if !self.pipeline.is_empty() && !self.is_serving() {
             // The calls in flight are answered. What follows is unread, and its caller resends it.
-            self.pipeline.end();
+            self.pipeline.drain();
         }
         self.pipeline.accepts()
     }
--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -107,7 +107,7 @@
             }
         }
         if !self.is_serving() {
-            self.pipeline.end();
+            self.pipeline.drain();
         }
         let (mut head, body) = response.into_parts();
         let is_last = self.pipeline.is_first_last();
--- a/crates/node/src/ingress/connection/pipeline.rs
+++ b/crates/node/src/ingress/connection/pipeline.rs
@@ -39,7 +39,10 @@
 pub(super) struct Pipeline {
     entries: VecDeque<Entry>,
     capacity: usize,
+    /// Whether no further request is read.
     is_ended: bool,
+    /// Whether no further request starts.
+    is_draining: bool,
 }
 
 impl Pipeline {
@@ -49,6 +52,7 @@
             entries: VecDeque::new(),
             capacity: capacity.max(1),
             is_ended: false,
+            is_draining: false,
         }
     }
 
@@ -88,14 +92,22 @@
         Abandoned { started, waiting }
     }
 
-    /// Reads no further requests. The last one that has started gets the last response.
+    /// Reads no further requests. The last one gets the last response.
     pub(super) fn end(&mut self) {
         self.is_ended = true;
     }
 
+    /// Reads and starts no further requests, as the node stops. The last one that has started gets the
+    /// last response.
+    pub(super) fn drain(&mut self) {
+        self.is_ended = true;
+        self.is_draining = true;
+    }
+
     /// Returns whether the response to the first request is the last one of the connection.
     pub(super) fn is_first_last(&self) -> bool {
-        self.is_ended && !self.entries.get(1).is_some_and(|next| next.is_started)
+        let next = self.entries.get(1);
+        self.is_ended && next.is_none_or(|next| self.is_draining && !next.is_started)
     }
 
     /// Returns whether no request is without a complete response.
--- a/crates/node/src/ingress/connection/pipeline/tests.rs
+++ b/crates/node/src/ingress/connection/pipeline/tests.rs
@@ -58,13 +58,13 @@
 
 /// Guards against a planned stop that drops calls which upstreams already run.
 #[test]
-fn after_the_end_the_last_started_request_gets_the_last_response() {
+fn a_drain_ends_with_the_last_request_that_has_started() {
     let mut pipeline = Pipeline::new(8);
     for repeat in [Allowed, Allowed, Forbidden] {
         pipeline.push(repeat);
     }
     assert!(!pipeline.is_first_last());
-    pipeline.end();
+    pipeline.drain();
     assert!(!pipeline.is_first_last());
     assert!(!pipeline.complete_first());
     assert!(pipeline.is_first_last());
@@ -76,3 +76,16 @@
 fn a_pipeline_always_accepts_one_request() {
     assert!(Pipeline::new(0).accepts());
 }
+
+/// Guards against a request that announces the end of its connection, waits for those before it, and is dropped
+/// with their last response.
+#[test]
+fn the_end_serves_a_request_that_waits() {
+    let mut pipeline = Pipeline::new(8);
+    pipeline.push(Allowed);
+    pipeline.push(Forbidden);
+    pipeline.end();
+    assert!(!pipeline.accepts() && !pipeline.is_first_last());
+    assert!(pipeline.complete_first());
+    assert!(pipeline.is_first_last());
+}
--- a/crates/node/src/ingress/connection/reader.rs
+++ b/crates/node/src/ingress/connection/reader.rs
@@ -11,6 +11,7 @@
 
 use actix_http::{
     Request, ServiceConfig, StatusCode,
+    error::ParseError,
     h1::{Codec, Message, MessageType},
 };
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -216,9 +217,11 @@
             return Ok(None);
         };
         let arrived = self.arrival(length);
-        let message = self.codec.decode(&mut self.buffer);
-        let Ok(Some(Message::Item(request))) = message else {
-            return Err(InputError::Malformed);
+        let request = match self.codec.decode(&mut self.buffer) {
+            Ok(Some(Message::Item(request))) => request,
+            // More headers than the codec takes.
+            Err(ParseError::TooLarge) => return Err(InputError::HeadTooLarge),
+            _ => return Err(InputError::Malformed),
         };
         check_framing(&request)?;
         self.scan.reset();
--- a/crates/node/src/ingress/tests/framing.rs
+++ b/crates/node/src/ingress/tests/framing.rs
@@ -1,6 +1,7 @@
 //! Requests whose framing is invalid or in doubt, and the limits of heads.
 
 use tokio::time::timeout;
+use wagtaillever_coordination::CallerLimits;
 
 use super::*;
 
@@ -109,6 +110,12 @@
     let long = format!("GET /x HTTP/1.1\r\nhost: a\r\nx: {}", "x".repeat(200 << 10));
     let text = exchange(&fixture, &long).await;
     assert!(text.starts_with("HTTP/1.1 431 "), "{text}");
+    let many = format!(
+        "GET /x HTTP/1.1\r\nhost: a\r\n{}\r\n",
+        "x: y\r\n".repeat(100)
+    );
+    let text = exchange(&fixture, &many).await;
+    assert!(text.starts_with("HTTP/1.1 431 "), "{text}");
     let text = exchange(&fixture, &"\r\n".repeat(5)).await;
     assert!(text.starts_with("HTTP/1.1 400 "), "{text}");
     let reply = exchange(
@@ -151,3 +158,52 @@
     let text = exchange(&fixture, &format!("{head}{body}")).await;
     assert!(text.starts_with("HTTP/1.1 404 "), "{text}");
 }
+
+/// Guards against callers that hold a connection without a request, and against a reuse time that is longer
+/// than the node keeps an idle connection.
+#[actix_rt::test]
+async fn the_limits_of_the_configuration_are_in_force() {
+    const HEAD_TIMEOUT: Duration = Duration::from_millis(300);
+    const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| hello_sidecar()).await;
+    let view = fixture.context.view();
+    let mut config = (*view.load().config).clone();
+    config.sequence = config.sequence.next();
+    config.caller_limits = Some(CallerLimits {
+        header_bytes: 1_000,
+        body_bytes: 1_000,
+        header_timeout: HEAD_TIMEOUT,
+        idle_timeout: IDLE_TIMEOUT,
+    });
+    view.set_config(config.into());
+    let good = "GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+    let text = exchange(&fixture, good).await;
+    assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+    assert!(text.contains("keep-alive: timeout=1\r\n"), "{text}");
+    let slow = exchange(&fixture, &format!("{good}GET /x HTTP/1.1\r\n")).await;
+    assert!(slow.contains("HTTP/1.1 408 "), "{slow}");
+    let long = format!(
+        "GET /x HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
+        "x".repeat(1_000)
+    );
+    let long = exchange(&fixture, &long).await;
+    assert!(long.starts_with("HTTP/1.1 431 "), "{long}");
+    assert_eq!(exchange(&fixture, "").await, "");
+}
+
+/// Guards against a head that is refused as late because its caller could not send the rest while earlier
+/// requests held the connection.
+#[actix_rt::test]
+async fn pipelined_heads_that_come_in_parts_are_served() {
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| hello_sidecar()).await;
+    let requests = "GET /x HTTP/1.1\r\nhost: a\r\n\r\n".repeat(20);
+    let mut stream = TcpStream::connect(fixture.callers).await.unwrap();
+    for part in requests.as_bytes().chunks(11) {
+        stream.write_all(part).await.unwrap();
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..20 {
+        let reply = timeout(SOON, RawResponse::read_one(&mut stream)).await;
+        reply.unwrap().assert_status(200).assert_body(b"hello");
+    }
+}
--- a/crates/node/src/ingress/tests/pipelining.rs
+++ b/crates/node/src/ingress/tests/pipelining.rs
@@ -206,6 +206,20 @@
     assert_eq!(fixture.targets(), ["/x/free", "/x/free"]);
 }
 
+/// Guards against a last request that is dropped with the response before it instead of being run.
+#[actix_rt::test]
+async fn a_last_request_that_may_run_once_is_served() {
+    let gate = Gate::new();
+    let fixture = Fixture::start(TWO_UPSTREAMS, |_| gate.sidecar()).await;
+    let last = "POST /x/free HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    let requests = get("/x/held") + last;
+    let stream = fixture.connect(requests.as_bytes()).await;
+    wait_until(|| gate.running.get() == 1).await;
+    sleep(QUIET).await;
+    gate.open.add_permits(1);
+    assert_eq!(answered(&read_all(stream).await), ["/x/held", "/x/free"]);
+}
+
 /// Guards against an answer that breaks off and is followed by another, which would look like its rest, and
 /// against calls behind it that keep running.
 #[actix_rt::test]
