Read no further of a body while its call has a chunk that it does not take

Cause: each connection read up to 16 KiB ahead of a held body into a buffer of up to 32 KiB.

A read never allocates beyond the bytes that may be buffered.

--- a/crates/node/src/ingress/connection/open.rs
+++ b/crates/node/src/ingress/connection/open.rs
@@ -143,10 +143,12 @@
 
     /// Reads from the connection, unless as much as allowed waits to be decoded.
     fn read(&mut self, cx: &mut Context<'_>) -> Result<bool, CloseCause> {
-        if self.closing.is_some() || !self.reader.has_room(self.max_buffered()) {
+        self.is_held = self.body.as_ref().is_some_and(|body| !body.has_room(cx));
+        let max_bytes = self.max_buffered();
+        if self.closing.is_some() || !self.reader.has_room(max_bytes) {
             return Ok(false);
         }
-        match self.reader.poll_fill(&mut self.stream, cx) {
+        match self.reader.poll_fill(&mut self.stream, max_bytes, cx) {
             Poll::Pending => Ok(false),
             Poll::Ready(Ok(count)) if count > 0 => {
                 self.read_at = Instant::now();
--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -58,6 +58,10 @@
 impl OpenConnection {
     /// Returns the number of bytes that may wait to be decoded.
     pub(super) fn max_buffered(&self) -> usize {
+        if self.is_held {
+            // The call has a chunk that it does not take.
+            return 0;
+        }
         let is_head_next = !self.reader.is_in_body() && !self.reader.is_ended();
         if is_head_next && self.pipeline.accepts() {
             // One byte more than allowed shows that a head is too long.
--- a/crates/node/src/ingress/connection/reader.rs
+++ b/crates/node/src/ingress/connection/reader.rs
@@ -144,8 +144,8 @@
         }
     }
 
-    /// Reads from the connection and returns the number of bytes, zero at its end. No buffer is
-    /// allocated before the connection is readable.
+    /// Reads from the connection, to at most `max_bytes` in the buffer, and returns the number of bytes,
+    /// zero at its end. No buffer is allocated before the connection is readable.
     ///
     /// # Errors
     ///
@@ -153,6 +153,7 @@
     pub(super) fn poll_fill(
         &mut self,
         stream: &mut TcpStream,
+        max_bytes: usize,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
         ready!(stream.poll_read_ready(cx))?;
@@ -161,6 +162,7 @@
         } else {
             HEAD_READ_BYTES
         };
+        let size = size.min(max_bytes.saturating_sub(self.buffer.len()));
         self.buffer.reserve(size);
         let mut target = (&mut self.buffer).limit(size);
         let read = pin!(stream.read_buf(&mut target)).poll(cx);
