--- a/crates/node/src/ingress/tests/framing.rs
+++ b/crates/node/src/ingress/tests/framing.rs
@@ -207,3 +207,20 @@
         reply.unwrap().assert_status(200).assert_body(b"hello");
     }
 }
+
+/// Guards against bytes of another protocol that are read as requests, and against a caller that waits for an
+/// upgrade.
+#[actix_rt::test]
+async fn an_upgrade_is_ignored_and_ends_the_connection() {
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| hello_sidecar()).await;
+    let upgrade = "GET /x HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n";
+    let tunnel = "CONNECT a:80 HTTP/1.1\r\nhost: a:80\r\n\r\n";
+    for (request, status) in [(upgrade, "200"), (tunnel, "404")] {
+        let text = exchange(&fixture, &format!("{request}{SMUGGLED}")).await;
+        assert!(text.starts_with(&format!("HTTP/1.1 {status} ")), "{text}");
+        assert!(text.contains("connection: close\r\n"), "{text}");
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    }
+    let heads = fixture.heads();
+    assert!(heads.iter().all(|head| head.target == "/x"), "{heads:?}");
+}
