Record why calls are dropped, and test a caller that leaves within a held body

Cause: calls that were dropped behind an answer that broke off, or for an invalid chunk, were logged as caller-closed.

Change: OpenCalls::drop_as; causes abandoned and malformed. A new test covers a caller that leaves while its body is held.

--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -15,6 +15,7 @@
         slot::{Progress, Slot},
     },
     handler,
+    open_calls::EndCause,
 };
 
 /// Bytes of a body that are discarded after its call has ended, so that the connection can be used for
@@ -180,7 +181,9 @@
             if last.is_running() {
                 // Without the end of the body an upstream never gets the whole request.
                 let response = Response::new(err.status());
-                *last = Slot::last(response, CloseCause::Malformed);
+                let refusal = Slot::last(response, CloseCause::Malformed);
+                let open_calls = &self.worker.shared.open_calls;
+                open_calls.drop_as(EndCause::Malformed, || *last = refusal);
             }
         }
     }
--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -16,6 +16,7 @@
 use crate::ingress::{
     answer::CallerResponse,
     connection::{close_cause::CloseCause, slot::Progress},
+    open_calls::EndCause,
 };
 
 impl OpenConnection {
@@ -173,7 +174,8 @@
             let count = abandoned.started as u64;
             metrics::counter!("requests_abandoned_total").increment(count);
         }
-        self.slots.clear();
+        let open_calls = &self.worker.shared.open_calls;
+        open_calls.drop_as(EndCause::Abandoned, || self.slots.clear());
         self.body = None;
         self.closing = Some(cause);
     }
--- a/crates/node/src/ingress/open_calls.rs
+++ b/crates/node/src/ingress/open_calls.rs
@@ -1,6 +1,6 @@
 //! Calls of callers that have no complete answer yet.
 
-use std::{collections::BTreeMap, sync::Arc, time::Instant};
+use std::{collections::BTreeMap, mem, sync::Arc, time::Instant};
 
 use log::{info, warn};
 use parking_lot::Mutex;
@@ -19,6 +19,8 @@
     last_number: u64,
     calls: BTreeMap<u64, CallState>,
     line_budget: LineBudget,
+    /// Why calls end that are dropped.
+    drop_cause: EndCause,
 }
 
 struct CallState {
@@ -47,6 +49,10 @@
     CallerClosed,
     /// The answer broke off.
     AnswerBroken,
+    /// An answer before it on its connection closed the connection.
+    Abandoned,
+    /// The framing of its body is invalid.
+    Malformed,
     /// The node stopped.
     Stop,
 }
@@ -56,6 +62,8 @@
         match self {
             Self::CallerClosed => "caller-closed",
             Self::AnswerBroken => "answer-broken",
+            Self::Abandoned => "abandoned",
+            Self::Malformed => "malformed",
             Self::Stop => "stop",
         }
     }
@@ -67,6 +75,7 @@
             last_number: 0,
             calls: BTreeMap::new(),
             line_budget: LineBudget::new(Instant::now()),
+            drop_cause: EndCause::CallerClosed,
         };
         Self {
             table: Arc::new(Mutex::new(table)),
@@ -94,6 +103,13 @@
         }
     }
 
+    /// Runs `drop_calls` and records a cause for the calls that it drops.
+    pub(super) fn drop_as(&self, cause: EndCause, drop_calls: impl FnOnce()) {
+        let usual = mem::replace(&mut self.table.lock().drop_cause, cause);
+        drop_calls();
+        self.table.lock().drop_cause = usual;
+    }
+
     /// Returns the number of calls.
     pub(super) fn len(&self) -> usize {
         self.table.lock().calls.len()
@@ -143,7 +159,8 @@
     }
 }
 
-/// One open call. Dropping it records that the caller closed its connection.
+/// One open call. Dropping it records that the caller closed its connection, unless
+/// [`OpenCalls::drop_as`] states another cause.
 pub(super) struct OpenCall {
     calls: OpenCalls,
     number: u64,
@@ -177,6 +194,7 @@
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.calls.end(self.number, Some(EndCause::CallerClosed));
+        let cause = self.calls.table.lock().drop_cause;
+        self.calls.end(self.number, Some(cause));
     }
 }
--- a/crates/node/src/ingress/tests/pipelining.rs
+++ b/crates/node/src/ingress/tests/pipelining.rs
@@ -274,6 +274,39 @@
     }
 }
 
+/// The same while an upstream does not read a body, so that the connection is not read either.
+#[actix_rt::test]
+async fn the_call_of_a_caller_that_leaves_within_a_body_is_dropped() {
+    // More than a call takes whose upstream does not read, and less than that and the socket's buffer:
+    // behind more, the end of the connection does not arrive.
+    const HELD_BYTES: usize = 180 << 10;
+    let (running, dropped) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+    let (seen, ended) = (Rc::clone(&running), Rc::clone(&dropped));
+    let unread = move |mut call: FakeCall| {
+        let (running, dropped) = (Rc::clone(&running), Rc::clone(&dropped));
+        async move {
+            running.set(true);
+            call.writer.wait_for_reset().await;
+            dropped.set(true);
+        }
+        .boxed_local()
+    };
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], move |_| {
+        FakeSidecar::new(unread.clone())
+    })
+    .await;
+    let head = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 9000000\r\n\r\n";
+    let stream = fixture
+        .connect(&[head.as_bytes(), &[b'b'; HELD_BYTES]].concat())
+        .await;
+    wait_until(|| seen.get()).await;
+    sleep(QUIET).await;
+    assert!(!ended.get());
+    drop(stream);
+    sleep(DROP_TIME).await;
+    assert!(ended.get());
+}
+
 /// Guards against a planned stop that loses calls which upstreams run, or takes further ones on the
 /// connection.
 #[actix_rt::test]
