--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod channel;
+mod connection;
 mod credential;
 mod dispatch;
 mod feedback;
@@ -55,6 +56,7 @@
                 stall: context.registry().find::<StallHandle>("stall")?,
                 open_calls: OpenCalls::default(),
                 gate: context.stop_gate().clone(),
+                body_budget: context.body_budget().clone(),
                 cut: context.cut_token(),
                 token: context.shutdown_token(),
             };
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -7,7 +7,6 @@
     time::{Duration, Instant},
 };
 
-use actix_web::HttpResponse;
 use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{
     AttemptFailure, AttemptLimit, Attempts, Constraints, Evidence, RequestKind, RetryDecision,
@@ -16,9 +15,9 @@
 
 use crate::{
     ingress::{
-        answer,
+        answer::{self, CallerResponse},
         attempt::{AttemptResult, Reply, send_call},
-        body::{DISCARD_TIME, RequestAborted, RequestBody},
+        body::{BodyError, DISCARD_TIME, RequestBody},
         feedback::{Feedback, feedback},
         fingerprint::fingerprint,
         guards::{CallGuard, Permit},
@@ -26,7 +25,7 @@
         record::{self, CallFields},
         refusal::{
             NO_UPSTREAM_RETRY_MS, bad_answer, did_not_run, no_upstream, refused_by_stop,
-            with_earliest_retry,
+            unreceived, with_earliest_retry,
         },
         reply_body::{empty_body, reply_body},
         request::CallerRequest,
@@ -78,7 +77,7 @@
 
     /// Makes attempts until an upstream answers or no further attempt is allowed, and returns the
     /// response. The permit is held until the end of the response body.
-    pub(super) async fn run(mut self, permit: Permit, open_call: OpenCall) -> HttpResponse {
+    pub(super) async fn run(mut self, permit: Permit, open_call: OpenCall) -> CallerResponse {
         let service = self.request.service.clone();
         let now = Instant::now();
         self.worker
@@ -152,7 +151,7 @@
         };
         match read {
             Ok(Ok(fingerprint)) => self.fingerprint = fingerprint,
-            Ok(Err(RequestAborted)) => return Err(did_not_run(RefusalReason::Broken, 0)),
+            Ok(Err(err)) => return Err(unreceived(err)),
             Err(_) => return Err(did_not_run(RefusalReason::Deadline, 0)),
         }
         Ok(())
@@ -259,6 +258,10 @@
         if is_stalled || is_brief {
             feedback.evidence = feedback.evidence.filter(|e| *e == Evidence::Answered);
         }
+        if self.body.error().is_some() {
+            // This node reset the stream.
+            feedback.evidence = None;
+        }
         if self.request.key.is_some() && matches!(result, AttemptResult::Replied(_)) {
             // The owner may have run the request on another upstream, so the reply says nothing about
             // the health and load of its own.
@@ -418,7 +421,7 @@
         destination: Destination,
         permit: Permit,
         open_call: OpenCall,
-    ) -> HttpResponse {
+    ) -> CallerResponse {
         let ReplyHead::Answer {
             status,
             headers,
@@ -445,22 +448,27 @@
         recorder.record_answer(&fields, &destination.upstream.name, *status);
         if self.request.method == "HEAD" {
             open_call.finish();
-            return builder.body(empty_body(length));
+            return answer::with_body(&mut builder, empty_body(length));
         }
         if is_bodiless(*status) {
             open_call.finish();
-            return builder.finish();
+            return answer::without_body(&mut builder);
         }
         let idle_timeout = Duration::from_millis(self.request.route.timeout_ms);
         open_call.record_answer();
         let guards = (destination.guard, permit, open_call);
         let body = reply_body(reply, length, idle_timeout, guards);
-        builder.body(body)
+        answer::with_body(&mut builder, body)
     }
 
     /// Returns the final response to a call that no upstream answered. If any attempt may have run
     /// the request, the outcome is unknown even if the last attempt did not run it.
-    fn refuse(&self, mut refusal: Refusal, open_call: OpenCall) -> HttpResponse {
+    fn refuse(&self, mut refusal: Refusal, open_call: OpenCall) -> CallerResponse {
+        let is_too_large = self.body.error() == Some(BodyError::TooLarge);
+        if is_too_large {
+            refusal.reason = RefusalReason::BodyTooLarge;
+            refusal.after_ms = 0;
+        }
         if refusal.outcome == Outcome::DidNotRun && !self.attempts.has_not_run() {
             refusal.outcome = Outcome::Unknown;
         }
@@ -478,8 +486,11 @@
         let dialect = self.worker.header_rules().dialect;
         let mut builder = answer::refusal_response(&refusal, dialect);
         answer::add_call_id(&mut builder, &self.request.call_id, dialect);
+        if is_too_large {
+            builder.force_close();
+        }
         open_call.finish();
-        builder.finish()
+        answer::without_body(&mut builder)
     }
 }
 
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -1,8 +1,10 @@
 mod bodies;
 mod fake;
+mod framing;
 mod lifecycle;
 mod organisations;
 mod outcomes;
+mod pipelining;
 mod rejections;
 mod silence;
 mod stated;
--- a/crates/node/src/settings/limits.rs
+++ b/crates/node/src/settings/limits.rs
@@ -36,6 +36,11 @@
     /// Gain in expected response time, relative to the target latency, that a call to another failure
     /// domain must bring, if the policy `spillover` is enabled; 0.25 by default.
     pub crossing_gain: f64,
+    /// Memory of the machine in megabytes, if known. Buffered bodies and connections of callers are
+    /// then bounded by shares of it.
+    pub memory_mb: Option<u32>,
+    /// Descriptors that the process may open, if known. Connections are then bounded by shares of them.
+    pub max_fds: Option<u32>,
 }
 
 /// Largest share of the grace period that the notice takes.
@@ -125,6 +130,8 @@
             cold_overage: 1.0,
             cold_slack: 0,
             crossing_gain: SpilloverSettings::default().crossing_gain,
+            memory_mb: None,
+            max_fds: None,
         }
     }
 }
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -153,6 +153,10 @@
     NoApiKey,
     /// No organisation holds the API key of the request.
     UnknownApiKey,
+    /// The body of the request is larger than a caller may send.
+    BodyTooLarge,
+    /// The bodies of all calls take up the memory for them.
+    NoMemory,
 }
 
 impl RefusalReason {
