--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -149,14 +149,14 @@
     NoRoute,
     /// The ID that the caller gave is too long or not printable ASCII.
     BadCallId,
-    /// The body of the request is larger than a caller may send.
-    BodyTooLarge,
-    /// The bodies of all calls take up the memory for them.
-    NoMemory,
     /// The request needs an API key and has none.
     NoApiKey,
     /// No organisation holds the API key of the request.
     UnknownApiKey,
+    /// The body of the request is larger than a caller may send.
+    BodyTooLarge,
+    /// The bodies of all calls take up the memory for them.
+    NoMemory,
 }
 
 impl RefusalReason {
