--- a/crates/node/src/body_budget.rs
+++ b/crates/node/src/body_budget.rs
@@ -50,6 +50,9 @@
             self.set(bytes);
             return true;
         };
+        if more == 0 {
+            return true;
+        }
         let limit = self.budget.limit;
         let grow = |used: usize| Some(used.saturating_add(more)).filter(|used| *used <= limit);
         let used = &self.budget.used;
