--- a/crates/node/src/body_budget.rs
+++ b/crates/node/src/body_budget.rs
@@ -8,6 +8,10 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+/// Bytes that each call gets even if the budget is used up: one part of a body and one read. Large bodies of
+/// some callers then leave small ones of others their room, which the number of calls bounds.
+const GRANTED_BYTES: usize = 32 << 10;
+
 /// Bytes of bodies that all calls of the process buffer, at the ingress and at the sidecar. Clones share
 /// the count.
 #[derive(Clone, Debug)]
@@ -32,6 +36,11 @@
         }
     }
 
+    /// Returns the number of reserved bytes.
+    pub(crate) fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
     /// Returns an empty reservation.
     pub(crate) fn reserve(&self) -> Reservation {
         Reservation {
@@ -42,8 +51,8 @@
 }
 
 impl Reservation {
-    /// Changes the number of reserved bytes, unless it grows beyond what is left of the budget; returns
-    /// whether it was changed.
+    /// Changes the number of reserved bytes, unless it grows beyond [`GRANTED_BYTES`] and what is left of
+    /// the budget; returns whether it was changed.
     #[must_use]
     pub(crate) fn try_set(&mut self, bytes: usize) -> bool {
         let Some(more) = bytes.checked_sub(self.bytes) else {
@@ -53,6 +62,10 @@
         if more == 0 {
             return true;
         }
+        if bytes <= GRANTED_BYTES {
+            self.set(bytes);
+            return true;
+        }
         let limit = self.budget.limit;
         let grow = |used: usize| Some(used.saturating_add(more)).filter(|used| *used <= limit);
         let used = &self.budget.used;
--- a/crates/node/src/ingress/tests.rs
+++ b/crates/node/src/ingress/tests.rs
@@ -1,6 +1,7 @@
 mod bodies;
 mod fake;
 mod framing;
+mod large_bodies;
 mod lifecycle;
 mod organisations;
 mod outcomes;
@@ -25,7 +26,7 @@
 use crate::{
     kernel::Service,
     view::Phase,
-    wire::{Outcome, RefusalReason},
+    wire::{Outcome, RefusalReason, ReplyHead},
 };
 
 const TWO_UPSTREAMS: &[(&str, &str)] = &[("a1", "a"), ("a2", "a")];
--- a/crates/node/src/sidecar/health.rs
+++ b/crates/node/src/sidecar/health.rs
@@ -76,6 +76,10 @@
             return None;
         }
     };
+    if answer.status().is_informational() {
+        // Not a final answer; the library does not wait for the one that follows.
+        return None;
+    }
     let dialect = upstream.dialect();
     let answered_by = dialect
         .answered_by
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -269,6 +269,8 @@
 
     /// Removes upstreams whose withdrawal grace period has passed.
     pub(super) fn sweep(&self) {
+        #[allow(clippy::cast_precision_loss)]
+        metrics::gauge!("body_bytes_buffered").set(self.context().body_budget().used() as f64);
         self.update_upstreams(&self.context.view().load());
     }
 
--- a/crates/node/src/source/client.rs
+++ b/crates/node/src/source/client.rs
@@ -9,12 +9,15 @@
 use awc::{Client, ClientResponse, Connector, error::SendRequestError};
 use bytes::Bytes;
 use serde::Deserialize;
+use tokio::time::timeout;
 use wagtaillever_coordination::retry_after;
 
 use super::error::SourceError;
 
 /// Timeout of a read.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time allowed for the body of an answer after its head, so that an answer without end is given up.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of an answer body.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Delay after a refusal that states none.
@@ -94,8 +97,7 @@
         if answer.status() == 404 {
             return Ok((None, store_revision));
         }
-        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|err| unavailable(&err))?;
+        let body = read_body(&mut answer).await?;
         count_bytes(body.len());
         let value = Value { body };
         Ok((Some(value), store_revision))
@@ -114,8 +116,7 @@
         let timeout = wait + READ_TIMEOUT;
         let answer = self.client.get(url).timeout(timeout).send().await;
         let mut answer = check_status(answer)?;
-        let body = answer.body().limit(MAX_ANSWER_BYTES).await;
-        let body = body.map_err(|err| unavailable(&err))?;
+        let body = read_body(&mut answer).await?;
         count_bytes(body.len());
         serde_json::from_slice(&body).map_err(|err| SourceError::BadValue {
             key: "watch".into(),
@@ -132,6 +133,13 @@
     }
 }
 
+/// Reads the body of an answer. The time limit of the HTTP library ends with the head.
+async fn read_body(answer: &mut ClientResponse) -> Result<Bytes, SourceError> {
+    let body = timeout(BODY_TIMEOUT, answer.body().limit(MAX_ANSWER_BYTES)).await;
+    let body = body.map_err(|err| unavailable(&err))?;
+    body.map_err(|err| unavailable(&err))
+}
+
 fn check_status<S>(
     answer: Result<ClientResponse<S>, SendRequestError>,
 ) -> Result<ClientResponse<S>, SourceError> {
