--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -15,6 +15,7 @@
         slot::{Progress, Slot},
     },
     handler,
+    open_calls::EndCause,
 };
 
 /// Bytes of a body that are discarded after its call has ended, so that the connection can be used for
@@ -58,6 +59,10 @@
 impl OpenConnection {
     /// Returns the number of bytes that may wait to be decoded.
     pub(super) fn max_buffered(&self) -> usize {
+        if self.is_held {
+            // The call has a chunk that it does not take.
+            return 0;
+        }
         let is_head_next = !self.reader.is_in_body() && !self.reader.is_ended();
         if is_head_next && self.pipeline.accepts() {
             // One byte more than allowed shows that a head is too long.
@@ -176,7 +181,9 @@
             if last.is_running() {
                 // Without the end of the body an upstream never gets the whole request.
                 let response = Response::new(err.status());
-                *last = Slot::last(response, CloseCause::Malformed);
+                let refusal = Slot::last(response, CloseCause::Malformed);
+                let open_calls = &self.worker.shared.open_calls;
+                open_calls.drop_as(EndCause::Malformed, || *last = refusal);
             }
         }
     }
