Decide on quotas of organisations across all nodes

Nothing bounded the requests of an organisation over all nodes. One shard owner, chosen by rendezvous hash, holds the token bucket; nodes ask it for tokens ahead of need and return theirs with each request, so that the tokens of all nodes never exceed the depth of the bucket. Without contact, nodes spend leased offline rates, which the owner deducts.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -38,6 +38,7 @@
 mod overlay;
 mod poison;
 mod quality;
+mod quota;
 mod registrations;
 mod replica;
 mod report;
@@ -97,6 +98,10 @@
     overlay::{Overlay, parent_positions},
     poison::{InFlight, PoisonReport, PoisonTracker, Suspicion, trial_rank},
     quality::Quality,
+    quota::{
+        QUOTA_SHARDS, QuotaAnswer, QuotaBounds, QuotaClient, QuotaDemand, QuotaGrant, QuotaLedger,
+        QuotaReply, QuotaRequest, QuotaStatus, QuotaTable, ShardOwners, ShardRole, quota_shard,
+    },
     registrations::{Registration, Registrations},
     replica::{
         Identity, LinkId, Origin, Output, PlatformMode, PlatformValue, Replica, ReplicaEvent,
