Keep the quotas of organisations at the ingress

The service quota asks shard owners for tokens over streams /quota and answers other nodes. The ingress counts each request of an organisation with a quota before the first attempt and refuses what exceeds it with 429 and Retry-After. Without a quota the service only waits for configurations.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -18,6 +18,7 @@
     logging,
     mutant::{self, Mutant},
     peers::{Peers, PeersHandle},
+    quota::Quota,
     settings::Settings,
     sidecar::Sidecar,
     source::Source,
@@ -101,6 +102,7 @@
         .add(Transport::default())
         .add(Peers::default())
         .add(Source::default())
+        .add(Quota::default())
         .add(Sidecar::default())
         .add(Ingress::default());
     let lifecycle = Lifecycle::new(&context);
--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -30,6 +30,7 @@
 use crate::{
     ingress::{open_calls::OpenCalls, server::Server, worker::SharedState},
     kernel::{BindSnafu, Context, Service, StartError, StopDeadlines},
+    quota::QuotaHandle,
     stall::StallHandle,
 };
 
@@ -53,6 +54,7 @@
                 view: context.view().clone(),
                 timeline: context.timeline().clone(),
                 stall: context.registry().find::<StallHandle>("stall")?,
+                quota: context.registry().find::<QuotaHandle>("quota")?,
                 open_calls: OpenCalls::default(),
                 gate: context.stop_gate().clone(),
                 cut: context.cut_token(),
--- a/crates/node/src/ingress/answer.rs
+++ b/crates/node/src/ingress/answer.rs
@@ -110,6 +110,7 @@
             StatusCode::BAD_REQUEST
         }
         (reason, Outcome::DidNotRun) if reason.is_about_api_key() => StatusCode::UNAUTHORIZED,
+        (RefusalReason::QuotaExceeded, Outcome::DidNotRun) => StatusCode::TOO_MANY_REQUESTS,
         (RefusalReason::InProgress, _) => StatusCode::CONFLICT,
         (_, Outcome::DidNotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (RefusalReason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
@@ -144,6 +145,7 @@
         RefusalReason::TooManyHops => "too-many-hops",
         RefusalReason::BadAnswer => "bad-answer",
         RefusalReason::NoRoute => "no-route",
+        RefusalReason::QuotaExceeded => "quota-exceeded",
         RefusalReason::BadCallId => "bad-call-id",
         RefusalReason::NoApiKey => "no-api-key",
         RefusalReason::UnknownApiKey => "unknown-api-key",
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -22,6 +22,7 @@
 use crate::{
     ingress::Ingress,
     kernel::{Context, Service},
+    quota::Quota,
     settings::Settings,
     stall::StallWatch,
     transport::{FrameReader, FrameWriter, StreamHandler, Transport},
@@ -199,6 +200,9 @@
         let mut stall = StallWatch::default();
         stall.start(&context).await.unwrap();
         services.push(Box::new(stall));
+        let mut quota = Quota::default();
+        quota.start(&context).await.unwrap();
+        services.push(Box::new(quota));
         context.view().set_config(Arc::new(config));
         context.view().set_vms(Arc::new(vms));
         context.view().set_phase(Phase::Serving);
--- a/crates/node/src/ingress/tests/organisations.rs
+++ b/crates/node/src/ingress/tests/organisations.rs
@@ -8,7 +8,10 @@
     fake::{free_address, refuse, settings},
     *,
 };
-use crate::{ingress::Ingress, kernel::Context, stall::StallWatch, view::ViewCell, wire::CallHead};
+use crate::{
+    ingress::Ingress, kernel::Context, quota::Quota, stall::StallWatch, view::ViewCell,
+    wire::CallHead,
+};
 
 const KEY: &str = "key-of-acme";
 
@@ -198,6 +201,7 @@
     let context = Context::new(settings(free_address(), 512));
     let mut stall = StallWatch::default();
     stall.start(&context).await.unwrap();
+    Quota::default().start(&context).await.unwrap();
     context.view().set_phase(Phase::Serving);
     let mut ingress = Ingress::default();
     ingress.start(&context).await.unwrap();
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -25,6 +25,7 @@
         routing::RoutingView,
     },
     kernel::StopGate,
+    quota::QuotaHandle,
     settings::Settings,
     stall::StallHandle,
     timeline::Timeline,
@@ -50,6 +51,8 @@
     pub(super) timeline: Timeline,
     /// Detected pauses of the process.
     pub(super) stall: StallHandle,
+    /// Quotas of organisations.
+    pub(super) quota: QuotaHandle,
     /// Calls without a complete answer.
     pub(super) open_calls: OpenCalls,
     /// Decides which calls are still passed on during a stop.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod mutant;
 mod peers;
+mod quota;
 mod settings;
 mod sidecar;
 mod source;
@@ -26,5 +27,5 @@
     daemon::{Arguments, run},
     error::NodeError,
     mutant::Mutant,
-    settings::{Limits, Policies, Protocol, Settings, SettingsError},
+    settings::{Limits, Policies, Protocol, QuotaSettings, Settings, SettingsError},
 };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -5,11 +5,15 @@
 mod limits;
 mod policies;
 mod protocol;
+mod quota;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use self::limits::StopTimes;
-pub use self::{error::SettingsError, limits::Limits, policies::Policies, protocol::Protocol};
+pub use self::{
+    error::SettingsError, limits::Limits, policies::Policies, protocol::Protocol,
+    quota::QuotaSettings,
+};
 
 use std::{
     collections::BTreeMap,
@@ -63,6 +67,9 @@
     /// Retry budget shared by all nodes; by default, each node has a separate budget.
     #[serde(default)]
     pub resends: Option<FleetRetryBudget>,
+    /// Bounds on what all nodes together may run beyond the quota of an organisation.
+    #[serde(default)]
+    pub quota: QuotaSettings,
     /// Addresses of the platform's configuration service.
     #[serde(default)]
     pub platform: Vec<SocketAddr>,
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -29,6 +29,13 @@
 const MIN_GRACE_S: f64 = 0.1;
 const MAX_GRACE_S: f64 = 3_600.0;
 
+/// Range in seconds of the windows of quotas: shorter ones are below the interval between grants, and
+/// over longer ones the bounds allow bursts that no upstream bears.
+const MIN_QUOTA_WINDOW_S: f64 = 1.0;
+const MAX_QUOTA_WINDOW_S: f64 = 60.0;
+/// Largest overage of a quota, at which a quota doubles.
+const MAX_QUOTA_OVERAGE: f64 = 1.0;
+
 impl Settings {
     /// Checks the rules that the types of the fields do not enforce.
     pub(super) fn check(&self) -> Result<(), InvalidField> {
@@ -37,6 +44,7 @@
         self.check_token()?;
         self.check_sources()?;
         self.check_limits()?;
+        self.check_quota()?;
         check_filter(&self.log)
     }
 
@@ -55,6 +63,18 @@
         Ok(())
     }
 
+    fn check_quota(&self) -> Result<(), InvalidField> {
+        let quota = &self.quota;
+        let reason = format!("must be {MIN_QUOTA_WINDOW_S} to {MAX_QUOTA_WINDOW_S} seconds");
+        let is_valid = (MIN_QUOTA_WINDOW_S..=MAX_QUOTA_WINDOW_S).contains(&quota.window_s);
+        ensure(is_valid, "quota.window_s", reason)?;
+        let is_valid = (0.0..=MAX_QUOTA_OVERAGE).contains(&quota.overage);
+        let reason = format!("must be 0 to {MAX_QUOTA_OVERAGE}");
+        ensure(is_valid, "quota.overage", reason)?;
+        let is_valid = quota.slack >= 0.0 && quota.slack.is_finite();
+        ensure(is_valid, "quota.slack", "must be 0 or more")
+    }
+
     fn check_addresses(&self) -> Result<(), InvalidField> {
         let listeners = self.listeners();
         for (index, (field, address)) in listeners.iter().enumerate() {
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -304,6 +304,11 @@
         ("bounds.config_apply_s", "2"),
         ("bounds.drain_s", "2"),
         ("bounds.grace_s", "6"),
+        ("#bounds.quota_window_s", ""),
+        ("/bounds.quota_window_s", ""),
+        ("bounds.quota_window_s", "4"),
+        ("bounds.quota_overage", "0.5"),
+        ("bounds.quota_slack", "10"),
     ];
     for (field, value) in fields {
         text = text.replace(&format!("{{{{{field}}}}}"), value);
@@ -317,6 +322,7 @@
     assert_eq!(settings.regions.len(), 2);
     assert_eq!(settings.limits.link_rate(), Some(3_500_000));
     assert_eq!(settings.limits.cold_rate(17), 25);
+    assert_eq!(settings.quota.bounds().window.as_secs(), 4);
     let times = settings.limits.stop_times();
     assert!(
         times.end.as_millis() < 6_000,
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -17,7 +17,6 @@
 mod headers;
 mod health;
 mod keys;
-mod links;
 mod probe;
 mod refuse;
 mod shared;
--- a/crates/node/src/sidecar/shared.rs
+++ b/crates/node/src/sidecar/shared.rs
@@ -24,10 +24,11 @@
     mutant::{self, Mutant},
     peers::PeersHandle,
     sidecar::{
-        active_calls::ActiveCalls, fence::Fences, keys::Keys, links::Links, suspects::Suspects,
+        active_calls::ActiveCalls, fence::Fences, keys::Keys, suspects::Suspects,
         upstream::LocalUpstream, upstreams::Upstreams,
     },
     stall::StallHandle,
+    transport::Links,
     view::View,
 };
 
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -3,11 +3,13 @@
 mod client;
 mod error;
 mod frame;
+mod links;
 mod server;
 
 pub(crate) use self::{
     client::{Connection, connect, connect_with_window},
     error::TransportError,
     frame::{FrameReader, FrameWriter},
+    links::Links,
     server::{StreamHandler, Transport},
 };
--- a/crates/node/src/sidecar/links.rs
+++ b/crates/node/src/transport/links.rs
@@ -1,4 +1,4 @@
-//! Connections to other sidecars.
+//! Connections to other nodes, opened on demand.
 
 use std::{
     cell::RefCell,
@@ -7,17 +7,20 @@
     rc::Rc,
 };
 
-use crate::transport::{Connection, TransportError, connect};
+use crate::transport::{
+    client::{Connection, connect},
+    error::TransportError,
+};
 
-/// Connections to other sidecars, one per address, opened on demand.
-pub(super) struct Links {
+/// Connections to other nodes, one per address, opened on demand.
+pub(crate) struct Links {
     local: IpAddr,
     open: RefCell<HashMap<SocketAddr, Rc<Connection>>>,
 }
 
 impl Links {
     /// Returns an empty set whose connections are opened from the local address `local`.
-    pub(super) fn new(local: IpAddr) -> Self {
+    pub(crate) fn new(local: IpAddr) -> Self {
         Self {
             local,
             open: RefCell::default(),
@@ -29,7 +32,7 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be reached; nothing was sent in that case.
-    pub(super) async fn get(&self, address: SocketAddr) -> Result<Rc<Connection>, TransportError> {
+    pub(crate) async fn get(&self, address: SocketAddr) -> Result<Rc<Connection>, TransportError> {
         self.prune();
         let known = self.open.borrow().get(&address).map(Rc::clone);
         if let Some(known) = known {
@@ -40,6 +43,12 @@
         Ok(opened)
     }
 
+    /// Closes the connections to all addresses but the given ones.
+    pub(crate) fn retain(&self, addresses: &[SocketAddr]) {
+        let mut open = self.open.borrow_mut();
+        open.retain(|address, _| addresses.contains(address));
+    }
+
     fn prune(&self) {
         self.open.borrow_mut().retain(|_, link| !link.is_closed());
     }
--- a/crates/node/src/wire/call.rs
+++ b/crates/node/src/wire/call.rs
@@ -147,6 +147,8 @@
     BadAnswer,
     /// No route matches the request.
     NoRoute,
+    /// The organisation has used up its quota.
+    QuotaExceeded,
     /// The ID that the caller gave is too long or not printable ASCII.
     BadCallId,
     /// The request needs an API key and has none.
--- a/crates/node/tests/deployed/caller.rs
+++ b/crates/node/tests/deployed/caller.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Answer {
     pub(crate) status: u16,
     pub(crate) body: String,
+    /// Value of `Retry-After`.
+    pub(crate) retry_after: Option<String>,
     /// Whether the node closes the connection after the answer.
     pub(crate) is_last: bool,
 }
@@ -67,6 +69,7 @@
         let length = field("content-length:").and_then(|text| text.parse().ok());
         let is_chunked = field("transfer-encoding:") == Some("chunked");
         let status = head.split(' ').nth(1).and_then(|text| text.parse().ok());
+        let retry_after = field("retry-after:").map(str::to_string);
         let is_last = field("connection:") == Some("close");
         let body_end = if is_chunked {
             while !bytes.ends_with(b"\r\n0\r\n\r\n") {
@@ -82,6 +85,7 @@
         Ok(Answer {
             status: status.unwrap_or(0),
             body: String::from_utf8_lossy(&bytes[head_end..body_end]).into_owned(),
+            retry_after,
             is_last,
         })
     }
--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -5,7 +5,10 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -16,6 +19,7 @@
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use wagtaillever_coordination::{ShardOwners, VmEntry, VmList, VmState, quota_shard};
 
 use crate::{caller::Connection, store::TestStore, upstream::TestUpstream};
 
@@ -223,6 +227,29 @@
         fs::read_to_string(log).unwrap()
     }
 
+    /// Returns the index of the VM whose node counts the requests of a tenant.
+    pub(crate) fn quota_owner(&self, tenant: &str) -> usize {
+        let entries = self.vms.iter().map(|vm| {
+            Arc::new(VmEntry {
+                vm: vm.ip.to_string().into(),
+                domain: "ragusa".into(),
+                region: "sicily".into(),
+                address: vm.callers(),
+                state: VmState::Live,
+                upstreams: Vec::new(),
+            })
+        });
+        let list = VmList {
+            number: 1,
+            vms: entries.collect(),
+        };
+        let owners = ShardOwners::new(&list);
+        let owner = owners.owner(quota_shard(&tenant.into())).unwrap();
+        let mut vms = self.vms.iter();
+        vms.position(|vm| vm.ip.to_string() == owner.as_str())
+            .unwrap()
+    }
+
     /// Returns how many log lines of all nodes contain a text.
     pub(crate) fn count_log_lines(&self, text: &str) -> usize {
         let logs = (0..self.vms.len()).map(|index| self.log(index));
@@ -240,6 +267,7 @@
     fn settings(&self, vm: &Vm) -> String {
         let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/node.yaml");
         let mut text = fs::read_to_string(template).unwrap();
+        text = without_sections(&text);
         // All VMs of a test share one host.
         text = text.replace("127.0.0.1", &vm.ip.to_string());
         let fields = [
@@ -281,6 +309,17 @@
     }
 }
 
+/// Removes the sections of a template for values that the deployment does not have.
+fn without_sections(template: &str) -> String {
+    let mut text = template.to_string();
+    while let Some((before, rest)) = text.split_once("{{#") {
+        let (name, rest) = rest.split_once("}}").unwrap();
+        let (_, after) = rest.split_once(&format!("{{{{/{name}}}}}")).unwrap();
+        text = format!("{before}{after}");
+    }
+    text
+}
+
 /// Returns whether a node serves a request for a service.
 pub(crate) async fn is_served(node: SocketAddr, service: &str) -> bool {
     let Ok(mut connection) = Connection::open(node).await else {
--- a/crates/node/tests/deployed/main.rs
+++ b/crates/node/tests/deployed/main.rs
@@ -10,6 +10,7 @@
 mod late_connections;
 mod odd_entries;
 mod odd_requests;
+mod quotas;
 mod stop;
 mod store;
 mod upstream;
--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -59,6 +59,7 @@
 
 fn whole_answer(vm: usize) -> Option<Answer> {
     Some(Answer {
+        retry_after: None,
         status: 200,
         body: format!("long-{vm}-0"),
         is_last: true,
