--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -1,9 +1,15 @@
 mod fleet;
 
+use std::time::{Duration, Instant};
+
 use proptest::{prelude::*, test_runner::Config as Runs};
 
 use self::fleet::{Demand, Fault, Fleet, Outcome, Spread};
-use crate::organisation::QuotaRate;
+use super::{QuotaAnswer, QuotaBounds, QuotaClient, QuotaLedger, ShardOwners};
+use crate::{
+    organisation::QuotaRate,
+    vm::{VmEntry, VmList, VmState},
+};
 
 /// Demand that the platform describes as typical: 1 / 1.6 of the quota.
 const TYPICAL: f64 = 0.625;
@@ -60,7 +66,7 @@
 }
 
 proptest! {
-    #![proptest_config(Runs::with_cases(48))]
+    #![proptest_config(Runs::with_cases(32))]
 
     // Guards against refused requests within the quota, and against more than the quota without any
     // failure.
@@ -85,6 +91,18 @@
         prop_assert!(outcome.excess <= 0.0, "{outcome:?}");
     }
 
+    // Guards against two shard owners that both grant the whole rate while one is cut off from the store
+    // together with a part of the nodes.
+    #[test]
+    fn two_owners_keep_the_quota(
+        seed: u64, nodes in 6..16_usize, per_second in 100.0..300.0_f64, spread in spread(),
+    ) {
+        let limit = QuotaRate { per_second, burst: 0.0 };
+        let demand = Demand { spread, factor: 10.0 * TYPICAL, pauses: false };
+        let outcome = run(seed, nodes, limit, demand, Fault::OwnerCutOff);
+        prop_assert!(outcome.excess <= 0.0, "{outcome:?}");
+    }
+
     // Guards against a hot organisation that gets less than its quota, because tokens expire or stay
     // where nobody needs them.
     #[test]
@@ -122,3 +140,64 @@
         prop_assert!(outcome.excess <= 0.0, "{outcome:?}");
     }
 }
+
+const LIMIT: QuotaRate = QuotaRate {
+    per_second: 50.0,
+    burst: 50.0,
+};
+
+/// Returns a node that owns all shards, as the only one of the list, and its ledger since `now`.
+fn only_node(now: Instant) -> (QuotaClient, QuotaLedger) {
+    let entry = VmEntry {
+        vm: "a".into(),
+        domain: "d".into(),
+        region: "r".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: VmState::Live,
+        upstreams: Vec::new(),
+    };
+    let list = VmList {
+        number: 1,
+        vms: vec![entry.into()],
+    };
+    let owners = ShardOwners::new(&list);
+    let mut ledger = QuotaLedger::new(QuotaBounds::default(), now);
+    ledger.set_table(fleet::table(1, LIMIT));
+    ledger.set_owners(&owners, &"a".into(), now);
+    let mut client = QuotaClient::new("a".into(), QuotaBounds::default(), 1);
+    client.set_table(fleet::table(1, LIMIT));
+    client.set_owners(owners);
+    (client, ledger)
+}
+
+/// Guards against a new shard owner that grants a full bucket, although an earlier one may just have
+/// granted it too.
+#[test]
+fn a_new_owner_begins_with_an_empty_bucket() {
+    let now = Instant::now();
+    let (mut client, mut ledger) = only_node(now);
+    assert_eq!(client.acquire(&"o".into(), now), QuotaAnswer::Wait);
+    let request = client.due_requests(now).remove(0);
+    let reply = ledger.handle(&request, now).unwrap();
+    assert_eq!(reply.grants[0].tokens, 0.0);
+    assert!(reply.grants[0].is_short);
+}
+
+/// Guards against a node that spends its grant after a pause of its process, when the shard owner
+/// counts it as ended.
+#[test]
+fn a_grant_is_not_spent_after_a_stall() {
+    let start = Instant::now();
+    let (mut client, mut ledger) = only_node(start);
+    let now = start + Duration::from_secs(3);
+    for _ in 0..20 {
+        client.acquire(&"o".into(), now);
+    }
+    let request = client.due_requests(now).remove(0);
+    let reply = ledger.handle(&request, now).unwrap();
+    assert!(reply.grants[0].tokens >= 10.0);
+    assert!(client.apply(request.shard, &reply, now));
+    assert_eq!(client.acquire(&"o".into(), now), QuotaAnswer::Granted);
+    let resumed = now + Duration::from_millis(2_001);
+    assert_ne!(client.acquire(&"o".into(), resumed), QuotaAnswer::Granted);
+}
