--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -86,7 +86,7 @@
         if let Err(refusal) = self.read_body_start().await {
             return self.refuse(refusal, open_call);
         }
-        if let Err(refusal) = self.take_quota().await {
+        if let Err(refusal) = self.worker.take_quota(&self.request).await {
             return self.refuse(refusal, open_call);
         }
         let mut last_refusal: Option<Refusal> = None;
@@ -161,18 +161,6 @@
         Ok(())
     }
 
-    /// Counts the request against the quota of its organisation.
-    async fn take_quota(&self) -> Result<(), Refusal> {
-        let Some(organisation) = &self.request.organisation else {
-            return Ok(());
-        };
-        let taken = self.worker.shared.quota.acquire(organisation).await;
-        taken.map_err(|after| {
-            let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
-            did_not_run(RefusalReason::QuotaExceeded, after_ms)
-        })
-    }
-
     fn destination(&mut self) -> Result<Destination, Refusal> {
         if self.request.time_left().is_zero() {
             return Err(did_not_run(RefusalReason::Deadline, 0));
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -21,6 +21,7 @@
         open_calls::OpenCalls,
         pool::{self, Pool},
         record::Recorder,
+        refusal::did_not_run,
         request::{CallerRequest, HeaderRules},
         routing::RoutingView,
     },
@@ -30,6 +31,7 @@
     stall::StallHandle,
     timeline::Timeline,
     view::ViewCell,
+    wire::{Refusal, RefusalReason},
 };
 
 /// Time after which an unused connection is closed, unless it is kept open in advance.
@@ -181,6 +183,22 @@
         apply(budget, &mut self.rng.borrow_mut())
     }
 
+    /// Counts a request against the quota of its organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the quota is used up.
+    pub(super) async fn take_quota(&self, request: &CallerRequest) -> Result<(), Refusal> {
+        let Some(organisation) = &request.organisation else {
+            return Ok(());
+        };
+        let taken = self.shared.quota.acquire(organisation).await;
+        taken.map_err(|after| {
+            let after_ms = u64::try_from(after.as_millis()).unwrap_or(u64::MAX);
+            did_not_run(RefusalReason::QuotaExceeded, after_ms)
+        })
+    }
+
     /// Returns whether a stop has given up the calls in flight.
     pub(super) fn is_cut(&self) -> bool {
         self.shared.cut.is_cancelled()
