--- a/crates/node/src/ingress.rs
+++ b/crates/node/src/ingress.rs
@@ -31,6 +31,7 @@
 use crate::{
     ingress::{open_calls::OpenCalls, server::Server, worker::SharedState},
     kernel::{BindSnafu, Context, Service, StartError, StopDeadlines},
+    quota::QuotaHandle,
     stall::StallHandle,
 };
 
@@ -54,6 +55,7 @@
                 view: context.view().clone(),
                 timeline: context.timeline().clone(),
                 stall: context.registry().find::<StallHandle>("stall")?,
+                quota: context.registry().find::<QuotaHandle>("quota")?,
                 open_calls: OpenCalls::default(),
                 gate: context.stop_gate().clone(),
                 body_budget: context.body_budget().clone(),
--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -85,6 +85,9 @@
         if let Err(refusal) = self.read_body_start().await {
             return self.refuse(refusal, open_call);
         }
+        if let Err(refusal) = self.worker.take_quota(&self.request).await {
+            return self.refuse(refusal, open_call);
+        }
         let mut last_refusal: Option<Refusal> = None;
         loop {
             let destination = match self.destination() {
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -1,6 +1,6 @@
 use std::path::Path;
 
-use super::Settings;
+use super::{SettingOverride, Settings};
 
 const VALID: &str = "\
 vm: vm-1
@@ -315,19 +315,33 @@
         ("bounds.config_apply_s", "2"),
         ("bounds.drain_s", "2"),
         ("bounds.grace_s", "6"),
+        ("bounds.cold_slack", "8"),
+        ("bounds.quota_window_s", "4"),
+        ("bounds.quota_overage", "0.5"),
+        ("bounds.quota_slack", "10"),
     ];
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/system.toml");
+    let mut command = std::fs::read_to_string(deploy).unwrap();
     for (field, value) in fields {
-        text = text.replace(&format!("{{{{{field}}}}}"), value);
+        let placeholder = format!("{{{{{field}}}}}");
+        text = text.replace(&placeholder, value);
+        command = command.replace(&placeholder, value);
     }
     assert!(
-        !text.contains("{{"),
-        "a template field is not filled in: {text}"
+        !text.contains("{{") && !command.contains("{{"),
+        "a field is not filled in: {text} {command}"
     );
-    let settings = Case { text }.parse_valid();
+    let words: Vec<_> = command.split([' ', '"']).collect();
+    let options = words.windows(2).filter(|words| words[0] == "--set");
+    let overrides: Vec<SettingOverride> = options.map(|words| words[1].parse().unwrap()).collect();
+    let settings = Settings::parse_with(Path::new("node.yaml"), &text, &overrides).unwrap();
     assert_eq!(settings.protocol, super::Protocol::Store);
     assert_eq!(settings.regions.len(), 2);
     assert_eq!(settings.limits.link_rate(), Some(3_500_000));
     assert_eq!(settings.limits.cold_rate(17), 25);
+    assert_eq!(settings.quota.bounds().window.as_secs(), 4);
+    assert_eq!(settings.limits.cold_burst(), Some(4));
+    assert_eq!(settings.limits.max_fds, Some(4_100));
     let times = settings.limits.stop_times();
     assert!(
         times.end.as_millis() < 6_000,
@@ -354,3 +368,36 @@
     assert_refused("limits: {memory_mb: 31}", "1", "must be 32 or more");
     assert_refused("limits: {max_fds: 255}", "1", "must be 256 or more");
 }
+
+/// Returns the settings of the valid file with one of them replaced on the command line.
+fn with_override(setting: &str) -> Result<Settings, String> {
+    let overrides = [setting.parse::<SettingOverride>()?];
+    let parsed = Settings::parse_with(Path::new("node.yaml"), VALID, &overrides);
+    parsed.map_err(|err| err.to_string())
+}
+
+/// Failure: a misspelt or invalid setting of the command line that is ignored leaves a limit out.
+#[test]
+fn settings_of_the_command_line_replace_those_of_the_file() {
+    let settings = with_override("limits.grace_s=12").unwrap();
+    assert_eq!(settings.limits.grace_s, 12.0);
+    assert_eq!(settings, with_override("limits.grace_s=12").unwrap());
+    assert_eq!(
+        with_override("limits.grace_s=").unwrap(),
+        Case::new().parse_valid(),
+        "an empty value changes nothing"
+    );
+    for (setting, reason) in [
+        ("limits.colour=1", "--set limits.colour: unknown field"),
+        ("limits.grace_s=soon", "--set limits.grace_s: invalid type"),
+        (
+            "vm.name=x",
+            "--set vm.name: name is not a field of a section",
+        ),
+        ("limits.grace_s=0", "limits.grace_s: must be"),
+        ("limits.grace_s", "expected NAME=VALUE"),
+    ] {
+        let err = with_override(setting).unwrap_err();
+        assert!(err.contains(reason), "{setting}: {err}");
+    }
+}
--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -5,7 +5,10 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -16,6 +19,7 @@
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
+use wagtaillever_coordination::{ShardOwners, VmEntry, VmList, VmState, quota_shard};
 
 use crate::{caller::Connection, store::TestStore, upstream::TestUpstream};
 
@@ -221,6 +225,8 @@
         let node = Command::new(env!("CARGO_BIN_EXE_wagtailleverd"))
             .arg("--settings")
             .arg(&settings)
+            .arg(format!("--set=limits.memory_mb={MEMORY_MB}"))
+            .arg(format!("--set=limits.max_fds={MAX_FDS}"))
             .stdin(Stdio::null())
             .stdout(log.unwrap())
             .spawn();
@@ -233,6 +239,29 @@
         fs::read_to_string(log).unwrap()
     }
 
+    /// Returns the index of the VM whose node counts the requests of a tenant.
+    pub(crate) fn quota_owner(&self, tenant: &str) -> usize {
+        let entries = self.vms.iter().map(|vm| {
+            Arc::new(VmEntry {
+                vm: vm.ip.to_string().into(),
+                domain: "ragusa".into(),
+                region: "sicily".into(),
+                address: vm.callers(),
+                state: VmState::Live,
+                upstreams: Vec::new(),
+            })
+        });
+        let list = VmList {
+            number: 1,
+            vms: entries.collect(),
+        };
+        let owners = ShardOwners::new(&list);
+        let owner = owners.owner(quota_shard(&tenant.into())).unwrap();
+        let mut vms = self.vms.iter();
+        vms.position(|vm| vm.ip.to_string() == owner.as_str())
+            .unwrap()
+    }
+
     /// Returns how many log lines of all nodes contain a text.
     pub(crate) fn count_log_lines(&self, text: &str) -> usize {
         let logs = (0..self.vms.len()).map(|index| self.log(index));
@@ -265,8 +294,6 @@
             ("bounds.budget_min_retries", "630".into()),
             ("bounds.budget_window_s", "10".into()),
             ("limits.link_mbps", "200.0".into()),
-            ("limits.memory_mb", MEMORY_MB.to_string()),
-            ("limits.max_fds", MAX_FDS.to_string()),
             ("bounds.cold_overage", "1.5".into()),
             ("bounds.config_apply_s", "3".into()),
             ("bounds.drain_s", "3".into()),
