Number the list of VMs anew at the first full read, and bring paced dispatches forward

Found by review: lists of starting nodes share a number but may differ, and a reader whose full read equals its own list published nothing; a timer for a low rank delayed an urgent request by one interval. The first has a test that failed before.

--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    era::era_of,
+    era::{era_of, revision_within_era},
     name::{DomainName, RegionName, UpstreamName, VmName},
     vm::{ListedUpstream, VmEntry, VmList, VmState},
 };
@@ -196,7 +196,11 @@
         let vms = self.vms();
         let is_same_era =
             self.published.number == 0 || era_of(self.revision) == self.published.era();
-        if vms == self.published.vms && is_same_era {
+        // A list at the lowest revision came from contents that may be old. Others of that number may
+        // differ from it, so the first full read numbers it anew.
+        let is_provisional = revision_within_era(self.published.revision()) == 0
+            && revision_within_era(self.revision) > 0;
+        if vms == self.published.vms && is_same_era && !is_provisional {
             return None;
         }
         let number = VmList::first_number(self.revision);
--- a/crates/coordination/src/registrations/tests.rs
+++ b/crates/coordination/src/registrations/tests.rs
@@ -375,3 +375,21 @@
     assert_eq!((before.era(), after.era()), (0, 1));
     assert_eq!(case.registrations.changed_list(case.now()), None);
 }
+
+/// Failure: two starting nodes read different contents at the lowest revision. A reader whose full read
+/// equals its own list published nothing, and the other node kept an old list of the same number.
+#[test]
+fn the_first_full_read_numbers_a_list_of_the_lowest_revision_anew() {
+    let now = Instant::now();
+    let lowest = ordered_revision(1, 0);
+    let entry = || vec![registration("i-1", "10.1.0.41", 1)];
+    let mut starting = Registrations::default();
+    starting.replace(entry(), lowest, now);
+    let old = starting.changed_list(now).unwrap();
+    let mut reader = Registrations::resume(&old, Duration::ZERO, None, None, now);
+    reader.replace(entry(), ordered_revision(1, 80), now);
+    let list = reader.changed_list(now).unwrap();
+    assert!(list.number > old.number);
+    assert_eq!(list.vms, old.vms);
+    assert_eq!(reader.changed_list(now), None);
+}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -10,7 +10,7 @@
 
 use awc::Client;
 use log::info;
-use tokio::{sync::oneshot, time::sleep};
+use tokio::{sync::oneshot, time::sleep_until};
 use wagtaillever_coordination::{
     Admission, AdmissionRequest, CrashDetector, Dialect, InFlight, LeavingUpstreams, Quality,
     QueueTicket, Rank, Rejection, RejectionCause, Sample, SampleResult, Service, StatedLimit,
@@ -51,8 +51,8 @@
     reported: Cell<(u32, bool)>,
     probes: Cell<u32>,
     is_checking: Cell<bool>,
-    /// Whether a later dispatch is scheduled.
-    is_dispatch_due: Cell<bool>,
+    /// Time of the next scheduled dispatch.
+    dispatch_due: Cell<Option<Instant>>,
     /// Whether queued and further requests are refused.
     is_retired: Cell<bool>,
     /// Whether a later process has the address.
@@ -107,7 +107,7 @@
             reported,
             probes: Cell::default(),
             is_checking: Cell::default(),
-            is_dispatch_due: Cell::default(),
+            dispatch_due: Cell::default(),
             is_retired: Cell::default(),
             is_superseded: Cell::default(),
         }
@@ -349,9 +349,10 @@
     /// Starts or rejects all queued requests that are due.
     pub(super) fn dispatch(self: &Rc<Self>) {
         loop {
-            let next = self.admission.borrow_mut().next_decision(Instant::now());
+            let now = Instant::now();
+            let next = self.admission.borrow_mut().next_decision(now);
             let Some(next) = next else {
-                self.schedule_dispatch();
+                self.schedule_dispatch(now);
                 return;
             };
             let (ticket, rejection) = decision_parts(next);
@@ -370,18 +371,22 @@
     }
 
     /// Dispatches again when the rate of a cold upstream allows the next queued request to start.
-    fn schedule_dispatch(self: &Rc<Self>) {
-        let wait = self.admission.borrow().next_start_in(Instant::now());
+    fn schedule_dispatch(self: &Rc<Self>, now: Instant) {
+        let wait = self.admission.borrow().next_start_in(now);
         let Some(wait) = wait.filter(|_| self.limits.cold_burst().is_some()) else {
             return;
         };
-        if self.is_dispatch_due.replace(true) {
+        let due = now + wait;
+        if self.dispatch_due.get().is_some_and(|other| other <= due) {
             return;
         }
+        self.dispatch_due.set(Some(due));
         let upstream = Rc::clone(self);
         actix_rt::spawn(async move {
-            sleep(wait).await;
-            upstream.is_dispatch_due.set(false);
+            sleep_until(due.into()).await;
+            if upstream.dispatch_due.get() == Some(due) {
+                upstream.dispatch_due.set(None);
+            }
             upstream.dispatch();
         });
     }
