--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -102,7 +102,10 @@
     fn start_response(&mut self, response: CallerResponse, cx: &mut Context<'_>) {
         if self.body.as_ref().is_some_and(|body| body.is_abandoned()) {
             // The rest may have arrived already. If not, the request can't be followed by another.
-            self.decode(cx);
+            if self.decode(cx) {
+                // A request that was admitted has a call to poll.
+                self.has_started = true;
+            }
             if self.body.is_some() && self.slots.len() == 1 {
                 self.pipeline.end();
             }
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -387,7 +387,7 @@
         let route = RouteSpec {
             name: name.into(),
             path: path.into(),
-            methods: vec![Method::Get, Method::Head, Method::Post],
+            methods: vec![Method::Get, Method::Head, Method::Post, Method::Put],
             service: "s".into(),
             idempotent: None,
             timeout_ms,
--- a/crates/node/src/ingress/tests/pipelining.rs
+++ b/crates/node/src/ingress/tests/pipelining.rs
@@ -385,3 +385,18 @@
     assert!(timeout(QUIET, stream.read(&mut byte)).await.is_err());
     assert!(observed.get() < BODY_BYTES / 16, "{} bytes", observed.get());
 }
+
+/// Guards against a request that is admitted while the response before it starts and whose call is then never
+/// polled.
+#[actix_rt::test]
+async fn a_request_behind_a_body_that_its_call_left_is_answered() {
+    let fixture = Fixture::start(TWO_UPSTREAMS, |_| hello_sidecar()).await;
+    fixture.drain("a1");
+    fixture.drain("a2");
+    let head = "PUT /x HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n";
+    let requests = head.to_owned() + &"b".repeat(5_000) + &get("/nowhere");
+    let mut stream = fixture.connect(requests.as_bytes()).await;
+    for status in [503, 404] {
+        read_response(&mut stream).await.assert_status(status);
+    }
+}
