Serve requests behind a response that keeps the connection during a stop

A stop that came after the head of the only response ended the pipeline, so a request behind it was never read and the connection closed without an answer.

--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -162,6 +162,9 @@
             last.is_started = true;
             self.has_started = true;
         }
+        if self.slots.is_empty() {
+            self.pipeline.resume();
+        }
         self.idle_since = Instant::now();
     }
 
--- a/crates/node/src/ingress/connection/pipeline.rs
+++ b/crates/node/src/ingress/connection/pipeline.rs
@@ -104,6 +104,13 @@
         self.is_draining = true;
     }
 
+    /// Reads and starts requests again, as the last response has left the connection open: the end was
+    /// decided after its head was encoded.
+    pub(super) fn resume(&mut self) {
+        self.is_ended = false;
+        self.is_draining = false;
+    }
+
     /// Returns whether the response to the first request is the last one of the connection.
     pub(super) fn is_first_last(&self) -> bool {
         let next = self.entries.get(1);
--- a/crates/node/src/ingress/tests/pipelining.rs
+++ b/crates/node/src/ingress/tests/pipelining.rs
@@ -400,3 +400,50 @@
         read_response(&mut stream).await.assert_status(status);
     }
 }
+
+/// Guards against a connection that closes without a word at the end of the notice of a stop, under a request
+/// behind a response that has stated that the connection may be reused.
+#[actix_rt::test]
+async fn a_request_behind_a_response_that_keeps_the_connection_is_answered_in_a_stop() {
+    let gate = Gate::new();
+    let held = gate.clone();
+    let script = move |mut call: FakeCall| {
+        let held = held.clone();
+        async move {
+            if call.head.target != "/x/parts" {
+                return held.run(call).await;
+            }
+            call.writer
+                .write_frame(&answer_head(Some(8)))
+                .await
+                .unwrap();
+            let half = Bytes::from_static(b"half");
+            call.writer.write_bytes(half).await.unwrap();
+            held.open.acquire().await.unwrap().forget();
+            let rest = Bytes::from_static(b"rest");
+            call.writer.write_bytes(rest).await.unwrap();
+            call.writer.finish().unwrap();
+        }
+        .boxed_local()
+    };
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], move |_| {
+        FakeSidecar::new(script.clone())
+    })
+    .await;
+    let mut stream = fixture.connect(get("/x/parts").as_bytes()).await;
+    let mut head = Vec::new();
+    while !head.ends_with(b"half") {
+        let read = timeout(SOON, stream.read_buf(&mut head)).await;
+        assert_ne!(read.unwrap().unwrap(), 0);
+    }
+    let head = String::from_utf8(head).unwrap();
+    assert!(head.contains("keep-alive: timeout="), "{head}");
+    fixture.context.view().set_phase(Phase::Leaving);
+    stream.write_all(get("/x/free").as_bytes()).await.unwrap();
+    sleep(QUIET).await;
+    gate.open.add_permits(1);
+    let text = read_all(stream).await;
+    assert!(text.starts_with("rest"), "{text}");
+    assert_eq!(answered(&text), ["/x/free"]);
+    assert_eq!(text.matches("connection: close").count(), 1, "{text}");
+}
