--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -100,7 +100,7 @@
     }
 
     fn start_response(&mut self, response: CallerResponse, cx: &mut Context<'_>) {
-        if self.body.as_ref().is_some_and(|body| body.is_abandoned()) {
+        if self.body.is_some() {
             // The rest may have arrived already. If not, the request can't be followed by another.
             if self.decode(cx) {
                 // A request that was admitted has a call to poll.
--- a/crates/node/src/ingress/tests/pipelining.rs
+++ b/crates/node/src/ingress/tests/pipelining.rs
@@ -447,3 +447,29 @@
     assert_eq!(answered(&text), ["/x/free"]);
     assert_eq!(text.matches("connection: close").count(), 1, "{text}");
 }
+
+/// Guards against a response that states that the connection may be reused, although the rest of its request
+/// has not come and the connection closes.
+#[actix_rt::test]
+async fn an_answer_ahead_of_its_request_body_announces_the_close() {
+    let early = |mut call: FakeCall| {
+        async move {
+            let head = answer_head(Some(5));
+            call.writer.write_frame(&head).await.unwrap();
+            let body = Bytes::from_static(b"early");
+            call.writer.write_bytes(body).await.unwrap();
+            call.writer.finish().unwrap();
+            // Keeps the request's stream open, so that its call does not leave the body.
+            while let Ok(Some(_)) = call.reader.read_bytes().await {}
+        }
+        .boxed_local()
+    };
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], move |_| FakeSidecar::new(early)).await;
+    let head = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 300000\r\n\r\n";
+    let part = "b".repeat(20 << 10);
+    let stream = fixture.connect((head.to_owned() + &part).as_bytes()).await;
+    let text = read_all(stream).await;
+    assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+    assert!(text.ends_with("early"), "{text}");
+    assert!(text.contains("connection: close\r\n"), "{text}");
+}
