--- a/crates/node/src/ingress/connection/open.rs
+++ b/crates/node/src/ingress/connection/open.rs
@@ -172,6 +172,7 @@
                 return Poll::Pending;
             }
             match event {
+                Event::Close(CloseCause::Idle) if self.extend_idle_time() => {}
                 Event::Close(cause) => return Poll::Ready(cause),
                 Event::HeadTimeout => {
                     self.refuse_input(StatusCode::REQUEST_TIMEOUT, CloseCause::HeadTimeout);
@@ -188,6 +189,17 @@
         Poll::Pending
     }
 
+    /// Takes a longer idle time from the configuration and returns whether the connection may stay open.
+    /// A shorter one applies from the next read, as callers rely on the reuse time that they were told.
+    fn extend_idle_time(&mut self) -> bool {
+        let current = ConnectionLimits::current(&self.worker);
+        let is_extended = self.idle_since + current.idle_timeout > Instant::now();
+        if is_extended {
+            self.limits = current;
+        }
+        is_extended
+    }
+
     /// Returns what happens next if nothing else does.
     fn next_event(&self) -> Option<(Instant, Event)> {
         let limits = &self.limits;
--- a/crates/node/src/ingress/tests/fake.rs
+++ b/crates/node/src/ingress/tests/fake.rs
@@ -15,8 +15,8 @@
     net::TcpStream,
 };
 use wagtaillever_coordination::{
-    Config, DomainName, DrainAction, DrainOrder, DrainScope, Method, RouteSpec, Sequence,
-    ServiceSpec, UpstreamSpec, VmEntry, VmList, VmState,
+    CallerLimits, Config, DomainName, DrainAction, DrainOrder, DrainScope, Method, RouteSpec,
+    Sequence, ServiceSpec, UpstreamSpec, VmEntry, VmList, VmState,
 };
 
 use crate::{
@@ -232,6 +232,20 @@
         self.context.view().set_drains(Arc::new(drains));
     }
 
+    /// Puts limits on callers with the given idle time in force.
+    pub(super) fn set_idle_timeout(&self, idle_timeout: Duration) {
+        let view = self.context.view();
+        let mut config = (*view.load().config).clone();
+        config.sequence = config.sequence.next();
+        config.caller_limits = Some(CallerLimits {
+            header_bytes: 16 << 10,
+            body_bytes: 64 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout,
+        });
+        view.set_config(config.into());
+    }
+
     pub(super) fn address(&self, vm: &str) -> SocketAddr {
         self.context
             .view()
--- a/crates/node/src/ingress/tests/lifecycle.rs
+++ b/crates/node/src/ingress/tests/lifecycle.rs
@@ -237,3 +237,21 @@
         reply.assert_status(200).assert_body(b"halfrest");
     }
 }
+
+/// Guards against connections that were idle before the configuration raised the idle time and are closed under
+/// a caller that relies on the new one.
+#[actix_rt::test]
+async fn a_raised_idle_time_holds_for_connections_that_are_idle() {
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| hello_sidecar()).await;
+    fixture.set_idle_timeout(Duration::from_millis(500));
+    let mut stream = TcpStream::connect(fixture.callers).await.unwrap();
+    let request = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    RawResponse::read_one(&mut stream).await.assert_status(200);
+    fixture.set_idle_timeout(Duration::from_secs(20));
+    let mut byte = [0];
+    let closed = tokio::time::timeout(Duration::from_millis(1_500), stream.read(&mut byte)).await;
+    assert!(closed.is_err(), "closed after the old idle time");
+    stream.write_all(request).await.unwrap();
+    RawResponse::read_one(&mut stream).await.assert_status(200);
+}
