--- a/crates/node/src/ingress/dispatch.rs
+++ b/crates/node/src/ingress/dispatch.rs
@@ -449,7 +449,8 @@
         };
         let recorder = &self.worker.recorder;
         recorder.record_answer(&fields, &destination.upstream.name, *status);
-        if self.request.method == "HEAD" {
+        // The connection drops a body of length zero without polling it.
+        if self.request.method == "HEAD" || length == Some(0) {
             open_call.finish();
             return answer::with_body(&mut builder, empty_body(length));
         }
--- a/crates/node/src/ingress/open_calls.rs
+++ b/crates/node/src/ingress/open_calls.rs
@@ -21,6 +21,9 @@
     line_budget: LineBudget,
     /// Why calls end that are dropped.
     drop_cause: EndCause,
+    /// Causes of all calls that ended without a complete answer.
+    #[cfg(test)]
+    unanswered: Vec<EndCause>,
 }
 
 struct CallState {
@@ -76,6 +79,8 @@
             calls: BTreeMap::new(),
             line_budget: LineBudget::new(Instant::now()),
             drop_cause: EndCause::CallerClosed,
+            #[cfg(test)]
+            unanswered: Vec::new(),
         };
         Self {
             table: Arc::new(Mutex::new(table)),
@@ -115,6 +120,12 @@
         self.table.lock().calls.len()
     }
 
+    /// Returns why calls ended without a complete answer.
+    #[cfg(test)]
+    pub(super) fn unanswered(&self) -> Vec<EndCause> {
+        self.table.lock().unanswered.clone()
+    }
+
     /// Records that the stop of the node cuts off all remaining calls.
     pub(super) fn record_cut(&self) {
         let mut table = self.table.lock();
@@ -142,6 +153,8 @@
 
 impl Table {
     fn record_end(&mut self, state: &CallState, cause: EndCause) {
+        #[cfg(test)]
+        self.unanswered.push(cause);
         let end = cause.as_str();
         metrics::counter!("calls_unanswered_total", "cause" => end).increment(1);
         let Some(left_out) = self.line_budget.take(Instant::now()) else {
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -34,7 +34,7 @@
     /// Cancelled when no more connections are accepted and idle ones are closed.
     stop: CancellationToken,
     stop_delay: Duration,
-    open_calls: OpenCalls,
+    pub(super) open_calls: OpenCalls,
     /// Open connections of callers.
     connections: TaskTracker,
     /// Addresses on which the server listens.
--- a/crates/node/src/ingress/tests/outcomes.rs
+++ b/crates/node/src/ingress/tests/outcomes.rs
@@ -214,3 +214,22 @@
         .assert_header("x-outcome", "did-not-run");
     assert_eq!(fixture.heads().len(), 2);
 }
+
+/// Guards against a complete answer without bytes that is recorded as a caller that left.
+#[actix_rt::test]
+async fn an_empty_answer_is_complete() {
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], |_| {
+        FakeSidecar::new(|call| answer(call, b""))
+    })
+    .await;
+    for method in ["GET", "POST"] {
+        let reply = fixture.send(method, "/x", &[], b"").await;
+        reply
+            .assert_status(200)
+            .assert_header("content-length", "0")
+            .assert_body(b"");
+    }
+    let open_calls = &fixture.ingress.server.as_ref().unwrap().open_calls;
+    assert_eq!(open_calls.len(), 0);
+    assert_eq!(open_calls.unanswered(), []);
+}
