--- a/crates/node/src/ingress/tests/framing.rs
+++ b/crates/node/src/ingress/tests/framing.rs
@@ -53,6 +53,8 @@
         "x: 1\r\r\n\r\n",
         "x: 1\0\r\n\r\n",
         "no colon\r\n\r\n",
+        "host: b\r\n\r\n",
+        "Host: a\r\n\r\n",
     ] {
         let text = exchange(&fixture, &format!("{start}{lines}{SMUGGLED}")).await;
         assert!(text.starts_with("HTTP/1.1 400 "), "{lines:?}: {text}");
