--- a/crates/node/src/ingress/tests/pipelining.rs
+++ b/crates/node/src/ingress/tests/pipelining.rs
@@ -385,3 +385,91 @@
     assert!(timeout(QUIET, stream.read(&mut byte)).await.is_err());
     assert!(observed.get() < BODY_BYTES / 16, "{} bytes", observed.get());
 }
+
+/// Guards against a request that is admitted while the response before it starts and whose call is then never
+/// polled.
+#[actix_rt::test]
+async fn a_request_behind_a_body_that_its_call_left_is_answered() {
+    let fixture = Fixture::start(TWO_UPSTREAMS, |_| hello_sidecar()).await;
+    fixture.drain("a1");
+    fixture.drain("a2");
+    let head = "PUT /x HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n";
+    let requests = head.to_owned() + &"b".repeat(5_000) + &get("/nowhere");
+    let mut stream = fixture.connect(requests.as_bytes()).await;
+    for status in [503, 404] {
+        read_response(&mut stream).await.assert_status(status);
+    }
+}
+
+/// Guards against a connection that closes without a word at the end of the notice of a stop, under a request
+/// behind a response that has stated that the connection may be reused.
+#[actix_rt::test]
+async fn a_request_behind_a_response_that_keeps_the_connection_is_answered_in_a_stop() {
+    let gate = Gate::new();
+    let held = gate.clone();
+    let script = move |mut call: FakeCall| {
+        let held = held.clone();
+        async move {
+            if call.head.target != "/x/parts" {
+                return held.run(call).await;
+            }
+            call.writer
+                .write_frame(&answer_head(Some(8)))
+                .await
+                .unwrap();
+            let half = Bytes::from_static(b"half");
+            call.writer.write_bytes(half).await.unwrap();
+            held.open.acquire().await.unwrap().forget();
+            let rest = Bytes::from_static(b"rest");
+            call.writer.write_bytes(rest).await.unwrap();
+            call.writer.finish().unwrap();
+        }
+        .boxed_local()
+    };
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], move |_| {
+        FakeSidecar::new(script.clone())
+    })
+    .await;
+    let mut stream = fixture.connect(get("/x/parts").as_bytes()).await;
+    let mut head = Vec::new();
+    while !head.ends_with(b"half") {
+        let read = timeout(SOON, stream.read_buf(&mut head)).await;
+        assert_ne!(read.unwrap().unwrap(), 0);
+    }
+    let head = String::from_utf8(head).unwrap();
+    assert!(head.contains("keep-alive: timeout="), "{head}");
+    fixture.context.view().set_phase(Phase::Leaving);
+    stream.write_all(get("/x/free").as_bytes()).await.unwrap();
+    sleep(QUIET).await;
+    gate.open.add_permits(1);
+    let text = read_all(stream).await;
+    assert!(text.starts_with("rest"), "{text}");
+    assert_eq!(answered(&text), ["/x/free"]);
+    assert_eq!(text.matches("connection: close").count(), 1, "{text}");
+}
+
+/// Guards against a response that states that the connection may be reused, although the rest of its request
+/// has not come and the connection closes.
+#[actix_rt::test]
+async fn an_answer_ahead_of_its_request_body_announces_the_close() {
+    let early = |mut call: FakeCall| {
+        async move {
+            let head = answer_head(Some(5));
+            call.writer.write_frame(&head).await.unwrap();
+            let body = Bytes::from_static(b"early");
+            call.writer.write_bytes(body).await.unwrap();
+            call.writer.finish().unwrap();
+            // Keeps the request's stream open, so that its call does not leave the body.
+            while let Ok(Some(_)) = call.reader.read_bytes().await {}
+        }
+        .boxed_local()
+    };
+    let fixture = Fixture::start(&TWO_UPSTREAMS[..1], move |_| FakeSidecar::new(early)).await;
+    let head = "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 300000\r\n\r\n";
+    let part = "b".repeat(20 << 10);
+    let stream = fixture.connect((head.to_owned() + &part).as_bytes()).await;
+    let text = read_all(stream).await;
+    assert!(text.starts_with("HTTP/1.1 200 "), "{text}");
+    assert!(text.ends_with("early"), "{text}");
+    assert!(text.contains("connection: close\r\n"), "{text}");
+}
