Let callers wait for refill while demand is below the quota

After a start of all nodes the first request finds an empty bucket. The node then refused everything for 250 ms, although refill arrived while callers waited. The long request interval now applies only if the owner states that demand exceeds the rate. The time stated to the first refused caller follows the next possible request, not the isolated rate.

--- a/crates/coordination/src/quota/account.rs
+++ b/crates/coordination/src/quota/account.rs
@@ -172,6 +172,7 @@
         let tokens = if tokens > 0.0 { tokens.floor() } else { tokens };
         self.tokens = pool - tokens;
         let offline = self.offline_rate(demand.per_second, terms);
+        let is_above_rate = self.sums.per_second + demand.per_second > terms.limit.per_second;
         let keeps_none = demand.wanted <= 0.0;
         let lease = Lease {
             number,
@@ -202,6 +203,7 @@
             tokens,
             offline,
             is_short: tokens < needed.floor(),
+            is_above_rate,
         })
     }
 
--- a/crates/coordination/src/quota/client.rs
+++ b/crates/coordination/src/quota/client.rs
@@ -261,7 +261,7 @@
         if may_wait && tokens.waiting() < MAX_WAITING && tokens.can_wait(isolation.nodes, now) {
             return QuotaAnswer::Wait;
         }
-        let after = tokens.refuse(isolation);
+        let after = tokens.refuse(isolation, now);
         QuotaAnswer::Refused { after }
     }
 
--- a/crates/coordination/src/quota/message.rs
+++ b/crates/coordination/src/quota/message.rs
@@ -75,4 +75,6 @@
     pub offline: f64,
     /// Whether the bucket held fewer tokens than the node wanted.
     pub is_short: bool,
+    /// Whether the demand of all nodes exceeds the rate, so that further requests soon bring few tokens.
+    pub is_above_rate: bool,
 }
--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -80,6 +80,19 @@
         prop_assert!(outcome.refused_share() < MAX_REFUSED, "{outcome:?}");
     }
 
+    // Guards against refusals for a whole request interval after a start of all nodes: the buckets are
+    // empty then, but refill arrives while callers wait.
+    #[test]
+    fn demand_from_the_start_is_served(
+        seed: u64, nodes in 2..12_usize, per_second in 100.0..300.0_f64,
+    ) {
+        let limit = QuotaRate { per_second, burst: 0.0 };
+        let demand = Demand { spread: Spread::Even, factor: TYPICAL, pauses: false };
+        let fleet = Fleet::new(seed, nodes, limit, demand, Fault::None).demand_from(0);
+        let outcome = fleet.run(3_000);
+        prop_assert!(outcome.refused_share() < MAX_REFUSED, "{outcome:?}");
+    }
+
     // Guards against more than the quota over all nodes, also while one thing fails.
     #[test]
     fn all_nodes_together_keep_the_quota(
@@ -183,6 +196,21 @@
     assert!(reply.grants[0].is_short);
 }
 
+/// Guards against a first refused caller that is told to wait for as long as a node without contact
+/// needs for a token.
+#[test]
+fn a_refused_caller_comes_back_after_the_next_request() {
+    let now = Instant::now();
+    let (mut client, mut ledger) = only_node(now);
+    client.acquire(&"o".into(), now);
+    let request = client.due_requests(now).remove(0);
+    let reply = ledger.handle(&request, now).unwrap();
+    assert!(client.apply(request.shard, &reply, now));
+    let answer = client.retry(&"o".into(), true, now);
+    let after = Duration::from_millis(100);
+    assert_eq!(answer, QuotaAnswer::Refused { after });
+}
+
 /// Guards against a node that spends its grant after a pause of its process, when the shard owner
 /// counts it as ended.
 #[test]
--- a/crates/coordination/src/quota/tests/fleet.rs
+++ b/crates/coordination/src/quota/tests/fleet.rs
@@ -94,6 +94,7 @@
     base: Instant,
     limit: QuotaRate,
     demand: Demand,
+    begin_ms: u64,
     fault: Fault,
     nodes: Vec<Node>,
     first_owner: usize,
@@ -127,6 +128,7 @@
             base,
             limit,
             demand,
+            begin_ms: BEGIN_MS,
             fault,
             nodes: Vec::new(),
             first_owner: 0,
@@ -153,6 +155,12 @@
         fleet
     }
 
+    /// Begins demand at `ms` instead of [`BEGIN_MS`].
+    pub(super) fn demand_from(mut self, ms: u64) -> Self {
+        self.begin_ms = ms;
+        self
+    }
+
     pub(super) fn run(mut self, until_ms: u64) -> Outcome {
         for ms in (0..until_ms).step_by(usize::try_from(STEP_MS).unwrap()) {
             self.served.push(0);
@@ -383,7 +391,7 @@
         let count = self.nodes.len();
         let is_paused = self.demand.pauses && ms % 7_000 < 3_000;
         let share = match self.demand.spread {
-            _ if is_paused || ms < BEGIN_MS => 0.0,
+            _ if is_paused || ms < self.begin_ms => 0.0,
             Spread::One => f64::from(index == 1),
             Spread::Even => 1.0 / count as f64,
             Spread::Moving { period_ms } => f64::from((ms / period_ms) as usize % count == index),
--- a/crates/coordination/src/quota/tokens.rs
+++ b/crates/coordination/src/quota/tokens.rs
@@ -28,7 +28,8 @@
 /// Time by which that interval grows with each listed node. At 2,000 nodes it is
 /// [`REFRESH_INTERVAL`], so that the shard owner gets no more requests than for refreshes.
 const MIN_INTERVAL_PER_NODE: Duration = Duration::from_micros(350);
-/// Shortest interval after a grant of fewer tokens than wanted.
+/// Shortest interval after a grant of fewer tokens than wanted at a demand above the rate. At a lower
+/// demand the refill serves waiting callers before they give up.
 const SHORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time by which that interval grows with each listed node, so that the requests for an organisation
 /// above its quota load the shard owner of a large fleet less.
@@ -61,7 +62,8 @@
     /// Time of the first request since the last reply.
     unanswered: Option<Instant>,
     spent_since_ask: f64,
-    is_short: bool,
+    /// Whether the last grant was short at a demand above the rate.
+    is_exhausted: bool,
     refused: u32,
     waiting: usize,
     used: Instant,
@@ -92,7 +94,7 @@
             asked: None,
             unanswered: None,
             spent_since_ask: 0.0,
-            is_short: false,
+            is_exhausted: false,
             refused: 0,
             waiting: 0,
             used: now,
@@ -138,16 +140,28 @@
             return false;
         }
         let age = self.received.map(|at| now.saturating_duration_since(at));
-        !self.is_short || age.is_none_or(|age| age >= short_interval(nodes))
+        !self.is_exhausted || age.is_none_or(|age| age >= short_interval(nodes))
     }
 
     /// Returns the time after which a refused caller may try again. Callers refused since the last
-    /// grant are told to come one after the other, as tokens arrive.
-    pub(super) fn refuse(&mut self, isolation: Isolation) -> Duration {
+    /// grant are told to come one after the other, as tokens arrive. With contact, the first one is told
+    /// to come after the next possible request to the shard owner.
+    pub(super) fn refuse(&mut self, isolation: Isolation, now: Instant) -> Duration {
+        let earlier = f64::from(self.refused);
         self.refused = self.refused.saturating_add(1);
         let isolated = isolation.bounds.isolated_rate(self.limit, isolation.nodes);
         let share = self.offline.max(isolated);
-        let seconds = f64::from(self.refused) / share.max(f64::MIN_POSITIVE);
+        let seconds = if self.is_offline(now) {
+            (earlier + 1.0) / share.max(f64::MIN_POSITIVE)
+        } else {
+            #[allow(clippy::cast_precision_loss)]
+            let even = self.limit.per_second / isolation.nodes.max(1) as f64;
+            let next = self
+                .asked
+                .map_or(now, |at| at + self.spacing(isolation.nodes));
+            let delay = next.saturating_duration_since(now).as_secs_f64();
+            delay + earlier / share.max(even).max(f64::MIN_POSITIVE)
+        };
         Duration::from_secs_f64(seconds.clamp(MIN_RETRY_S, MAX_RETRY_S))
     }
 
@@ -169,12 +183,8 @@
             return true;
         };
         let age = now.saturating_duration_since(asked);
-        let min = interval_per_node(MIN_INTERVAL_PER_NODE, isolation.nodes).max(MIN_INTERVAL);
-        let spacing = if self.is_short {
-            short_interval(isolation.nodes)
-        } else {
-            min
-        };
+        let min = min_interval(isolation.nodes);
+        let spacing = self.spacing(isolation.nodes);
         let ahead = self.ahead(isolation, now);
         let is_needed = self.waiting > 0 || self.granted < ahead.min(self.last_grant) * LOW_SHARE;
         // The shard owner takes the last grant for unspent until it hears of the node.
@@ -266,7 +276,7 @@
         self.granted_until = asked + GRANT_TIME;
         self.offline = grant.offline;
         self.offline_until = asked + OFFLINE_TIME;
-        self.is_short = grant.is_short;
+        self.is_exhausted = grant.is_short && grant.is_above_rate;
     }
 
     /// Returns the limit, the unspent tokens, the offline rate and the time of the last grant.
@@ -292,6 +302,15 @@
         }
     }
 
+    /// Returns the shortest interval between requests that bring tokens.
+    fn spacing(&self, nodes: usize) -> Duration {
+        if self.is_exhausted {
+            short_interval(nodes)
+        } else {
+            min_interval(nodes)
+        }
+    }
+
     fn is_idle(&self, now: Instant) -> bool {
         self.waiting == 0 && now.saturating_duration_since(self.used) >= IDLE_TIME
     }
@@ -324,6 +343,10 @@
 /// Time for which the shard owner's reply is awaited, unless there was none recently.
 const MIN_REPLY_WAIT: Duration = Duration::from_millis(300);
 
+fn min_interval(nodes: usize) -> Duration {
+    interval_per_node(MIN_INTERVAL_PER_NODE, nodes).max(MIN_INTERVAL)
+}
+
 fn short_interval(nodes: usize) -> Duration {
     let interval = interval_per_node(SHORT_INTERVAL_PER_NODE, nodes);
     interval.clamp(SHORT_INTERVAL, REFRESH_INTERVAL)
