Keep tokens that accrue without contact until they are whole

A node that had no contact and wanted no tokens ahead dropped its accrued part of a token with each request, so a node with few requests never got one. Accrual now starts from a hashed part of a token at each node: 40 isolated nodes reached their first tokens within the same 500 ms.

--- a/crates/coordination/src/quota/client.rs
+++ b/crates/coordination/src/quota/client.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
 use crate::{
     name::{OrganisationName, VmName},
     organisation::QuotaRate,
@@ -127,7 +129,8 @@
             return QuotaAnswer::Granted;
         };
         if !self.tokens.contains_key(name) {
-            let tokens = Tokens::new(limit, self.table.sequence, now);
+            let phase = accrual_phase(&self.vm, name);
+            let tokens = Tokens::new(limit, self.table.sequence, phase, now);
             self.tokens.insert(name.clone(), tokens);
         }
         if let Some(tokens) = self.tokens.get_mut(name) {
@@ -296,3 +299,12 @@
         }
     }
 }
+
+/// Returns a number from 0 to below 1 for an organisation at a node.
+fn accrual_phase(vm: &VmName, organisation: &OrganisationName) -> f64 {
+    let seed = xxh3_64(organisation.as_str().as_bytes());
+    let hash = xxh3_64_with_seed(vm.as_str().as_bytes(), seed);
+    #[allow(clippy::cast_possible_truncation)]
+    let part = (hash >> 32) as u32;
+    f64::from(part) / (f64::from(u32::MAX) + 1.0)
+}
--- a/crates/coordination/src/quota/message.rs
+++ b/crates/coordination/src/quota/message.rs
@@ -34,7 +34,8 @@
     pub confirmed: u64,
     /// Unspent tokens of the node. The grant replaces them.
     pub held: f64,
-    /// Tokens that the node wants to hold. If it is 0 the node keeps none, even if this message is lost.
+    /// Tokens that the node wants to hold. If it is 0 the node keeps none of the granted
+    /// ones, even if this message is lost.
     pub wanted: f64,
     /// Recent requests per second; 0 if the node gives its share back and keeps nothing of it, even if
     /// this message is lost.
--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -229,3 +229,69 @@
     let resumed = now + Duration::from_millis(2_001);
     assert_ne!(client.acquire(&"o".into(), resumed), QuotaAnswer::Granted);
 }
+
+/// Returns the clients of a fleet in which no node reaches a shard owner.
+fn isolated_nodes(count: usize) -> Vec<QuotaClient> {
+    let entry = |index: usize| VmEntry {
+        vm: format!("vm-{index}").as_str().into(),
+        domain: "d".into(),
+        region: "r".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: VmState::Live,
+        upstreams: Vec::new(),
+    };
+    let list = VmList {
+        number: 1,
+        vms: (0..count).map(|index| entry(index).into()).collect(),
+    };
+    let owners = ShardOwners::new(&list);
+    let client = |index| {
+        let vm = entry(index).vm;
+        let mut client = QuotaClient::new(vm, QuotaBounds::default(), 1);
+        client.set_table(fleet::table(1, LIMIT));
+        client.set_owners(owners.clone());
+        client
+    };
+    (0..count).map(client).collect()
+}
+
+/// Guards against a node with few requests that drops what accrues without contact whenever it asks.
+#[test]
+fn an_isolated_node_with_few_requests_serves_some() {
+    let start = Instant::now();
+    // The isolated rate is 0.1 requests per second.
+    let mut client = isolated_nodes(50).remove(0);
+    let mut served = 0;
+    for ms in (0..100_000).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        if ms % 2_000 == 0 && client.acquire(&"o".into(), now) == QuotaAnswer::Granted {
+            served += 1;
+        }
+        client.due_requests(now);
+    }
+    assert!((8..=11).contains(&served), "{served}");
+}
+
+/// Guards against isolated nodes that all get their first token at the same time, which together
+/// exceeds the quota of an organisation with few requests.
+#[test]
+fn isolated_nodes_get_their_first_tokens_at_different_times() {
+    let start = Instant::now();
+    // Each node gets a token in 8 s.
+    let mut clients = isolated_nodes(40);
+    let mut served = Vec::new();
+    for ms in (0..10_000).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        if ms % 500 == 0 {
+            served.push(0);
+        }
+        for client in &mut clients {
+            if client.acquire(&"o".into(), now) == QuotaAnswer::Granted {
+                *served.last_mut().unwrap() += 1;
+            }
+            client.due_requests(now);
+        }
+    }
+    assert!(served.iter().all(|count| *count <= 10), "{served:?}");
+    assert!(served.iter().sum::<u32>() >= 40, "{served:?}");
+}
--- a/crates/coordination/src/quota/tokens.rs
+++ b/crates/coordination/src/quota/tokens.rs
@@ -54,6 +54,11 @@
     /// Tokens that accrued without contact.
     accrued: f64,
     accrued_at: Instant,
+    /// Part of a token from which accrual starts, different at each node, so that nodes without contact
+    /// don't reach their first tokens together.
+    phase: f64,
+    /// Part of `accrued` that accrual started from.
+    advance: f64,
     offline: f64,
     offline_until: Instant,
     confirmed: u64,
@@ -78,7 +83,8 @@
 }
 
 impl Tokens {
-    pub(super) fn new(limit: QuotaRate, limited_by: Sequence, now: Instant) -> Self {
+    /// Returns no tokens. Accrual without contact starts from `phase`, between 0 and 1.
+    pub(super) fn new(limit: QuotaRate, limited_by: Sequence, phase: f64, now: Instant) -> Self {
         Self {
             limit,
             limited_by,
@@ -87,6 +93,8 @@
             granted_until: now,
             accrued: 0.0,
             accrued_at: now,
+            phase,
+            advance: 0.0,
             offline: 0.0,
             offline_until: now,
             confirmed: 0,
@@ -106,7 +114,7 @@
     pub(super) fn set_limit(&mut self, limit: QuotaRate, sequence: Sequence) {
         if limit.per_second < self.limit.per_second || limit.burst < self.limit.burst {
             self.granted = self.granted.min(0.0);
-            self.accrued = 0.0;
+            self.drop_accrued();
             self.offline = 0.0;
             self.limited_by = sequence;
         }
@@ -226,19 +234,29 @@
         #[allow(clippy::cast_precision_loss)]
         let wanted = self.ahead(isolation, now) + self.waiting as f64;
         let left = self.offline_until.saturating_duration_since(now);
+        let is_offline = self.is_offline(now);
+        let wanted = if is_idle { 0.0 } else { wanted };
+        // A node that wants nothing keeps what accrued without contact for its next request.
+        let returned = if wanted > 0.0 {
+            self.accrued - self.advance
+        } else {
+            0.0
+        };
         let demand = QuotaDemand {
             organisation: organisation.clone(),
             confirmed: self.confirmed,
-            held: self.granted + self.accrued,
-            wanted: if is_idle { 0.0 } else { wanted },
+            held: self.granted + returned,
+            wanted,
             per_second: if is_idle { 0.0 } else { per_second },
             offline: if left.is_zero() { 0.0 } else { self.offline },
             offline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-            is_offline: self.is_offline(now),
+            is_offline,
         };
         if demand.wanted <= 0.0 {
             self.granted = 0.0;
-            self.accrued = 0.0;
+            if !is_offline {
+                self.drop_accrued();
+            }
         }
         if is_idle {
             self.offline = 0.0;
@@ -265,7 +283,7 @@
         self.unanswered = None;
         self.received = Some(now);
         self.refused = 0;
-        self.accrued = 0.0;
+        self.drop_accrued();
         if sequence < self.limited_by {
             self.granted = 0.0;
             self.offline = 0.0;
@@ -319,6 +337,11 @@
         self.unanswered.is_some_and(|at| now >= at + OFFLINE_DELAY)
     }
 
+    fn drop_accrued(&mut self) {
+        self.accrued = 0.0;
+        self.advance = 0.0;
+    }
+
     /// Ends what has expired, and accrues tokens without contact, for one second at most.
     fn roll(&mut self, isolation: Isolation, now: Instant) {
         if now >= self.granted_until {
@@ -331,6 +354,10 @@
         if now <= since {
             return;
         }
+        if since == begin {
+            self.accrued = self.phase;
+            self.advance = self.phase;
+        }
         self.accrued_at = now;
         let isolated = isolation.bounds.isolated_rate(self.limit, isolation.nodes);
         let has_rate = self.offline > 0.0 && now < self.offline_until;
