--- a/crates/node/src/quota/exchange.rs
+++ b/crates/node/src/quota/exchange.rs
@@ -199,9 +199,10 @@
         }
         self.reported.set(Some(now));
         if let Ok(peers) = self.context.registry().find::<PeersHandle>("peers") {
+            // An owner that restarts in a cut-off part has not heard of the platform; its ledger counts
+            // the silence from its own start.
             let age = peers.status().platform_age_ms.map(Duration::from_millis);
-            // A platform that was never heard of has no other list of VMs either.
-            if let Some(heard) = now.checked_sub(age.unwrap_or_default()) {
+            if let Some(heard) = age.and_then(|age| now.checked_sub(age)) {
                 self.ledger.borrow_mut().record_platform(heard);
             }
         }
