--- a/crates/coordination/src/quota/message.rs
+++ b/crates/coordination/src/quota/message.rs
@@ -34,7 +34,8 @@
     pub confirmed: u64,
     /// Unspent tokens of the node. The grant replaces them.
     pub held: f64,
-    /// Tokens that the node wants to hold. If it is 0 the node keeps none, even if this message is lost.
+    /// Tokens that the node wants to hold. If it is 0 the node keeps none of the granted
+    /// ones, even if this message is lost.
     pub wanted: f64,
     /// Recent requests per second; 0 if the node gives its share back and keeps nothing of it, even if
     /// this message is lost.
@@ -75,4 +76,6 @@
     pub offline: f64,
     /// Whether the bucket held fewer tokens than the node wanted.
     pub is_short: bool,
+    /// Whether the demand of all nodes exceeds the rate, so that further requests soon bring few tokens.
+    pub is_above_rate: bool,
 }
--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -80,6 +80,19 @@
         prop_assert!(outcome.refused_share() < MAX_REFUSED, "{outcome:?}");
     }
 
+    // Guards against refusals for a whole request interval after a start of all nodes: the buckets are
+    // empty then, but refill arrives while callers wait.
+    #[test]
+    fn demand_from_the_start_is_served(
+        seed: u64, nodes in 2..12_usize, per_second in 100.0..300.0_f64,
+    ) {
+        let limit = QuotaRate { per_second, burst: 0.0 };
+        let demand = Demand { spread: Spread::Even, factor: TYPICAL, pauses: false };
+        let fleet = Fleet::new(seed, nodes, limit, demand, Fault::None).demand_from(0);
+        let outcome = fleet.run(3_000);
+        prop_assert!(outcome.refused_share() < MAX_REFUSED, "{outcome:?}");
+    }
+
     // Guards against more than the quota over all nodes, also while one thing fails.
     #[test]
     fn all_nodes_together_keep_the_quota(
@@ -183,6 +196,21 @@
     assert!(reply.grants[0].is_short);
 }
 
+/// Guards against a first refused caller that is told to wait for as long as a node without contact
+/// needs for a token.
+#[test]
+fn a_refused_caller_comes_back_after_the_next_request() {
+    let now = Instant::now();
+    let (mut client, mut ledger) = only_node(now);
+    client.acquire(&"o".into(), now);
+    let request = client.due_requests(now).remove(0);
+    let reply = ledger.handle(&request, now).unwrap();
+    assert!(client.apply(request.shard, &reply, now));
+    let answer = client.retry(&"o".into(), true, now);
+    let after = Duration::from_millis(100);
+    assert_eq!(answer, QuotaAnswer::Refused { after });
+}
+
 /// Guards against a node that spends its grant after a pause of its process, when the shard owner
 /// counts it as ended.
 #[test]
@@ -201,3 +229,69 @@
     let resumed = now + Duration::from_millis(2_001);
     assert_ne!(client.acquire(&"o".into(), resumed), QuotaAnswer::Granted);
 }
+
+/// Returns the clients of a fleet in which no node reaches a shard owner.
+fn isolated_nodes(count: usize) -> Vec<QuotaClient> {
+    let entry = |index: usize| VmEntry {
+        vm: format!("vm-{index}").as_str().into(),
+        domain: "d".into(),
+        region: "r".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        state: VmState::Live,
+        upstreams: Vec::new(),
+    };
+    let list = VmList {
+        number: 1,
+        vms: (0..count).map(|index| entry(index).into()).collect(),
+    };
+    let owners = ShardOwners::new(&list);
+    let client = |index| {
+        let vm = entry(index).vm;
+        let mut client = QuotaClient::new(vm, QuotaBounds::default(), 1);
+        client.set_table(fleet::table(1, LIMIT));
+        client.set_owners(owners.clone());
+        client
+    };
+    (0..count).map(client).collect()
+}
+
+/// Guards against a node with few requests that drops what accrues without contact whenever it asks.
+#[test]
+fn an_isolated_node_with_few_requests_serves_some() {
+    let start = Instant::now();
+    // The isolated rate is 0.1 requests per second.
+    let mut client = isolated_nodes(50).remove(0);
+    let mut served = 0;
+    for ms in (0..100_000).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        if ms % 2_000 == 0 && client.acquire(&"o".into(), now) == QuotaAnswer::Granted {
+            served += 1;
+        }
+        client.due_requests(now);
+    }
+    assert!((8..=11).contains(&served), "{served}");
+}
+
+/// Guards against isolated nodes that all get their first token at the same time, which together
+/// exceeds the quota of an organisation with few requests.
+#[test]
+fn isolated_nodes_get_their_first_tokens_at_different_times() {
+    let start = Instant::now();
+    // Each node gets a token in 8 s.
+    let mut clients = isolated_nodes(40);
+    let mut served = Vec::new();
+    for ms in (0..10_000).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        if ms % 500 == 0 {
+            served.push(0);
+        }
+        for client in &mut clients {
+            if client.acquire(&"o".into(), now) == QuotaAnswer::Granted {
+                *served.last_mut().unwrap() += 1;
+            }
+            client.due_requests(now);
+        }
+    }
+    assert!(served.iter().all(|count| *count <= 10), "{served:?}");
+    assert!(served.iter().sum::<u32>() >= 40, "{served:?}");
+}
--- a/crates/coordination/src/quota/tokens.rs
+++ b/crates/coordination/src/quota/tokens.rs
@@ -28,7 +28,8 @@
 /// Time by which that interval grows with each listed node. At 2,000 nodes it is
 /// [`REFRESH_INTERVAL`], so that the shard owner gets no more requests than for refreshes.
 const MIN_INTERVAL_PER_NODE: Duration = Duration::from_micros(350);
-/// Shortest interval after a grant of fewer tokens than wanted.
+/// Shortest interval after a grant of fewer tokens than wanted at a demand above the rate. At a lower
+/// demand the refill serves waiting callers before they give up.
 const SHORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time by which that interval grows with each listed node, so that the requests for an organisation
 /// above its quota load the shard owner of a large fleet less.
@@ -53,6 +54,11 @@
     /// Tokens that accrued without contact.
     accrued: f64,
     accrued_at: Instant,
+    /// Part of a token from which accrual starts, different at each node, so that nodes without contact
+    /// don't reach their first tokens together.
+    phase: f64,
+    /// Part of `accrued` that accrual started from.
+    advance: f64,
     offline: f64,
     offline_until: Instant,
     confirmed: u64,
@@ -61,7 +67,8 @@
     /// Time of the first request since the last reply.
     unanswered: Option<Instant>,
     spent_since_ask: f64,
-    is_short: bool,
+    /// Whether the last grant was short at a demand above the rate.
+    is_exhausted: bool,
     refused: u32,
     waiting: usize,
     used: Instant,
@@ -76,7 +83,8 @@
 }
 
 impl Tokens {
-    pub(super) fn new(limit: QuotaRate, limited_by: Sequence, now: Instant) -> Self {
+    /// Returns no tokens. Accrual without contact starts from `phase`, between 0 and 1.
+    pub(super) fn new(limit: QuotaRate, limited_by: Sequence, phase: f64, now: Instant) -> Self {
         Self {
             limit,
             limited_by,
@@ -85,6 +93,8 @@
             granted_until: now,
             accrued: 0.0,
             accrued_at: now,
+            phase,
+            advance: 0.0,
             offline: 0.0,
             offline_until: now,
             confirmed: 0,
@@ -92,7 +102,7 @@
             asked: None,
             unanswered: None,
             spent_since_ask: 0.0,
-            is_short: false,
+            is_exhausted: false,
             refused: 0,
             waiting: 0,
             used: now,
@@ -104,7 +114,7 @@
     pub(super) fn set_limit(&mut self, limit: QuotaRate, sequence: Sequence) {
         if limit.per_second < self.limit.per_second || limit.burst < self.limit.burst {
             self.granted = self.granted.min(0.0);
-            self.accrued = 0.0;
+            self.drop_accrued();
             self.offline = 0.0;
             self.limited_by = sequence;
         }
@@ -138,16 +148,28 @@
             return false;
         }
         let age = self.received.map(|at| now.saturating_duration_since(at));
-        !self.is_short || age.is_none_or(|age| age >= short_interval(nodes))
+        !self.is_exhausted || age.is_none_or(|age| age >= short_interval(nodes))
     }
 
     /// Returns the time after which a refused caller may try again. Callers refused since the last
-    /// grant are told to come one after the other, as tokens arrive.
-    pub(super) fn refuse(&mut self, isolation: Isolation) -> Duration {
+    /// grant are told to come one after the other, as tokens arrive. With contact, the first one is told
+    /// to come after the next possible request to the shard owner.
+    pub(super) fn refuse(&mut self, isolation: Isolation, now: Instant) -> Duration {
+        let earlier = f64::from(self.refused);
         self.refused = self.refused.saturating_add(1);
         let isolated = isolation.bounds.isolated_rate(self.limit, isolation.nodes);
         let share = self.offline.max(isolated);
-        let seconds = f64::from(self.refused) / share.max(f64::MIN_POSITIVE);
+        let seconds = if self.is_offline(now) {
+            (earlier + 1.0) / share.max(f64::MIN_POSITIVE)
+        } else {
+            #[allow(clippy::cast_precision_loss)]
+            let even = self.limit.per_second / isolation.nodes.max(1) as f64;
+            let next = self
+                .asked
+                .map_or(now, |at| at + self.spacing(isolation.nodes));
+            let delay = next.saturating_duration_since(now).as_secs_f64();
+            delay + earlier / share.max(even).max(f64::MIN_POSITIVE)
+        };
         Duration::from_secs_f64(seconds.clamp(MIN_RETRY_S, MAX_RETRY_S))
     }
 
@@ -169,12 +191,8 @@
             return true;
         };
         let age = now.saturating_duration_since(asked);
-        let min = interval_per_node(MIN_INTERVAL_PER_NODE, isolation.nodes).max(MIN_INTERVAL);
-        let spacing = if self.is_short {
-            short_interval(isolation.nodes)
-        } else {
-            min
-        };
+        let min = min_interval(isolation.nodes);
+        let spacing = self.spacing(isolation.nodes);
         let ahead = self.ahead(isolation, now);
         let is_needed = self.waiting > 0 || self.granted < ahead.min(self.last_grant) * LOW_SHARE;
         // The shard owner takes the last grant for unspent until it hears of the node.
@@ -216,19 +234,29 @@
         #[allow(clippy::cast_precision_loss)]
         let wanted = self.ahead(isolation, now) + self.waiting as f64;
         let left = self.offline_until.saturating_duration_since(now);
+        let is_offline = self.is_offline(now);
+        let wanted = if is_idle { 0.0 } else { wanted };
+        // A node that wants nothing keeps what accrued without contact for its next request.
+        let returned = if wanted > 0.0 {
+            self.accrued - self.advance
+        } else {
+            0.0
+        };
         let demand = QuotaDemand {
             organisation: organisation.clone(),
             confirmed: self.confirmed,
-            held: self.granted + self.accrued,
-            wanted: if is_idle { 0.0 } else { wanted },
+            held: self.granted + returned,
+            wanted,
             per_second: if is_idle { 0.0 } else { per_second },
             offline: if left.is_zero() { 0.0 } else { self.offline },
             offline_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-            is_offline: self.is_offline(now),
+            is_offline,
         };
         if demand.wanted <= 0.0 {
             self.granted = 0.0;
-            self.accrued = 0.0;
+            if !is_offline {
+                self.drop_accrued();
+            }
         }
         if is_idle {
             self.offline = 0.0;
@@ -255,7 +283,7 @@
         self.unanswered = None;
         self.received = Some(now);
         self.refused = 0;
-        self.accrued = 0.0;
+        self.drop_accrued();
         if sequence < self.limited_by {
             self.granted = 0.0;
             self.offline = 0.0;
@@ -266,7 +294,7 @@
         self.granted_until = asked + GRANT_TIME;
         self.offline = grant.offline;
         self.offline_until = asked + OFFLINE_TIME;
-        self.is_short = grant.is_short;
+        self.is_exhausted = grant.is_short && grant.is_above_rate;
     }
 
     /// Returns the limit, the unspent tokens, the offline rate and the time of the last grant.
@@ -292,6 +320,15 @@
         }
     }
 
+    /// Returns the shortest interval between requests that bring tokens.
+    fn spacing(&self, nodes: usize) -> Duration {
+        if self.is_exhausted {
+            short_interval(nodes)
+        } else {
+            min_interval(nodes)
+        }
+    }
+
     fn is_idle(&self, now: Instant) -> bool {
         self.waiting == 0 && now.saturating_duration_since(self.used) >= IDLE_TIME
     }
@@ -300,6 +337,11 @@
         self.unanswered.is_some_and(|at| now >= at + OFFLINE_DELAY)
     }
 
+    fn drop_accrued(&mut self) {
+        self.accrued = 0.0;
+        self.advance = 0.0;
+    }
+
     /// Ends what has expired, and accrues tokens without contact, for one second at most.
     fn roll(&mut self, isolation: Isolation, now: Instant) {
         if now >= self.granted_until {
@@ -312,6 +354,10 @@
         if now <= since {
             return;
         }
+        if since == begin {
+            self.accrued = self.phase;
+            self.advance = self.phase;
+        }
         self.accrued_at = now;
         let isolated = isolation.bounds.isolated_rate(self.limit, isolation.nodes);
         let has_rate = self.offline > 0.0 && now < self.offline_until;
@@ -324,6 +370,10 @@
 /// Time for which the shard owner's reply is awaited, unless there was none recently.
 const MIN_REPLY_WAIT: Duration = Duration::from_millis(300);
 
+fn min_interval(nodes: usize) -> Duration {
+    interval_per_node(MIN_INTERVAL_PER_NODE, nodes).max(MIN_INTERVAL)
+}
+
 fn short_interval(nodes: usize) -> Duration {
     let interval = interval_per_node(SHORT_INTERVAL_PER_NODE, nodes);
     interval.clamp(SHORT_INTERVAL, REFRESH_INTERVAL)
