Repeat a quota request that failed at once after 30 ms

It blocked its shard until the timeout of 400 ms, and callers that came after 300 ms of that were refused. After 1.3 s of failures callers are refused without a wait.

--- a/crates/coordination/src/quota/client.rs
+++ b/crates/coordination/src/quota/client.rs
@@ -21,6 +21,8 @@
 
 /// Time after which a request counts as lost. Its reply is then ignored.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after a request that failed at once until the next one for the shard.
+const FAILURE_DELAY: Duration = Duration::from_millis(30);
 /// Shortest interval between two requests for a shard while no caller waits, so that one request covers
 /// several organisations.
 const BATCH_INTERVAL: Duration = Duration::from_millis(150);
@@ -66,6 +68,7 @@
     number: u64,
     in_flight: [Option<InFlight>; QUOTA_SHARDS],
     asked: [Option<Instant>; QUOTA_SHARDS],
+    failed: [Option<Instant>; QUOTA_SHARDS],
     tokens: BTreeMap<OrganisationName, Tokens>,
     by_shard: HashMap<usize, Vec<OrganisationName>>,
 }
@@ -90,6 +93,7 @@
             number: first_number,
             in_flight: Default::default(),
             asked: Default::default(),
+            failed: Default::default(),
             tokens: BTreeMap::new(),
             by_shard: HashMap::new(),
         }
@@ -163,6 +167,7 @@
         self.tokens.retain(|_, tokens| !tokens.is_over(now));
         let isolation = self.isolation();
         let is_lost = |sent: Instant| now.saturating_duration_since(sent) >= REPLY_TIMEOUT;
+        let has_just_failed = |at| now.saturating_duration_since(at) < FAILURE_DELAY;
         for names in self.by_shard.values_mut() {
             names.clear();
         }
@@ -181,7 +186,8 @@
         }
         let mut requests = Vec::new();
         for (shard, is_due) in is_due.into_iter().enumerate() {
-            let is_waiting = self.in_flight[shard].is_some_and(|sent| !is_lost(sent.sent));
+            let is_waiting = self.in_flight[shard].is_some_and(|sent| !is_lost(sent.sent))
+                || self.failed[shard].is_some_and(has_just_failed);
             if is_due && !is_waiting && self.owners.owner(shard).is_some() {
                 requests.push(self.request(shard, now));
             }
@@ -196,6 +202,7 @@
         }
         self.in_flight = Default::default();
         self.asked = Default::default();
+        self.failed = Default::default();
         self.due_requests(now)
     }
 
@@ -232,6 +239,27 @@
         true
     }
 
+    /// Records that the request `number` failed before its timeout, so that the next one need not wait
+    /// for that.
+    pub fn fail(&mut self, shard: u8, number: u64, now: Instant) {
+        let shard = usize::from(shard);
+        let Some(Some(request)) = self.in_flight.get(shard).copied() else {
+            return;
+        };
+        let age = now.saturating_duration_since(request.sent);
+        if request.number != number || age >= REPLY_TIMEOUT {
+            return;
+        }
+        self.in_flight[shard] = None;
+        self.asked[shard] = None;
+        self.failed[shard] = Some(now);
+        for (name, tokens) in &mut self.tokens {
+            if quota_shard(name) == shard {
+                tokens.fail(request.sent);
+            }
+        }
+    }
+
     /// Returns the state of the quotas of all organisations with recent requests.
     pub fn status(&self, now: Instant) -> impl Iterator<Item = QuotaStatus> {
         self.tokens.iter().map(move |(name, tokens)| {
--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -295,3 +295,42 @@
     assert!(served.iter().all(|count| *count <= 10), "{served:?}");
     assert!(served.iter().sum::<u32>() >= 40, "{served:?}");
 }
+
+/// Guards against a request that fails at once and blocks its shard until its timeout.
+#[test]
+fn a_request_that_fails_at_once_is_soon_repeated() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let (mut client, mut ledger) = only_node(start);
+    assert_eq!(client.acquire(&"o".into(), at(0)), QuotaAnswer::Wait);
+    client.begin_wait(&"o".into());
+    let first = client.due_requests(at(0)).remove(0);
+    client.fail(first.shard, first.number, at(1));
+    assert!(client.due_requests(at(21)).is_empty());
+    let second = client.due_requests(at(50)).remove(0);
+    // A late failure of an earlier request does not end a later one.
+    client.fail(first.shard, first.number, at(51));
+    assert!(client.due_requests(at(100)).is_empty());
+    assert_eq!(client.retry(&"o".into(), false, at(320)), QuotaAnswer::Wait);
+    let reply = ledger.handle(&second, at(320)).unwrap();
+    assert!(client.apply(second.shard, &reply, at(320)));
+}
+
+/// Guards against callers that wait for an owner whose requests all fail for longer than a while.
+#[test]
+fn callers_do_not_wait_for_an_owner_that_fails_for_long() {
+    let start = Instant::now();
+    let mut client = isolated_nodes(10).remove(0);
+    client.acquire(&"o".into(), start);
+    client.begin_wait(&"o".into());
+    let mut answer = QuotaAnswer::Wait;
+    for ms in (0..1_500).step_by(50) {
+        let now = start + Duration::from_millis(ms);
+        for request in client.due_requests(now) {
+            client.fail(request.shard, request.number, now);
+        }
+        answer = client.retry(&"o".into(), false, now);
+        assert!(ms >= 1_300 || answer == QuotaAnswer::Wait, "{ms}");
+    }
+    assert!(matches!(answer, QuotaAnswer::Refused { .. }), "{answer:?}");
+}
--- a/crates/coordination/src/quota/tokens.rs
+++ b/crates/coordination/src/quota/tokens.rs
@@ -66,6 +66,8 @@
     asked: Option<Instant>,
     /// Time of the first request since the last reply.
     unanswered: Option<Instant>,
+    /// Time of the first request since the last reply that did not fail at once.
+    awaited: Option<Instant>,
     spent_since_ask: f64,
     /// Whether the last grant was short at a demand above the rate.
     is_exhausted: bool,
@@ -101,6 +103,7 @@
             received: None,
             asked: None,
             unanswered: None,
+            awaited: None,
             spent_since_ask: 0.0,
             is_exhausted: false,
             refused: 0,
@@ -144,7 +147,7 @@
     /// Returns whether a reply of the shard owner can bring tokens soon.
     pub(super) fn can_wait(&self, nodes: usize, now: Instant) -> bool {
         let is_late = |at: Instant| now.saturating_duration_since(at) >= MIN_REPLY_WAIT;
-        if self.unanswered.is_some_and(is_late) {
+        if self.awaited.is_some_and(is_late) || self.is_offline(now) {
             return false;
         }
         let age = self.received.map(|at| now.saturating_duration_since(at));
@@ -228,6 +231,7 @@
         self.roll(isolation, now);
         self.asked = Some(now);
         self.unanswered.get_or_insert(now);
+        self.awaited.get_or_insert(now);
         self.spent_since_ask = 0.0;
         let is_idle = self.is_idle(now);
         let per_second = self.meter.rate(now);
@@ -264,6 +268,13 @@
         demand
     }
 
+    /// Records that the request sent at `sent` failed at once, so that callers may wait for the next.
+    pub(super) fn fail(&mut self, sent: Instant) {
+        if self.awaited == Some(sent) {
+            self.awaited = None;
+        }
+    }
+
     /// Gives everything back with the next request.
     pub(super) fn release(&mut self, now: Instant) {
         self.used = now.checked_sub(IDLE_TIME).unwrap_or(now);
@@ -281,6 +292,7 @@
         let asked = self.asked.unwrap_or(now);
         self.confirmed = number;
         self.unanswered = None;
+        self.awaited = None;
         self.received = Some(now);
         self.refused = 0;
         self.drop_accrued();
--- a/crates/node/src/quota/exchange.rs
+++ b/crates/node/src/quota/exchange.rs
@@ -132,7 +132,7 @@
     }
 
     async fn send(&self, request: QuotaRequest) {
-        let shard = request.shard;
+        let (shard, number) = (request.shard, request.number);
         let owner = self.handle.client().owner(shard).cloned();
         let Some(owner) = owner else {
             return;
@@ -165,6 +165,7 @@
                 }
             }
             Err(err) => {
+                self.handle.client().fail(shard, number, Instant::now());
                 metrics::counter!("quota_requests_failed_total").increment(1);
                 if !was_failing.replace(true) {
                     warn!(shard, owner:% = owner; "the quota shard owner does not answer: {err}");
