--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -316,7 +316,7 @@
     assert!(client.apply(second.shard, &reply, at(320)));
 }
 
-/// Guards against callers that wait for an owner whose requests all fail for longer than a while.
+/// Guards against callers that wait for an owner whose requests have failed for longer than 1.3 s.
 #[test]
 fn callers_do_not_wait_for_an_owner_that_fails_for_long() {
     let start = Instant::now();
