--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -4,6 +4,7 @@
 mod alone;
 mod cold;
 mod contact;
+mod estimate;
 mod link;
 mod pace;
 mod queue;
@@ -27,6 +28,7 @@
         adaptive::AdaptiveLimit,
         alone::{AloneQueue, MAX_QUEUED_ALONE},
         contact::Contact,
+        estimate::expiry,
         link::LinkBacklog,
         ramp::Ramp,
         rank::RankedQueue,
@@ -167,47 +169,6 @@
         AdmissionDecision::Wait(self.queue.push(request))
     }
 
-    /// Returns whether a request counts as late: it will miss its target time or, while starts are
-    /// spread evenly, has missed it already. A cold upstream is slow for all requests, and those that
-    /// came just now may be calls whose callers are served in time by a later answer.
-    fn is_late(&self, request: &AdmissionRequest, time: Duration, now: Instant) -> bool {
-        let time = match self.rates.spacing(now) {
-            Some(_) => Duration::ZERO,
-            None => time,
-        };
-        request.target.is_some_and(|target| now + time > target)
-    }
-
-    /// Returns whether one more request may be queued.
-    ///
-    /// A request with a target time may be queued as long as it can still meet that time; the
-    /// others share a bounded queue.
-    fn can_queue(
-        &mut self,
-        request: &AdmissionRequest,
-        wait: Duration,
-        time: Duration,
-        now: Instant,
-    ) -> bool {
-        if self.queue.len() >= MAX_QUEUED {
-            return false;
-        }
-        let has_samples = !self.stats.all().slot_time.is_zero();
-        match request
-            .target
-            .filter(|_| has_samples && !request.rank.is_late)
-        {
-            Some(target) => {
-                let slack = target.saturating_duration_since(now);
-                let max_wait = slack.saturating_sub(time).mul_f64(MAX_SLACK_SHARE);
-                let is_paced = self.rates.spacing(now).is_some();
-                wait <= max_wait || is_paced && wait <= TARGET_QUEUE_TIME
-            }
-            None if has_samples && request.target.is_some() => wait <= TARGET_QUEUE_TIME,
-            None => self.queue.len() < self.queue_bound() || self.queue.make_room(request),
-        }
-    }
-
     /// Returns the next queued request that starts or is refused; callers repeat this until `None`.
     pub fn next_decision(&mut self, now: Instant) -> Option<QueueDecision> {
         let wait = self.estimated_wait(Rank::LAST, now);
@@ -518,28 +479,6 @@
         Some(QueueDecision::Start(ticket))
     }
 
-    /// Returns whether a request of a rank may start: a slot is free, and the limits on the rate allow
-    /// it without using up what is reserved for better ranks.
-    fn has_capacity(&self, rank: Rank, now: Instant) -> bool {
-        self.has_slot(now) && self.rates.can_start(self.reserve(rank, now), now)
-    }
-
-    fn has_slot(&self, now: Instant) -> bool {
-        let limit = match self.contact.is_limited(now) {
-            true => 1,
-            false => self.limit(),
-        };
-        self.active < limit
-    }
-
-    /// Returns how many starts of the burst a request of a rank leaves to others.
-    fn reserve(&self, rank: Rank, now: Instant) -> u32 {
-        let spacing = self.rates.spacing(now);
-        spacing.map_or(0, |spacing| {
-            self.reservation.reserve(rank, spacing.burst(), now)
-        })
-    }
-
     fn count_start(&mut self, now: Instant) {
         self.active += 1;
         self.start_count += 1;
@@ -554,65 +493,6 @@
             "an upstream must not run more requests than it has slots"
         );
     }
-
-    /// Returns whether the link can take the response to one more request of a rank.
-    fn has_link_capacity(&self, rank: Rank) -> bool {
-        self.link_backlog
-            .has_capacity(self.stats.of(rank), rank.target())
-    }
-
-    /// Returns the estimated time that a request of a rank spends in the queue.
-    fn estimated_wait(&self, rank: Rank, now: Instant) -> Duration {
-        let excess = self.active.saturating_sub(self.limit());
-        let mut ahead = 0;
-        let mut ahead_bytes = 0;
-        let mut work = self.stats.all().slot_time * excess;
-        for (rank, count) in self.queue.counts_through(rank) {
-            ahead += count;
-            let stats = self.stats.of(rank);
-            work += stats.slot_time * u32::try_from(count).unwrap_or(u32::MAX);
-            ahead_bytes += stats.response_bytes * count as u64;
-        }
-        let wait = work / self.limit();
-        let stats = self.stats.of(rank);
-        let link = self
-            .link_backlog
-            .start_delay(stats, rank.target(), ahead_bytes);
-        let reserve = self.reserve(rank, now);
-        wait.max(self.rates.queue_wait(ahead, reserve, now))
-            .max(link)
-    }
-
-    /// Returns the estimated time from the start of a request of a rank until its response is sent.
-    fn estimated_duration(&self, rank: Rank) -> Duration {
-        let stats = self.stats.of(rank);
-        if self.link_backlog.is_small(stats.response_bytes) {
-            return stats.latency;
-        }
-        stats.slot_time.max(stats.latency)
-    }
-
-    fn queue_bound(&self) -> usize {
-        let limit = self.limit() as usize;
-        let min_bound = limit.clamp(MIN_QUEUED, MAX_QUEUED);
-        let slot_time = self.stats.all().slot_time;
-        if slot_time.is_zero() {
-            return min_bound;
-        }
-        let rounds = TARGET_QUEUE_TIME.as_secs_f64() / slot_time.as_secs_f64();
-        let bound = (limit as f64 * rounds) as usize;
-        bound.clamp(min_bound, MAX_QUEUED)
-    }
-}
-
-/// Returns until when a request may stay queued: as long as it can meet its deadline, or only for a
-/// short time if it misses its target time in any case.
-fn expiry(request: &AdmissionRequest, time: Duration, now: Instant) -> Instant {
-    let last = request.deadline.checked_sub(time).unwrap_or(now);
-    if request.rank.is_late {
-        return last.min(now + TARGET_QUEUE_TIME * 2);
-    }
-    last
 }
 
 fn rejection(cause: RejectionCause, after: Duration) -> Rejection {
--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -157,8 +157,6 @@
             ("provider.address", self.store.to_string()),
             ("zones|json", format!("{{{}}}", zones.join(","))),
             ("limits.link_mbps", "1000.0".into()),
-            ("limits.memory_mb", "512".into()),
-            ("limits.max_fds", "8192".into()),
             ("bounds.retry_budget_ratio", "0.2".into()),
             ("bounds.budget_min_retries", "60".into()),
             ("bounds.budget_window_s", "10".into()),
