--- a/crates/node/tests/deployed/stop.rs
+++ b/crates/node/tests/deployed/stop.rs
@@ -186,6 +186,7 @@
 #[actix_rt::test]
 async fn a_stop_answers_calls_that_outlast_it() {
     let mut fleet = Fleet::start(&["orders", "other"]).await;
+    warm_up(&fleet).await;
     let of_own_upstream = begin_call_of(&fleet, 0, 0, ENDLESS_WORK_MS).await;
     let of_other_upstream = begin_call_of(&fleet, 1, 0, ENDLESS_WORK_MS).await;
     let of_other_node = begin_call_of(&fleet, 0, 1, ENDLESS_WORK_MS).await;
@@ -197,6 +198,16 @@
     assert_eq!(fleet.count_log_lines("broken_by=connection-lost"), 0);
 }
 
+/// Sends short requests to the first upstream for as long as its slow start needs to allow two at once.
+async fn warm_up(fleet: &Fleet) {
+    let mut connection = Connection::open(fleet.vms[0].callers()).await.unwrap();
+    let end = Instant::now() + Duration::from_millis(1_500);
+    while Instant::now() < end {
+        let answer = connection.post("warm", "/orders/w10").await.unwrap();
+        assert_eq!(answer.status, 200);
+    }
+}
+
 /// Sends one request after the other until the end and returns the statuses.
 async fn use_node(node: SocketAddr, number: usize, is_over: Rc<Cell<bool>>) -> Vec<u16> {
     let mut statuses = Vec::new();
