--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -41,8 +41,13 @@
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
     /// Setting that replaces the value in the file, such as `limits.grace_s=10`. An empty value
-    /// changes nothing.
-    #[arg(long = "set", value_name = "NAME=VALUE")]
+    /// changes nothing. The variable holds several of them, separated by spaces.
+    #[arg(
+        long = "set",
+        value_name = "NAME=VALUE",
+        env = "WAGTAILLEVER_SET",
+        value_delimiter = ' '
+    )]
     overrides: Vec<SettingOverride>,
     /// Checks the settings and exits.
     #[arg(long)]
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -331,9 +331,10 @@
         !text.contains("{{") && !command.contains("{{"),
         "a field is not filled in: {text} {command}"
     );
-    let words: Vec<_> = command.split([' ', '"']).collect();
-    let options = words.windows(2).filter(|words| words[0] == "--set");
-    let overrides: Vec<SettingOverride> = options.map(|words| words[1].parse().unwrap()).collect();
+    let (_, variable) = command.split_once("WAGTAILLEVER_SET = \"").unwrap();
+    let (variable, _) = variable.split_once('"').unwrap();
+    let overrides = variable.split(' ').map(|setting| setting.parse().unwrap());
+    let overrides: Vec<SettingOverride> = overrides.collect();
     let settings = Settings::parse_with(Path::new("node.yaml"), &text, &overrides).unwrap();
     assert_eq!(settings.protocol, super::Protocol::Store);
     assert_eq!(settings.regions.len(), 2);
