--- a/crates/coordination/src/quota/account.rs
+++ b/crates/coordination/src/quota/account.rs
@@ -28,9 +28,9 @@
 /// Maximum number of nodes that an account knows, twice the planned size of the fleet.
 const MAX_LEASES: usize = 4_096;
 /// Silence of the platform after which the list of VMs may be out of date: the platform is otherwise
-/// heard of about once a second.
+/// recorded about once a second.
 const PLATFORM_SILENCE: Duration = Duration::from_secs(3);
-/// Silent part of the rate from which on a shard owner that doesn't hear of the platform takes itself for
+/// Silent part of the rate from which on a shard owner without a platform answer takes itself for
 /// cut off from the rest of the fleet. One crashed node of a large fleet has less.
 const CUT_OFF_SHARE: f64 = 0.1;
 /// Factor by which the use of unlisted VMs may exceed that of others.
@@ -250,15 +250,15 @@
         if terms.platform_silence < OFFLINE_TIME || !self.is_cut_off(terms) {
             return reserved.clamp(0.0, rate);
         }
-        // Nodes that hear of the platform have another shard owner by now.
+        // Nodes that the platform answers have another shard owner by now.
         #[allow(clippy::cast_precision_loss)]
         let reachable = (self.leases.len() - self.sums.silent_nodes) as f64;
         let isolated = terms.bounds.isolated_rate(terms.limit, terms.nodes) * reachable;
         (rate - isolated).clamp(0.0, rate)
     }
 
-    /// Returns whether this owner is probably on the smaller side of a partition, if it does not hear
-    /// of the platform.
+    /// Returns whether this owner is probably on the smaller side of a partition, if the
+    /// platform does not answer.
     fn is_cut_off(&self, terms: &Terms) -> bool {
         let silent = self.sums.silent > terms.limit.per_second * CUT_OFF_SHARE;
         silent || self.sums.silent_nodes >= CUT_OFF_NODES
@@ -273,7 +273,7 @@
         (rate - self.taken_over).clamp(0.0, max)
     }
 
-    /// Ends what has expired, and computes the sums anew. Offline rates of silent nodes don't end while
+    /// Ends what has expired, and recomputes the sums. Offline rates of silent nodes don't end while
     /// the platform is silent as well: another owner may then grant the rest of the rate to them.
     fn sweep(&mut self, terms: &Terms, now: Instant) {
         self.swept = now;
--- a/crates/coordination/src/quota/tests.rs
+++ b/crates/coordination/src/quota/tests.rs
@@ -196,7 +196,7 @@
     assert!(reply.grants[0].is_short);
 }
 
-/// Guards against a first refused caller that is told to wait for as long as a node without contact
+/// Guards against a Retry-After of the first refused caller that is as long as a node without contact
 /// needs for a token.
 #[test]
 fn a_refused_caller_comes_back_after_the_next_request() {
--- a/crates/coordination/src/quota/tests/fleet.rs
+++ b/crates/coordination/src/quota/tests/fleet.rs
@@ -279,7 +279,7 @@
         }
     }
 
-    /// Returns for how long the store has not heard of a VM; `None` if it never has.
+    /// Returns how long a VM has been without contact to the store; `None` if it never had any.
     fn absence(&self, index: usize, ms: u64) -> Option<u64> {
         if self.fault == Fault::Start && index == 0 && ms < FAULT_MS.start {
             return None;
--- a/crates/coordination/src/quota/tokens.rs
+++ b/crates/coordination/src/quota/tokens.rs
@@ -36,9 +36,9 @@
 const SHORT_INTERVAL_PER_NODE: Duration = Duration::from_millis(3);
 /// Time without use after which a node gives its share back.
 const IDLE_TIME: Duration = Duration::from_secs(3);
-/// Longest time that a refused caller is told to wait.
+/// Upper bound of the Retry-After of a refused caller.
 const MAX_RETRY_S: f64 = 5.0;
-/// Shortest time that a refused caller is told to wait.
+/// Lower bound of the Retry-After of a refused caller.
 const MIN_RETRY_S: f64 = 0.1;
 
 /// Tokens of one organisation, demand for them, and the last request to the shard owner.
@@ -155,8 +155,8 @@
     }
 
     /// Returns the time after which a refused caller may try again. Callers refused since the last
-    /// grant are told to come one after the other, as tokens arrive. With contact, the first one is told
-    /// to come after the next possible request to the shard owner.
+    /// grant get times one after the other, as tokens arrive. With contact, the first one
+    /// gets the time of the next possible request to the shard owner.
     pub(super) fn refuse(&mut self, isolation: Isolation, now: Instant) -> Duration {
         let earlier = f64::from(self.refused);
         self.refused = self.refused.saturating_add(1);
@@ -198,7 +198,7 @@
         let spacing = self.spacing(isolation.nodes);
         let ahead = self.ahead(isolation, now);
         let is_needed = self.waiting > 0 || self.granted < ahead.min(self.last_grant) * LOW_SHARE;
-        // The shard owner takes the last grant for unspent until it hears of the node.
+        // The shard owner takes the last grant for unspent until the next request of the node.
         let is_surplus = (MIN_SURPLUS..f64::MAX).contains(&self.last_grant) && ahead <= 0.0;
         let is_changed = (is_needed && age >= spacing) || (is_surplus && age >= min);
         is_changed || age >= REFRESH_INTERVAL
--- a/crates/coordination/src/registrations.rs
+++ b/crates/coordination/src/registrations.rs
@@ -197,7 +197,7 @@
         let is_same_era =
             self.published.number == 0 || era_of(self.revision) == self.published.era();
         // A list at the lowest revision came from contents that may be old. Others of that number may
-        // differ from it, so the first full read numbers it anew.
+        // differ from it, so the first full read gives it a new number.
         let is_provisional = revision_within_era(self.published.revision()) == 0
             && revision_within_era(self.revision) > 0;
         if vms == self.published.vms && is_same_era && !is_provisional {
