--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -4,6 +4,7 @@
 //! goes without its disruption.
 
 mod fleet;
+mod foreign_entry;
 mod frozen_neighbour;
 mod http;
 mod pipelined_loss;
@@ -61,6 +62,7 @@
     let run = || match case.as_str() {
         "stop-cuts-transfer" => stop_cuts_transfer::run(&record),
         "frozen-neighbour" => frozen_neighbour::run(&record),
+        "foreign-entry" => foreign_entry::run(&record),
         "pipelined-loss" => pipelined_loss::run(&record),
         _ => Verdict::NotRun(format!("unknown case {case}")),
     };
