--- a/review/rig/stop_cuts_transfer.rs
+++ b/review/rig/stop_cuts_transfer.rs
@@ -21,17 +21,43 @@
     server::{Runs, Server, answer_body, signature},
 };
 
-const CLIENTS: usize = 4;
 /// The largest answer of `archivio` in the site file.
 const ANSWER_BYTES: usize = 540_000;
-const DEADLINE_MS: u64 = 6_000;
-/// The client's link: 16 KB each 100 ms, about 1.3 Mbit/s.
+/// What the client's link carries at once.
 const PART_BYTES: usize = 16 << 10;
-const PART_PAUSE: Duration = Duration::from_millis(100);
 /// Receive window of the client.
 const WINDOW_BYTES: i32 = 32 << 10;
-/// When the client sends a further safe request, counted from its first one.
-const FURTHER_AFTER: Duration = Duration::from_millis(2_900);
+
+/// What a client does.
+#[derive(Clone, Copy)]
+struct Plan {
+    service: &'static str,
+    deadline_ms: u64,
+    /// Time-out of the route.
+    timeout: Duration,
+    /// Time that the link needs for each part.
+    part_time: Duration,
+    /// When the client sends further safe requests, counted from its first one.
+    further: &'static [u64],
+}
+
+/// The time budget of `archivio` in the site file, and a link of 2.4 Mbit/s.
+const SHORT: Plan = Plan {
+    service: "conti",
+    deadline_ms: 2_000,
+    timeout: Duration::from_secs(2),
+    part_time: Duration::from_millis(55),
+    further: &[350, 1_550],
+};
+/// That of the large site, and a link of 1.3 Mbit/s.
+const LONG: Plan = Plan {
+    service: "ricevute",
+    deadline_ms: 6_000,
+    timeout: Duration::from_secs(5),
+    part_time: Duration::from_millis(100),
+    further: &[2_900],
+};
+const PLANS: [Plan; 4] = [SHORT, SHORT, LONG, LONG];
 
 struct Outcome {
     id: String,
@@ -40,6 +66,7 @@
     end: String,
     ended: Instant,
     sent: Instant,
+    plan: Plan,
 }
 
 pub fn run(record: &Record) -> Verdict {
@@ -56,27 +83,36 @@
     }
     fleet.configure(
         7,
-        &[("safe", "ricevute", 5.0), ("download", "ricevute", 5.0)],
+        &[
+            ("safe", "conti", 2.0),
+            ("safe", "ricevute", 2.0),
+            ("download", SHORT.service, SHORT.timeout.as_secs_f64()),
+            ("download", LONG.service, LONG.timeout.as_secs_f64()),
+        ],
     );
     fleet.start();
-    if !fleet.wait_until_served("/download/ricevute/w0/s10") {
+    if !fleet.wait_until_served("/download/ricevute/w0/s10")
+        || !fleet.wait_until_served("/download/conti/w0/s10")
+    {
         return Verdict::NotRun("the nodes don't serve".into());
     }
     // contact_s of calm before the requests.
     thread::sleep(Duration::from_millis(3_500));
     let node = fleet.vms[0].outbound();
     let begun = Arc::new(AtomicUsize::new(0));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
+    let clients: Vec<_> = PLANS
+        .into_iter()
+        .enumerate()
+        .map(|(number, plan)| {
             let (record, begun) = (record.clone(), Arc::clone(&begun));
-            thread::spawn(move || client(number, node, &record, &begun))
+            thread::spawn(move || client(number, plan, node, &record, &begun))
         })
         .collect();
     let end = Instant::now() + Duration::from_secs(4);
-    while begun.load(SeqCst) < CLIENTS && Instant::now() < end {
+    while begun.load(SeqCst) < PLANS.len() && Instant::now() < end {
         thread::sleep(Duration::from_millis(5));
     }
-    if begun.load(SeqCst) < CLIENTS {
+    if begun.load(SeqCst) < PLANS.len() {
         return Verdict::NotRun("an answer did not begin".into());
     }
     if has_trouble() {
@@ -106,13 +142,14 @@
             format!("client {id}: {received} of {ANSWER_BYTES} bytes after {took:.3?}, {end}");
         record.line_at(outcome.ended, &text);
         // Not counted: the time budget or the time-out of the route was reached.
-        let is_in_time = took < Duration::from_secs(5);
+        let is_in_time = took < outcome.plan.timeout;
         if !is_whole && run.answered.is_some() && is_in_time {
             lost += 1;
         }
     }
     record.line(&format!(
-        "answers that broke off although their server had finished: {lost} of {CLIENTS}"
+        "answers that broke off although their server had finished: {lost} of {}",
+        PLANS.len()
     ));
     if lost > 0 {
         Verdict::Broken
@@ -123,6 +160,7 @@
 
 fn client(
     number: usize,
+    plan: Plan,
     node: SocketAddr,
     record: &Record,
     begun: &AtomicUsize,
@@ -132,26 +170,32 @@
     stream.set_read_timeout(Some(Duration::from_secs(10)))?;
     set_window(&stream);
     let id = format!("d0{number:014x}");
+    let deadline_ms = plan.deadline_ms;
     let request = |id: &str, path: &str| {
         format!(
-            "GET {path} HTTP/1.1\r\nHost: mesh.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\r\n"
+            "GET {path} HTTP/1.1\r\nHost: mesh.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\r\n"
         )
     };
     let sent = Instant::now();
-    let path = format!("/download/ricevute/w20/s{ANSWER_BYTES}");
+    let path = format!("/download/{}/w20/s{ANSWER_BYTES}", plan.service);
     stream.write_all(request(&id, &path).as_bytes())?;
     record.line(&format!("sent {id} GET {path}"));
     let mut bytes = Vec::new();
     let mut part = [0; PART_BYTES];
     let mut has_begun = false;
-    let mut has_sent_further = false;
+    let mut further = plan.further.iter().peekable();
+    let mut count = 0;
     let end = loop {
-        if !has_sent_further && sent.elapsed() >= FURTHER_AFTER {
-            has_sent_further = true;
-            let further = format!("d1{number:014x}");
-            let result = stream.write_all(request(&further, "/safe/ricevute/w20/s1000").as_bytes());
+        if let Some(after) = further.peek()
+            && sent.elapsed() >= Duration::from_millis(**after)
+        {
+            further.next();
+            count += 1;
+            let id = format!("d{count}{number:014x}");
+            let path = format!("/safe/{}/w20/s1000", plan.service);
+            let result = stream.write_all(request(&id, &path).as_bytes());
             record.line(&format!(
-                "sent {further} GET /safe/ricevute/w20/s1000 on the same connection: {result:?}"
+                "sent {id} GET {path} on the connection of client {number}: {result:?}"
             ));
         }
         match stream.read(&mut part) {
@@ -169,12 +213,12 @@
         if head.is_some_and(|head| bytes.len() >= head + ANSWER_BYTES) {
             break "complete".to_string();
         }
-        thread::sleep(PART_PAUSE);
+        thread::sleep(plan.part_time);
     };
     let start = find(&bytes, b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
     let head = String::from_utf8_lossy(&bytes[..start]).into_owned();
     let body = &bytes[start..bytes.len().min(start + ANSWER_BYTES)];
-    let is_signed = ["i-00000001", "i-00000002"]
+    let is_signed = ["i-00000000", "i-00000001", "i-00000002"]
         .iter()
         .any(|it| head.contains(&signature(it, &id)));
     Ok(Outcome {
@@ -184,6 +228,7 @@
         end,
         ended: Instant::now(),
         sent,
+        plan,
     })
 }
 
