--- a/review/rig/frozen_neighbour.rs
+++ b/review/rig/frozen_neighbour.rs
@@ -52,6 +52,14 @@
     let mut fleet = Fleet::new(&[
         ("conti", "ragusa"),
         ("ricevute", "modica"),
+        // Eight more, so that the frozen node is a tenth of the machines.
+        ("conti", "ragusa"),
+        ("conti", "modica"),
+        ("conti", "modica"),
+        ("conti", "vittoria"),
+        ("fatture", "ragusa"),
+        ("fatture", "ragusa"),
+        ("fatture", "modica"),
         ("fatture", "vittoria"),
     ]);
     let runs = Runs::default();
