Bound what the kernel holds of callers that don't read

Data that was received and not read counts toward a machine's memory, and nothing bounded it.

Cause: no socket of a caller had a stated receive or send buffer, so that the kernel held up to 124 KB of unread requests of each, and as much of an answer as its send buffer grows to. Nor was there a bound on connections that hold data in the process.

Change: the listener states both sizes, which connections inherit before they are accepted. Connections that are stalled (their caller takes or sends nothing) or held (more requests wait than are read) are counted, and beyond `stalled_callers` the longest stalled one is reset. As the end of a connection does not arrive behind unread data that fills a small buffer, the node reads up to 128 KiB further from a bounded budget when calls take nothing for 200 ms.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 mod budget;
 mod caller_age;
 mod caller_limits;
+mod caller_room;
 mod candidates;
 mod config;
 mod crash;
@@ -69,6 +70,7 @@
     budget::{PLATFORM_READS_PER_S, ReadBudget},
     caller_age::CallerAges,
     caller_limits::CallerLimits,
+    caller_room::{CallerActivity, CallerId, CallerRoom, CallerRoomBounds},
     candidates::{Candidate, Candidates},
     config::{Config, Route, Service, Upstream},
     crash::CrashDetector,
--- a/crates/node/src/body_budget.rs
+++ b/crates/node/src/body_budget.rs
@@ -18,6 +18,8 @@
 pub(crate) struct BodyBudget {
     used: Arc<AtomicUsize>,
     limit: usize,
+    /// Bytes that each call gets even if the budget is used up.
+    granted: usize,
 }
 
 /// Bytes that one call has taken from the budget, returned on drop.
@@ -33,6 +35,15 @@
         Self {
             used: Arc::default(),
             limit,
+            granted: GRANTED_BYTES,
+        }
+    }
+
+    /// Creates an unused budget that grants nothing beyond its limit.
+    pub(crate) fn strict(limit: usize) -> Self {
+        Self {
+            granted: 0,
+            ..Self::new(limit)
         }
     }
 
@@ -51,7 +62,7 @@
 }
 
 impl Reservation {
-    /// Changes the number of reserved bytes, unless it grows beyond [`GRANTED_BYTES`] and what is left of
+    /// Changes the number of reserved bytes, unless it grows beyond what each call gets and what is left of
     /// the budget; returns whether it was changed.
     #[must_use]
     pub(crate) fn try_set(&mut self, bytes: usize) -> bool {
@@ -62,7 +73,7 @@
         if more == 0 {
             return true;
         }
-        if bytes <= GRANTED_BYTES {
+        if bytes <= self.budget.granted {
             self.set(bytes);
             return true;
         }
--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -13,6 +13,7 @@
 mod pipeline;
 mod reader;
 mod slot;
+mod table;
 mod timer;
 
 use std::{cell::RefCell, future::poll_fn, net::SocketAddr, rc::Rc, time::Instant};
@@ -23,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{close_cause::CloseCause, closing::Closing, open::OpenConnection};
-pub(super) use self::{payload::Payload, pipeline::Repeat};
+pub(super) use self::{payload::Payload, pipeline::Repeat, table::ConnectionTable};
 use crate::{ingress::worker::Worker, logging::LineBudget};
 
 /// Serves the connections of callers.
--- a/crates/node/src/ingress/connection/close_cause.rs
+++ b/crates/node/src/ingress/connection/close_cause.rs
@@ -17,7 +17,9 @@
     HeadTimeout,
     /// A response broke off, which its caller has to notice.
     AnswerBroken,
-    /// The caller took no part of a response for too long.
+    /// Its caller does not use it, and others need its place.
+    NoRoom,
+    /// The caller took no part of a response, or sent no part of a request, for too long.
     Stalled,
 }
 
@@ -32,6 +34,7 @@
             Self::Malformed => "malformed",
             Self::HeadTimeout => "head-timeout",
             Self::AnswerBroken => "answer-broken",
+            Self::NoRoom => "no-room",
             Self::Stalled => "stalled",
         }
     }
@@ -40,10 +43,16 @@
     pub(super) fn is_fault(self) -> bool {
         matches!(
             self,
-            Self::Malformed | Self::HeadTimeout | Self::AnswerBroken | Self::Stalled
+            Self::Malformed | Self::HeadTimeout | Self::AnswerBroken | Self::NoRoom | Self::Stalled
         )
     }
 
+    /// Returns whether nothing that waits to be sent may reach the caller any more, so that its memory can be
+    /// released at once.
+    pub(super) fn discards_output(self) -> bool {
+        self == Self::Stalled
+    }
+
     /// Returns whether the last response must reach a caller that may still be sending.
     pub(super) fn is_after_response(self) -> bool {
         matches!(self, Self::Answered | Self::Malformed | Self::HeadTimeout)
--- a/crates/node/src/ingress/connection/closing.rs
+++ b/crates/node/src/ingress/connection/closing.rs
@@ -35,6 +35,10 @@
     /// Closes the connection. The output is empty, or its caller takes no more of it.
     pub(super) async fn finish(mut self, output: Output) {
         drop(output);
+        if self.cause.discards_output() {
+            // Otherwise the kernel keeps unsent bytes until the caller takes them.
+            let _ = self.stream.set_zero_linger();
+        }
         if !self.cause.is_after_response() || self.stream.shutdown().await.is_err() {
             return;
         }
--- a/crates/node/src/ingress/connection/open.rs
+++ b/crates/node/src/ingress/connection/open.rs
@@ -17,6 +17,7 @@
 use actix_http::{Response, ServiceConfig, StatusCode};
 use tokio::{io::Interest, net::TcpStream, time::Instant};
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+use wagtaillever_coordination::CallerActivity;
 
 use self::input::BodyInput;
 use crate::{
@@ -28,6 +29,7 @@
             pipeline::{Pipeline, Repeat},
             reader::Reader,
             slot::Slot,
+            table::TableEntry,
             timer::Timer,
         },
         worker::Worker,
@@ -57,12 +59,18 @@
     /// Set once the connection closes as soon as all encoded bytes are written.
     closing: Option<CloseCause>,
     timer: Timer,
+    entry: TableEntry,
+    opened_at: Instant,
+    /// Whether a whole head has arrived.
+    is_used: bool,
     /// When the last response was complete, or the connection was opened.
     idle_since: Instant,
     /// When the head that is being received began.
     head_since: Option<Instant>,
     /// When the caller last took a part of a response.
     written_at: Instant,
+    /// When the connection was last read until as much as allowed waits to be decoded.
+    held_since: Option<Instant>,
     /// When the connection was last read, or checked for a close.
     read_at: Instant,
     /// Whether a call starts that was held back.
@@ -81,12 +89,14 @@
     ) -> Self {
         let limits = ConnectionLimits::current(&worker);
         let now = Instant::now();
+        let entry = worker.connections.open(now.into_std());
+        let reader = Reader::new(config.clone(), &worker.ahead_budget);
         Self {
             stream,
             peer,
             worker,
             limits,
-            reader: Reader::new(config.clone()),
+            reader,
             output: Output::new(config.clone()),
             pipeline: Pipeline::new(limits.capacity),
             slots: VecDeque::new(),
@@ -94,9 +104,13 @@
             is_held: false,
             closing: None,
             timer: Timer::new(),
+            entry,
+            opened_at: now,
+            is_used: false,
             idle_since: now,
             head_since: None,
             written_at: now,
+            held_since: None,
             read_at: now,
             has_started: false,
             stopped: Box::pin(stop.clone().cancelled_owned()),
@@ -111,9 +125,46 @@
     /// Serves requests and returns the cause once the connection is to be closed. All calls that are
     /// left then are dropped with the connection.
     pub(super) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<CloseCause> {
-        match self.advance(cx) {
-            Ok(()) => self.poll_timers(cx),
-            Err(cause) => Poll::Ready(cause),
+        if let Err(cause) = self.advance(cx) {
+            return Poll::Ready(cause);
+        }
+        if let Poll::Ready(cause) = self.poll_timers(cx) {
+            return Poll::Ready(cause);
+        }
+        self.held_since = self
+            .is_unread()
+            .then(|| self.held_since.unwrap_or_else(Instant::now));
+        let activity = self.activity();
+        self.entry.poll_evicted(activity, cx).map(|activity| {
+            let is_stalled = matches!(activity, CallerActivity::Stalled { .. });
+            if is_stalled {
+                CloseCause::Stalled
+            } else {
+                CloseCause::NoRoom
+            }
+        })
+    }
+
+    /// Returns what the connection does, as far as its place among others depends on it.
+    fn activity(&self) -> CallerActivity {
+        let waits_for_body = self.body.is_some() && !self.is_held;
+        if !self.output.is_empty() {
+            let since = self.written_at.into_std();
+            CallerActivity::Stalled { since }
+        } else if self.slots.is_empty() && !self.is_used {
+            let since = self.opened_at.into_std();
+            CallerActivity::Unused { since }
+        } else if self.slots.is_empty() {
+            let reusable_until = (self.idle_since + self.limits.reuse_time()).into_std();
+            CallerActivity::Idle { reusable_until }
+        } else if waits_for_body {
+            let since = self.read_at.into_std();
+            CallerActivity::Stalled { since }
+        } else if let Some(since) = self.held_since {
+            let since = since.into_std();
+            CallerActivity::Held { since }
+        } else {
+            CallerActivity::Active
         }
     }
 
@@ -144,6 +195,9 @@
     /// Reads from the connection, unless as much as allowed waits to be decoded.
     fn read(&mut self, cx: &mut Context<'_>) -> Result<bool, CloseCause> {
         self.is_held = self.body.as_ref().is_some_and(|body| !body.has_room(cx));
+        if !self.is_held {
+            self.reader.end_extension();
+        }
         let max_bytes = self.max_buffered();
         if self.closing.is_some() || !self.reader.has_room(max_bytes) {
             return Ok(false);
@@ -183,7 +237,13 @@
                 Event::CloseCheck if self.is_closed_by_caller() => {
                     return Poll::Ready(CloseCause::Caller);
                 }
-                Event::CloseCheck => self.read_at = Instant::now(),
+                Event::CloseCheck => {
+                    self.read_at = Instant::now();
+                    self.reader.extend();
+                    if let Err(cause) = self.advance(cx) {
+                        return Poll::Ready(cause);
+                    }
+                }
             }
         }
         Poll::Pending
@@ -213,8 +273,7 @@
             let deadline = self.idle_since + limits.idle_timeout;
             (deadline, Event::Close(CloseCause::Idle))
         });
-        let is_unread = !self.slots.is_empty() && !self.reader.has_room(self.max_buffered());
-        let check = is_unread.then(|| {
+        let check = self.is_unread().then(|| {
             let deadline = self.read_at + CLOSE_CHECK_INTERVAL;
             (deadline, Event::CloseCheck)
         });
@@ -222,6 +281,11 @@
         events.min_by_key(|(deadline, _)| *deadline)
     }
 
+    /// Returns whether requests run while as much as allowed waits to be decoded.
+    fn is_unread(&self) -> bool {
+        !self.slots.is_empty() && !self.reader.has_room(self.max_buffered())
+    }
+
     /// Returns whether no request is without a complete response. A part of a head may have arrived.
     fn is_idle(&self) -> bool {
         self.slots.is_empty() && self.output.is_empty()
--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -135,6 +135,7 @@
 
     /// Adds a request. Its call starts at once unless the requests before it forbid that.
     fn admit(&mut self, mut request: Request, arrived: StdInstant, has_body: bool) {
+        self.is_used = true;
         let head = request.head_mut();
         head.peer_addr = Some(self.peer);
         let is_head = head.method == Method::HEAD;
--- a/crates/node/src/ingress/connection/reader.rs
+++ b/crates/node/src/ingress/connection/reader.rs
@@ -18,9 +18,12 @@
 use tokio::{io::AsyncReadExt, net::TcpStream};
 use tokio_util::codec::Decoder;
 
-use crate::ingress::connection::{
-    chunk_scan::{ChunkScan, InvalidChunk},
-    head_scan::{HeadError, HeadScan},
+use crate::{
+    body_budget::{BodyBudget, Reservation},
+    ingress::connection::{
+        chunk_scan::{ChunkScan, InvalidChunk},
+        head_scan::{HeadError, HeadScan},
+    },
 };
 
 /// Bytes that are read at once while a head is expected; most heads are shorter.
@@ -28,6 +31,8 @@
 /// Bytes that are read at once of a body, and bytes that are read ahead of what calls can take. Reading
 /// ahead is what notices a caller that closes its connection.
 pub(super) const READ_AHEAD_BYTES: usize = 16 << 10;
+/// Bytes that are read beyond that while calls take nothing, so that the end of a connection is noticed behind them.
+const EXTENSION_BYTES: usize = 128 << 10;
 /// Most times of reads that are kept for the arrival of requests.
 const MAX_MARKS: usize = 8;
 
@@ -95,10 +100,13 @@
     is_ended: bool,
     received: u64,
     marks: VecDeque<Mark>,
+    /// Memory beyond what is read as a rule, so that the end of the connection can be read.
+    extension: Reservation,
+    extended_bytes: usize,
 }
 
 impl Reader {
-    pub(super) fn new(config: ServiceConfig) -> Self {
+    pub(super) fn new(config: ServiceConfig, budget: &BodyBudget) -> Self {
         Self {
             codec: Codec::new(config),
             buffer: BytesMut::new(),
@@ -109,6 +117,24 @@
             is_ended: false,
             received: 0,
             marks: VecDeque::new(),
+            extension: budget.reserve(),
+            extended_bytes: 0,
+        }
+    }
+
+    /// Lets more be read than as a rule if the budget has room for it.
+    pub(super) fn extend(&mut self) {
+        let bytes = self.buffer.len() + EXTENSION_BYTES;
+        if self.extended_bytes == 0 && self.extension.try_set(bytes) {
+            self.extended_bytes = bytes;
+        }
+    }
+
+    /// Returns to the rule once what was read beyond it is decoded.
+    pub(super) fn end_extension(&mut self) {
+        if self.extended_bytes > 0 && self.buffer.is_empty() {
+            self.extended_bytes = 0;
+            self.extension.set(0);
         }
     }
 
@@ -134,7 +160,7 @@
 
     /// Returns whether more bytes may be read while at most `max_bytes` are kept.
     pub(super) fn has_room(&self, max_bytes: usize) -> bool {
-        self.buffer.len() < max_bytes
+        self.buffer.len() < max_bytes.max(self.extended_bytes)
     }
 
     /// Releases the buffer while the connection is idle.
@@ -162,6 +188,7 @@
         } else {
             HEAD_READ_BYTES
         };
+        let max_bytes = max_bytes.max(self.extended_bytes);
         let size = size.min(max_bytes.saturating_sub(self.buffer.len()));
         self.buffer.reserve(size);
         let mut target = (&mut self.buffer).limit(size);
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -18,6 +18,7 @@
         worker::{SharedState, Worker},
     },
     kernel::StopDeadlines,
+    settings::{CALLER_RECEIVE_BYTES, CALLER_SEND_BYTES},
 };
 
 /// Connections that the kernel accepts ahead of the node, enough for callers that all connect at once.
@@ -102,6 +103,11 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the sizes of the buffers, also those that wait to be accepted.
+    let buffers = socket.set_recv_buffer_size(CALLER_RECEIVE_BYTES);
+    if let Err(err) = buffers.and_then(|()| socket.set_send_buffer_size(CALLER_SEND_BYTES)) {
+        warn!("can't limit the socket buffers of callers: {err}");
+    }
     socket.bind(address)?;
     socket.listen(BACKLOG)?.into_std()
 }
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -12,13 +12,14 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use wagtaillever_coordination::{
-    Balancer, BalancerPolicy, CallShares, CallerAges, LeavingUpstreams, RetryBudget, RetryRates,
-    Route, Sequence, ServiceName, SpilloverSettings, Splitter,
+    Balancer, BalancerPolicy, CallShares, CallerAges, CallerRoomBounds, LeavingUpstreams,
+    RetryBudget, RetryRates, Route, Sequence, ServiceName, SpilloverSettings, Splitter,
 };
 
 use crate::{
     body_budget::BodyBudget,
     ingress::{
+        connection::ConnectionTable,
         open_calls::OpenCalls,
         pool::{self, Pool},
         record::Recorder,
@@ -79,6 +80,10 @@
     /// Upstreams that stated that they are leaving, in answers that this node passed on. Their own
     /// sidecar may have restarted since and not know it.
     pub(super) leaving: RefCell<LeavingUpstreams>,
+    /// Open connections of callers.
+    pub(super) connections: Rc<ConnectionTable>,
+    /// Budget for what is read ahead: of responses whose callers, and of requests whose calls don't take them.
+    pub(super) ahead_budget: BodyBudget,
     /// Calls in flight by caller.
     pub(super) caller_shares: RefCell<CallShares>,
     /// Recorder of metrics, log lines and events.
@@ -102,12 +107,19 @@
                 crossing_gain: settings.limits.crossing_gain,
             }),
         };
-        let max_calls = settings.limits.bounds().body_bytes / BYTES_PER_CALL;
+        let bounds = settings.limits.bounds();
+        let max_calls = bounds.body_bytes / BYTES_PER_CALL;
+        let connections = ConnectionTable::new(CallerRoomBounds {
+            connections: bounds.caller_connections,
+            stalled: bounds.stalled_callers,
+        });
         let routing = RoutingView::new(shared.view.load(), settings, None);
         let worker = Rc::new(Self {
             pool: Rc::new(Pool::new(settings.address, shared.token.clone())),
             balancer: RefCell::new(Balancer::new(settings.domain.clone(), policy)),
             leaving: RefCell::default(),
+            connections: Rc::new(connections),
+            ahead_budget: BodyBudget::strict(bounds.ahead_bytes),
             caller_shares: RefCell::new(CallShares::new(max_calls.max(MIN_CALL_LIMIT))),
             rng: RefCell::new(SmallRng::from_os_rng()),
             recorder: Recorder::new(shared.timeline.clone()),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,11 +11,15 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::{
+    bounds::{CALLER_RECEIVE_BYTES, CALLER_SEND_BYTES, UPSTREAM_RECEIVE_BYTES},
+    limits::StopTimes,
+    overrides::SettingOverride,
+};
 pub use self::{
     error::SettingsError, limits::Limits, policies::Policies, protocol::Protocol,
     quota::QuotaSettings,
 };
-pub(crate) use self::{limits::StopTimes, overrides::SettingOverride};
 
 use std::{
     collections::BTreeMap,
--- a/crates/node/src/settings/tests.rs
+++ b/crates/node/src/settings/tests.rs
@@ -358,9 +358,13 @@
     let default = bounds("limits: {skew_ms: 1}");
     assert_eq!(default.body_bytes, 32 << 20);
     assert_eq!(default.caller_connections, 4_096);
+    assert_eq!(default.stalled_callers, 4_096);
+    assert_eq!(default.ahead_bytes, 16 << 20);
     let small = bounds("limits: {memory_mb: 64, max_fds: 650}");
     assert_eq!(small.body_bytes, (64 << 20) / 5);
     assert_eq!(small.caller_connections, 225);
+    assert_eq!(small.stalled_callers, 136);
+    assert_eq!(small.ahead_bytes, (64 << 20) / 10);
     assert_eq!(small.peer_connections, 90);
     assert_eq!(small.upstream_connections, 67);
     let large = bounds("limits: {memory_mb: 512, max_fds: 8192}");
--- a/crates/node/src/sidecar/connector.rs
+++ b/crates/node/src/sidecar/connector.rs
@@ -20,11 +20,14 @@
 use actix_web::dev::Service;
 use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
+use log::debug;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
+use crate::settings::UPSTREAM_RECEIVE_BYTES;
+
 tokio::task_local! {
     static TRACE: Rc<Trace>;
 }
@@ -119,8 +122,7 @@
     fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
         let address = self.address;
         Box::pin(async move {
-            let stream = TcpStream::connect(address).await;
-            let stream = stream.map_err(ConnectError::Io)?;
+            let stream = connect(address).await.map_err(ConnectError::Io)?;
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             let reuse = Rc::default();
             let stream = TracedStream { stream, reuse };
@@ -129,6 +131,17 @@
     }
 }
 
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Err(err) = socket.set_recv_buffer_size(UPSTREAM_RECEIVE_BYTES) {
+        debug!("can't limit the receive buffer of a connection to {address}: {err}");
+    }
+    socket.connect(address).await
+}
+
 /// Connection to an upstream that records writes and its end in the trace of the call.
 #[derive(Debug)]
 pub(super) struct TracedStream {
--- a/crates/node/tests/deployed/fleet.rs
+++ b/crates/node/tests/deployed/fleet.rs
@@ -28,10 +28,23 @@
 const UPSTREAM_PORT: u16 = 8_628;
 const STORE_PORT: u16 = 8_627;
 
-/// Memory of a VM in megabytes, less than that of any VM of the platform.
-const MEMORY_MB: u64 = 64;
-/// Descriptors of a process, of which 200 are reserved for files as on the platform.
-const MAX_FDS: u64 = 650;
+/// What a VM gives to its node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Machine {
+    /// Memory in megabytes, less than that of any VM of the platform.
+    pub(crate) memory_mb: u64,
+    /// Descriptors of a process, of which 200 are reserved for files as on the platform.
+    pub(crate) max_fds: u64,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            memory_mb: 64,
+            max_fds: 650,
+        }
+    }
+}
 
 /// Time in seconds after which the platform kills a stopping node of the large deployment.
 pub(crate) const GRACE_S: u64 = 10;
@@ -50,6 +63,7 @@
 pub(crate) struct Fleet {
     pub(crate) store: TestStore,
     pub(crate) vms: Vec<Vm>,
+    machine: Machine,
     store_address: SocketAddr,
     directory: TempDir,
 }
@@ -138,6 +152,15 @@
 
     /// Does the same with further contents of the store.
     pub(crate) async fn start_with(services: &[&str], fill: impl FnOnce(&Self)) -> Self {
+        Self::start_on(Machine::default(), services, fill).await
+    }
+
+    /// Does the same with nodes that get as much as a machine gives.
+    pub(crate) async fn start_on(
+        machine: Machine,
+        services: &[&str],
+        fill: impl FnOnce(&Self),
+    ) -> Self {
         let mut addresses = unused_ips();
         let store_ip = addresses.next().unwrap();
         let vms = services.iter().enumerate().map(|(index, service)| Vm {
@@ -149,6 +172,7 @@
         let mut fleet = Self {
             store: TestStore::default(),
             vms: vms.collect(),
+            machine,
             store_address: SocketAddr::new(IpAddr::V4(store_ip), STORE_PORT),
             directory: TempDir::new().unwrap(),
         };
@@ -225,8 +249,8 @@
         let node = Command::new(env!("CARGO_BIN_EXE_wagtailleverd"))
             .arg("--settings")
             .arg(&settings)
-            .arg(format!("--set=limits.memory_mb={MEMORY_MB}"))
-            .arg(format!("--set=limits.max_fds={MAX_FDS}"))
+            .arg(format!("--set=limits.memory_mb={}", self.machine.memory_mb))
+            .arg(format!("--set=limits.max_fds={}", self.machine.max_fds))
             .stdin(Stdio::null())
             .stdout(log.unwrap())
             .spawn();
--- a/crates/node/tests/deployed/upstream.rs
+++ b/crates/node/tests/deployed/upstream.rs
@@ -94,7 +94,8 @@
     }
 }
 
-/// Runs a request; the last segment of its path is `w` and the milliseconds of work.
+/// Runs a request; the last segment of its path is `w` and the milliseconds of work. A segment of `b` and
+/// a number before it asks for a body of that many bytes.
 async fn run(
     request: HttpRequest,
     upstream: Data<TestUpstream>,
@@ -123,8 +124,12 @@
     let work = request.path().rsplit("/w").next();
     let work = work.and_then(|text| text.parse().ok()).unwrap_or(0);
     actix_rt::time::sleep(Duration::from_millis(work)).await;
+    let segments = request.path().split('/');
+    let size = segments
+        .filter_map(|it| it.strip_prefix('b')?.parse().ok())
+        .next();
     HttpResponse::Ok()
         .insert_header(("request-id", id.clone()))
         .insert_header(("response-signature", "signed"))
-        .body(id)
+        .body(size.map_or(id, |bytes| "b".repeat(bytes)))
 }
--- a/crates/node/tests/hostile/bodies.rs
+++ b/crates/node/tests/hostile/bodies.rs
@@ -2,7 +2,10 @@
 
 use std::sync::LazyLock;
 
-use crate::{crowd::Script, trial};
+use crate::{
+    crowd::{Closed, Reading, Script},
+    trial::Trial,
+};
 
 /// Declared length of a body far over the limit of 64 MiB.
 const HUGE_BYTES: u64 = 10_000_000_000;
@@ -24,8 +27,10 @@
         start: head("Transfer-Encoding: chunked"),
         repeated: chunk(64 << 10),
         times: Some(16),
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("large chunks", &SCRIPT).await;
+    Trial::new("large chunks", &SCRIPT).run().await;
 }
 
 /// Each chunk of one byte kept its whole read buffer alive and cost a frame between the nodes.
@@ -35,8 +40,10 @@
         start: head("Transfer-Encoding: chunked"),
         repeated: chunk(1).repeat(64),
         times: Some(512),
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("chunks of one byte", &SCRIPT).await;
+    Trial::new("chunks of one byte", &SCRIPT).run().await;
 }
 
 /// Bodies declared as 10 GB were passed through for as long as they lasted.
@@ -46,8 +53,10 @@
         start: head(&format!("Content-Length: {HUGE_BYTES}")),
         repeated: vec![b'b'; 64 << 10],
         times: None,
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("declared bodies", &SCRIPT).await;
+    Trial::new("declared bodies", &SCRIPT).run().await;
 }
 
 /// Bodies without a declared length had no limit.
@@ -57,6 +66,8 @@
         start: head("Transfer-Encoding: chunked"),
         repeated: chunk(64 << 10),
         times: None,
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("endless bodies", &SCRIPT).await;
+    Trial::new("endless bodies", &SCRIPT).run().await;
 }
--- a/crates/node/tests/hostile/heads.rs
+++ b/crates/node/tests/hostile/heads.rs
@@ -2,7 +2,10 @@
 
 use std::sync::LazyLock;
 
-use crate::{crowd::Script, trial};
+use crate::{
+    crowd::{Closed, Reading, Script},
+    trial::Trial,
+};
 
 /// Start of a head with a field whose value has a length.
 fn head_with_field(bytes: usize) -> Vec<u8> {
@@ -17,8 +20,10 @@
         start: head_with_field(256 << 10),
         repeated: b"\r\n".to_vec(),
         times: Some(1),
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("heads over the limit", &SCRIPT).await;
+    Trial::new("heads over the limit", &SCRIPT).run().await;
 }
 
 /// A head without end must not be collected until memory runs out.
@@ -28,8 +33,10 @@
         start: head_with_field(16),
         repeated: b"X-More: more\r\n".repeat(64),
         times: None,
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("endless heads", &SCRIPT).await;
+    Trial::new("endless heads", &SCRIPT).run().await;
 }
 
 /// Empty lines before a request are skipped, so that their number was not limited.
@@ -39,6 +46,8 @@
         start: Vec::new(),
         repeated: b"\r\n".repeat(512),
         times: None,
+        reading: Reading::Never,
+        closed: Closed::Leaves,
     });
-    trial::run("endless empty lines", &SCRIPT).await;
+    Trial::new("endless empty lines", &SCRIPT).run().await;
 }
--- a/crates/node/tests/hostile/main.rs
+++ b/crates/node/tests/hostile/main.rs
@@ -21,3 +21,4 @@
 mod heads;
 mod process;
 mod trial;
+mod unread;
