Give the places of unused connections to callers that use them

Callers saw: beside a crowd of silent connections over the bound, 4 of 5 new callers got no answer.

Cause: the bound held new connections back in the kernel until others had been idle for the whole idle time.

Change: a connection without a whole request gives up its place after a second, an idle one a second after the reuse time that its caller was told, a stalled one after a second without progress, and one that only discards what is still sent at once. One with requests in flight keeps it. The stated reuse time falls as the places fill up beyond half. A connection that is being closed counts until its descriptor is free.

Evidence: tests/hostile/connections.rs, 300 callers for 225 places that open a connection again when it is closed.

--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -24,7 +24,11 @@
 use tokio_util::sync::CancellationToken;
 
 use self::{close_cause::CloseCause, closing::Closing, open::OpenConnection};
-pub(super) use self::{payload::Payload, pipeline::Repeat, table::ConnectionTable};
+pub(super) use self::{
+    payload::Payload,
+    pipeline::Repeat,
+    table::{ConnectionTable, TableEntry},
+};
 use crate::{ingress::worker::Worker, logging::LineBudget};
 
 /// Serves the connections of callers.
@@ -47,15 +51,20 @@
         }
     }
 
+    /// Takes a place for a connection that was accepted.
+    pub(super) fn open(&self) -> TableEntry {
+        self.worker.connections.open(Instant::now())
+    }
+
     /// Serves a connection until it is closed.
-    pub(super) async fn serve(&self, stream: TcpStream, peer: SocketAddr) {
+    pub(super) async fn serve(&self, stream: TcpStream, peer: SocketAddr, entry: TableEntry) {
         metrics::gauge!("caller_connections").increment(1);
         let worker = Rc::clone(&self.worker);
-        let mut open = OpenConnection::new(stream, peer, worker, &self.config, &self.stop);
+        let mut open = OpenConnection::new(stream, peer, worker, entry, &self.config, &self.stop);
         let cause = poll_fn(|cx| open.poll(cx)).await;
         self.record_close(peer, cause);
-        let (stream, output) = open.into_parts();
-        Closing::new(stream, cause).finish(output).await;
+        let (stream, entry) = open.into_parts();
+        Closing::new(stream, cause, entry).finish().await;
         metrics::gauge!("caller_connections").decrement(1);
     }
 
--- a/crates/node/src/ingress/connection/closing.rs
+++ b/crates/node/src/ingress/connection/closing.rs
@@ -8,7 +8,7 @@
     time::timeout,
 };
 
-use crate::ingress::connection::{close_cause::CloseCause, output::Output};
+use crate::ingress::connection::{close_cause::CloseCause, table::TableEntry};
 
 /// Time for which data of the caller is discarded after the last response.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -25,16 +25,20 @@
 pub(super) struct Closing {
     stream: TcpStream,
     cause: CloseCause,
+    entry: TableEntry,
 }
 
 impl Closing {
-    pub(super) fn new(stream: TcpStream, cause: CloseCause) -> Self {
-        Self { stream, cause }
+    pub(super) fn new(stream: TcpStream, cause: CloseCause, entry: TableEntry) -> Self {
+        Self {
+            stream,
+            cause,
+            entry,
+        }
     }
 
-    /// Closes the connection. The output is empty, or its caller takes no more of it.
-    pub(super) async fn finish(mut self, output: Output) {
-        drop(output);
+    /// Closes the connection, at once if others need its place.
+    pub(super) async fn finish(mut self) {
         if self.cause.discards_output() {
             // Otherwise the kernel keeps unsent bytes until the caller takes them.
             let _ = self.stream.set_zero_linger();
@@ -42,17 +46,22 @@
         if !self.cause.is_after_response() || self.stream.shutdown().await.is_err() {
             return;
         }
-        let _ = timeout(DISCARD_TIME, self.discard()).await;
+        let Self { stream, entry, .. } = &mut self;
+        let discarded = timeout(DISCARD_TIME, discard(stream));
+        tokio::select! {
+            _ = discarded => {}
+            () = entry.wait_for_eviction() => {}
+        }
     }
+}
 
-    async fn discard(&mut self) {
-        let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
-        let mut discarded = 0;
-        while discarded < MAX_DISCARDED_BYTES {
-            match self.stream.read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(count) => discarded += count,
-            }
+async fn discard(stream: &mut TcpStream) {
+    let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+    let mut discarded = 0;
+    while discarded < MAX_DISCARDED_BYTES {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => discarded += count,
         }
     }
 }
--- a/crates/node/src/ingress/connection/open.rs
+++ b/crates/node/src/ingress/connection/open.rs
@@ -63,6 +63,8 @@
     opened_at: Instant,
     /// Whether a whole head has arrived.
     is_used: bool,
+    /// Time for which the caller may send another request, by the latest response.
+    reuse_time: Duration,
     /// When the last response was complete, or the connection was opened.
     idle_since: Instant,
     /// When the head that is being received began.
@@ -84,12 +86,12 @@
         stream: TcpStream,
         peer: SocketAddr,
         worker: Rc<Worker>,
+        entry: TableEntry,
         config: &ServiceConfig,
         stop: &CancellationToken,
     ) -> Self {
         let limits = ConnectionLimits::current(&worker);
         let now = Instant::now();
-        let entry = worker.connections.open(now.into_std());
         let reader = Reader::new(config.clone(), &worker.ahead_budget);
         Self {
             stream,
@@ -107,6 +109,7 @@
             entry,
             opened_at: now,
             is_used: false,
+            reuse_time: Duration::ZERO,
             idle_since: now,
             head_since: None,
             written_at: now,
@@ -118,8 +121,8 @@
     }
 
     /// Drops the calls and returns what is left for the close.
-    pub(super) fn into_parts(self) -> (TcpStream, Output) {
-        (self.stream, self.output)
+    pub(super) fn into_parts(self) -> (TcpStream, TableEntry) {
+        (self.stream, self.entry)
     }
 
     /// Serves requests and returns the cause once the connection is to be closed. All calls that are
@@ -155,7 +158,7 @@
             let since = self.opened_at.into_std();
             CallerActivity::Unused { since }
         } else if self.slots.is_empty() {
-            let reusable_until = (self.idle_since + self.limits.reuse_time()).into_std();
+            let reusable_until = (self.idle_since + self.reuse_time).into_std();
             CallerActivity::Idle { reusable_until }
         } else if waits_for_body {
             let since = self.read_at.into_std();
--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -113,6 +113,13 @@
         if !self.is_serving() {
             self.pipeline.drain();
         }
+        let longest_reuse = self.limits.reuse_time();
+        self.reuse_time = self.entry.reuse_time(longest_reuse);
+        let reuse_seconds = self.reuse_time.as_secs();
+        if reuse_seconds == 0 && self.reuse_time < longest_reuse {
+            // Other callers need the place.
+            self.pipeline.end();
+        }
         let (mut head, body) = response.into_parts();
         let is_last = self.pipeline.is_first_last();
         let Some(first) = self.slots.front_mut() else {
@@ -124,8 +131,7 @@
         if first.closes.is_some() {
             head.head_mut().set_connection_type(ConnectionType::Close);
         } else {
-            let seconds = self.limits.reuse_time().as_secs();
-            let value = HeaderValue::try_from(format!("timeout={seconds}"));
+            let value = HeaderValue::try_from(format!("timeout={reuse_seconds}"));
             if let Ok(value) = value {
                 let name = HeaderName::from_static("keep-alive");
                 head.headers_mut().insert(name, value);
--- a/crates/node/src/ingress/connection/table.rs
+++ b/crates/node/src/ingress/connection/table.rs
@@ -3,25 +3,31 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    future::Future,
+    future::{Future, poll_fn},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+use tokio::{sync::Notify, time::timeout};
 use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 use wagtaillever_coordination::{CallerActivity, CallerId, CallerRoom, CallerRoomBounds};
 
+/// Interval at which a full table is checked for connections that may give up their place by now.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Open connections of callers.
 pub(in crate::ingress) struct ConnectionTable {
     room: RefCell<CallerRoom>,
     /// Cancelled when a connection has to close.
     evictions: RefCell<HashMap<CallerId, CancellationToken>>,
+    /// Notified when a connection is removed.
+    removed: Notify,
 }
 
 /// Entry of a connection, removed on drop.
-pub(super) struct TableEntry {
+pub(in crate::ingress) struct TableEntry {
     table: Rc<ConnectionTable>,
     id: CallerId,
     activity: CallerActivity,
@@ -34,6 +40,7 @@
         Self {
             room: RefCell::new(CallerRoom::new(bounds)),
             evictions: RefCell::default(),
+            removed: Notify::new(),
         }
     }
 
@@ -48,6 +55,23 @@
         }
     }
 
+    /// Waits until there is a place for another connection, which others that are not used give up.
+    pub(in crate::ingress) async fn wait_for_place(&self) {
+        while !self.make_place(Instant::now()) {
+            let _ = timeout(PLACE_CHECK_INTERVAL, self.removed.notified()).await;
+        }
+    }
+
+    fn make_place(&self, now: Instant) -> bool {
+        let mut room = self.room.borrow_mut();
+        if !room.has_place()
+            && let Some(unused) = room.evict(now)
+        {
+            self.notify_evicted(unused);
+        }
+        room.has_place()
+    }
+
     fn watch_eviction(&self, id: CallerId) -> Pin<Box<WaitForCancellationFutureOwned>> {
         let token = CancellationToken::new();
         let evicted = Box::pin(token.clone().cancelled_owned());
@@ -76,6 +100,11 @@
 }
 
 impl TableEntry {
+    /// Returns the time for which the caller may reuse the connection, at most `longest`.
+    pub(super) fn reuse_time(&self, longest: Duration) -> Duration {
+        self.table.room.borrow().reuse_time(longest)
+    }
+
     /// Records what the connection does now, and completes with what it does if it has to close.
     ///
     /// A connection that has made progress since its eviction stays open: its caller uses it.
@@ -97,6 +126,11 @@
         }
     }
 
+    /// Records that the last answer is written, and waits until the connection has to give up its place.
+    pub(super) async fn wait_for_eviction(&mut self) {
+        poll_fn(|cx| self.poll_evicted(CallerActivity::Closing, cx)).await;
+    }
+
     fn is_evicted(&mut self, cx: &mut Context<'_>) -> bool {
         self.evicted.as_mut().poll(cx).is_ready()
     }
@@ -106,5 +140,6 @@
     fn drop(&mut self) {
         self.table.room.borrow_mut().remove(self.id);
         self.table.evictions.borrow_mut().remove(&self.id);
+        self.table.removed.notify_one();
     }
 }
--- a/crates/node/src/ingress/server.rs
+++ b/crates/node/src/ingress/server.rs
@@ -1,19 +1,18 @@
 //! Server for callers: the listener, its thread, and the stop.
 
-use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::Arbiter;
 use log::{info, warn};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore},
     time::{sleep, timeout_at},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     ingress::{
-        connection::Connections,
+        connection::{ConnectionTable, Connections},
         open_calls::OpenCalls,
         worker::{SharedState, Worker},
     },
@@ -54,12 +53,10 @@
         info!("listening for callers on {addresses:?}");
         let limits = &shared.settings.limits;
         let times = limits.stop_times();
-        let max_connections = limits.bounds().caller_connections;
         let open_calls = shared.open_calls.clone();
         let acceptor = Acceptor {
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
-            permits: Arc::new(Semaphore::new(max_connections)),
         };
         let stop = acceptor.stop.clone();
         let connections = acceptor.connections.clone();
@@ -112,11 +109,20 @@
     socket.listen(BACKLOG)?.into_std()
 }
 
+/// Accepts a connection and waits until there is a place for it.
+async fn accept(
+    listener: &TcpListener,
+    table: &ConnectionTable,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    let accepted = listener.accept().await?;
+    table.wait_for_place().await;
+    Ok(accepted)
+}
+
 /// Accepts connections and serves each in a task.
 struct Acceptor {
     stop: CancellationToken,
     connections: TaskTracker,
-    permits: Arc<Semaphore>,
 }
 
 impl Acceptor {
@@ -127,16 +133,17 @@
             Ok(listener) => listener,
             Err(err) => return warn!("can't accept callers: {err}"),
         };
-        let connections = Connections::new(Worker::spawn(shared), self.stop.clone());
-        let connections = Rc::new(connections);
+        let worker = Worker::spawn(shared);
+        let table = Rc::clone(&worker.connections);
+        let connections = Rc::new(Connections::new(worker, self.stop.clone()));
         loop {
             let accepted = tokio::select! {
                 biased;
                 () = self.stop.cancelled() => return,
-                accepted = self.accept(&listener) => accepted,
+                accepted = accept(&listener, &table) => accepted,
             };
             match accepted {
-                Ok((stream, peer, permit)) => self.serve(stream, peer, permit, &connections),
+                Ok((stream, peer)) => self.serve(stream, peer, &connections),
                 Err(err) => {
                     warn!("can't accept a caller: {err}");
                     sleep(ACCEPT_RETRY_DELAY).await;
@@ -145,33 +152,17 @@
         }
     }
 
-    /// Accepts a connection once fewer than the bound of the process are open.
-    async fn accept(
-        &self,
-        listener: &TcpListener,
-    ) -> io::Result<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-        let permit = Arc::clone(&self.permits).acquire_owned().await;
-        let permit = permit.map_err(io::Error::other)?;
-        let (stream, peer) = listener.accept().await?;
-        Ok((stream, peer, permit))
-    }
-
-    fn serve(
-        &self,
-        stream: TcpStream,
-        peer: SocketAddr,
-        permit: OwnedSemaphorePermit,
-        connections: &Rc<Connections>,
-    ) {
+    fn serve(&self, stream: TcpStream, peer: SocketAddr, connections: &Rc<Connections>) {
         if stream.set_nodelay(true).is_err() {
             // The caller has closed the connection already.
             return;
         }
         let connections = Rc::clone(connections);
+        let entry = connections.open();
         let open = self.connections.token();
         actix_rt::spawn(async move {
-            connections.serve(stream, peer).await;
-            drop((permit, open));
+            connections.serve(stream, peer, entry).await;
+            drop(open);
         });
     }
 }
--- a/crates/node/tests/hostile/main.rs
+++ b/crates/node/tests/hostile/main.rs
@@ -17,6 +17,7 @@
 mod upstream;
 
 mod bodies;
+mod connections;
 mod crowd;
 mod heads;
 mod process;
