Read answers ahead of callers that don't take them

Callers saw: while others left large answers unread, or read 400 bytes a second, requests to the same service were refused or waited.

Cause: an answer kept its slot at the upstream and its share of the calls until its caller had taken it.

Change: after 100 ms without progress, answers are read ahead within a budget of a tenth of the memory. One that was read whole holds neither slot nor share. Without room, another connection that has been stalled for a second is closed, as is one whose share of the calls another caller needs.

--- a/crates/node/src/ingress/connection.rs
+++ b/crates/node/src/ingress/connection.rs
@@ -2,6 +2,7 @@
 //!
 //! One task serves a connection and polls all of its calls, so a request costs no task of its own.
 
+mod answer_body;
 mod chunk_scan;
 mod close_cause;
 mod closing;
--- a/crates/node/src/ingress/connection/open.rs
+++ b/crates/node/src/ingress/connection/open.rs
@@ -71,6 +71,8 @@
     head_since: Option<Instant>,
     /// When the caller last took a part of a response.
     written_at: Instant,
+    /// When responses are read ahead next, unless an upstream sends more of one before.
+    ahead_at: Option<Instant>,
     /// When the connection was last read until as much as allowed waits to be decoded.
     held_since: Option<Instant>,
     /// When the connection was last read, or checked for a close.
@@ -113,6 +115,7 @@
             idle_since: now,
             head_since: None,
             written_at: now,
+            ahead_at: None,
             held_since: None,
             read_at: now,
             has_started: false,
@@ -131,6 +134,7 @@
         if let Err(cause) = self.advance(cx) {
             return Poll::Ready(cause);
         }
+        self.read_ahead(cx);
         if let Poll::Ready(cause) = self.poll_timers(cx) {
             return Poll::Ready(cause);
         }
@@ -178,7 +182,10 @@
             let is_read = self.read(cx)?;
             must_run |= self.decode(cx);
             if must_run {
-                self.slots.iter_mut().for_each(|slot| slot.poll_call(cx));
+                let budget = &self.worker.ahead_budget;
+                self.slots
+                    .iter_mut()
+                    .for_each(|slot| slot.poll_call(cx, budget));
             }
             let is_written = self.write(cx)?;
             if self.output.is_empty()
@@ -237,6 +244,7 @@
                         return Poll::Ready(cause);
                     }
                 }
+                Event::ReadAhead => self.read_ahead(cx),
                 Event::CloseCheck if self.is_closed_by_caller() => {
                     return Poll::Ready(CloseCause::Caller);
                 }
@@ -280,7 +288,8 @@
             let deadline = self.read_at + CLOSE_CHECK_INTERVAL;
             (deadline, Event::CloseCheck)
         });
-        let events = [stalled, head, idle, check].into_iter().flatten();
+        let ahead = self.ahead_at.map(|at| (at, Event::ReadAhead));
+        let events = [stalled, head, idle, check, ahead].into_iter().flatten();
         events.min_by_key(|(deadline, _)| *deadline)
     }
 
@@ -317,7 +326,8 @@
         let response = Response::new(status);
         self.pipeline.push(Repeat::Allowed);
         self.pipeline.end();
-        self.slots.push_back(Slot::last(response, cause));
+        let budget = &self.worker.ahead_budget;
+        self.slots.push_back(Slot::last(response, cause, budget));
     }
 }
 
@@ -330,4 +340,6 @@
     HeadTimeout,
     /// It is checked whether the caller closed it.
     CloseCheck,
+    /// Responses are read ahead.
+    ReadAhead,
 }
--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -182,7 +182,8 @@
             if last.is_running() {
                 // Without the end of the body an upstream never gets the whole request.
                 let response = Response::new(err.status());
-                let refusal = Slot::last(response, CloseCause::Malformed);
+                let budget = &self.worker.ahead_budget;
+                let refusal = Slot::last(response, CloseCause::Malformed, budget);
                 let open_calls = &self.worker.shared.open_calls;
                 open_calls.drop_as(EndCause::Malformed, || *last = refusal);
             }
--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -1,25 +1,54 @@
 //! Writing of responses in the order of their requests.
 
 use std::{
-    pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use actix_http::{
-    ConnectionType, StatusCode,
-    body::{BodySize, MessageBody},
+    ConnectionType, Response, StatusCode,
+    body::BodySize,
     header::{HeaderName, HeaderValue},
 };
 use tokio::time::Instant;
 
 use super::OpenConnection;
 use crate::ingress::{
-    answer::CallerResponse,
-    connection::{close_cause::CloseCause, slot::Progress},
+    connection::{
+        answer_body::{AnswerBody, ReadAhead},
+        close_cause::CloseCause,
+        slot::{Progress, Slot},
+    },
     open_calls::EndCause,
 };
 
+/// Time for which a caller takes nothing until its response is read ahead.
+const READ_AHEAD_DELAY: Duration = Duration::from_millis(100);
+/// Time after which reading ahead is tried again when there was no memory for it.
+const READ_AHEAD_RETRY: Duration = Duration::from_millis(100);
+
 impl OpenConnection {
+    /// Reads responses ahead of a caller that does not take them, so that they hold no slot of their upstream and
+    /// no share of the calls. Where there is no memory for it, another connection that waits longer for its
+    /// caller gives up its own.
+    pub(super) fn read_ahead(&mut self, cx: &mut Context<'_>) {
+        let now = Instant::now();
+        let is_stalled = !self.output.is_empty() && self.written_at + READ_AHEAD_DELAY <= now;
+        if !is_stalled {
+            let is_partial = !self.output.is_empty() && self.slots.iter().any(Slot::is_partial);
+            self.ahead_at = is_partial.then(|| self.written_at + READ_AHEAD_DELAY);
+            return;
+        }
+        let mut has_memory = true;
+        for slot in &mut self.slots {
+            has_memory &= slot.poll_ahead(cx) != Some(ReadAhead::NoMemory);
+        }
+        if !has_memory {
+            self.entry.evict_stalled(now.into_std());
+        }
+        self.ahead_at = (!has_memory).then(|| now + READ_AHEAD_RETRY);
+    }
+
     /// Encodes and writes responses as far as possible and returns whether anything changed.
     ///
     /// # Errors
@@ -51,14 +80,14 @@
         };
         match &mut first.progress {
             Progress::Call(_) => self.encode_continue(),
-            Progress::Ready(_) => {
+            Progress::Ready(..) => {
                 let ready = std::mem::replace(&mut first.progress, Progress::Complete);
-                if let Progress::Ready(response) = ready {
-                    self.start_response(response, cx);
+                if let Progress::Ready(head, body) = ready {
+                    self.start_response(head, body, cx);
                 }
                 true
             }
-            Progress::Writing(body) => match Pin::new(body).poll_next(cx) {
+            Progress::Writing(body) => match body.poll_next(cx) {
                 Poll::Pending => false,
                 Poll::Ready(Some(Ok(chunk))) => {
                     if self.output.push_chunk(chunk).is_err() {
@@ -99,7 +128,7 @@
         true
     }
 
-    fn start_response(&mut self, response: CallerResponse, cx: &mut Context<'_>) {
+    fn start_response(&mut self, mut head: Response<()>, body: AnswerBody, cx: &mut Context<'_>) {
         if self.body.is_some() {
             // The rest may have arrived already. If not, the request can't be followed by another.
             if self.decode(cx) {
@@ -120,7 +149,6 @@
             // Other callers need the place.
             self.pipeline.end();
         }
-        let (mut head, body) = response.into_parts();
         let is_last = self.pipeline.is_first_last();
         let Some(first) = self.slots.front_mut() else {
             return;
--- a/crates/node/src/ingress/connection/table.rs
+++ b/crates/node/src/ingress/connection/table.rs
@@ -72,6 +72,15 @@
         room.has_place()
     }
 
+    /// Closes the connection that waits longest for its caller, if it has done so for long enough, so that its
+    /// memory and its share of the calls go to others, or to one of them.
+    pub(in crate::ingress) fn evict_stalled(&self, in_favour_of: Option<CallerId>, now: Instant) {
+        let evicted = self.room.borrow_mut().evict_stalled(in_favour_of, now);
+        if let Some(id) = evicted {
+            self.notify_evicted(id);
+        }
+    }
+
     fn watch_eviction(&self, id: CallerId) -> Pin<Box<WaitForCancellationFutureOwned>> {
         let token = CancellationToken::new();
         let evicted = Box::pin(token.clone().cancelled_owned());
@@ -105,6 +114,12 @@
         self.table.room.borrow().reuse_time(longest)
     }
 
+    /// Closes another connection that waits longest for its caller, if it has done so for long enough, so that its
+    /// memory goes to this one.
+    pub(super) fn evict_stalled(&self, now: Instant) {
+        self.table.evict_stalled(Some(self.id), now);
+    }
+
     /// Records what the connection does now, and completes with what it does if it has to close.
     ///
     /// A connection that has made progress since its eviction stays open: its caller uses it.
--- a/crates/node/src/ingress/guards.rs
+++ b/crates/node/src/ingress/guards.rs
@@ -17,6 +17,8 @@
     pub(super) fn acquire(worker: &Rc<Worker>, caller: Arc<str>) -> Option<Self> {
         let is_acquired = worker.caller_shares.borrow_mut().try_acquire(&caller);
         if !is_acquired {
+            // The caller is told to come back, and finds the share of the evicted connection then.
+            worker.connections.evict_stalled(None, Instant::now());
             return None;
         }
         metrics::gauge!("calls_in_flight").increment(1);
--- a/crates/node/src/ingress/reply_body.rs
+++ b/crates/node/src/ingress/reply_body.rs
@@ -43,7 +43,7 @@
     upload: Option<LocalBoxFuture<'static, ()>>,
     remaining: Option<u64>,
     idle_timeout: Duration,
-    /// Record of the call until the caller has the whole answer.
+    /// Record of the call until the whole answer was received.
     open_call: Option<OpenCall>,
     _guards: (CallGuard, Permit, Rc<Channel>),
 }
--- a/crates/node/tests/hostile/crowd.rs
+++ b/crates/node/tests/hostile/crowd.rs
@@ -34,6 +34,8 @@
 pub(crate) enum Reading {
     /// It reads nothing.
     Never,
+    /// It takes a few bytes now and then after it has written.
+    Slow,
 }
 
 /// What a caller does when the node closes its connection.
--- a/crates/node/tests/hostile/main.rs
+++ b/crates/node/tests/hostile/main.rs
@@ -21,5 +21,6 @@
 mod crowd;
 mod heads;
 mod process;
+mod slots;
 mod trial;
 mod unread;
--- /dev/null
+++ b/crates/node/tests/hostile/slots.rs
@@ -0,0 +1,75 @@
+//! Callers that keep the slots of an upstream busy.
+
+use std::sync::LazyLock;
+
+use serde_json::Value;
+
+use crate::{
+    crowd::{Closed, Reading, Script},
+    fleet::Fleet,
+    trial::Trial,
+};
+
+/// Callers, several for each slot.
+const CALLERS: usize = 40;
+/// Requests that the upstream runs at once, as few as upstreams of the platform do.
+const SLOTS: u64 = 8;
+/// Longest time in seconds that a request may take, and idle time of a connection: far above the length of
+/// a test, so that no caller ends by itself.
+const ENDLESS_S: u64 = 600;
+
+fn trial(name: &'static str, script: &'static Script) -> Trial {
+    Trial {
+        callers: CALLERS,
+        fill: limit_slots,
+        serves_beside: true,
+        ..Trial::new(name, script)
+    }
+}
+
+fn limit_slots(fleet: &Fleet) {
+    fleet.put_config_with(8, |config| {
+        config["limits"]["idle_timeout_s"] = ENDLESS_S.into();
+        let routes = config["routes"].as_array_mut().unwrap();
+        let orders = routes.iter_mut().find(|it| it["name"] == "r-orders");
+        orders.unwrap()["timeout_s"] = ENDLESS_S.into();
+    });
+    let vm = &fleet.vms[0];
+    let mut entry = fleet.entry(vm);
+    entry["max_concurrency"] = Value::from(SLOTS);
+    let key = format!("servers/{}", vm.upstream.name);
+    fleet.store.put(&key, entry.to_string().as_bytes());
+}
+
+fn download(bytes: usize) -> Vec<u8> {
+    format!(
+        "GET /orders/b{bytes}/w0 HTTP/1.1\r\nHost: orders.example\r\nDeadline-Ms: 600000\r\n\r\n"
+    )
+    .into()
+}
+
+/// Slots stayed with callers that read nothing of their answer, and others were refused or waited.
+#[actix_rt::test]
+async fn unread_answers() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
+        start: download(540_000),
+        repeated: Vec::new(),
+        times: Some(0),
+        reading: Reading::Never,
+        closed: Closed::Reopens,
+    });
+    trial("unread answers", &SCRIPT).run().await;
+}
+
+/// A caller that takes a few bytes now and then kept its slot for as long as it liked.
+#[actix_rt::test]
+async fn slowly_read_answers() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
+        start: download(5_000_000),
+        repeated: Vec::new(),
+        times: Some(0),
+        reading: Reading::Slow,
+        closed: Closed::Reopens,
+    });
+    trial("slow readers", &SCRIPT).run().await;
+}
