Let an answer that is not taken give up its slot

Callers saw: a slot stayed with an answer that nobody read, until its deadline.

Cause: the sidecar waited for the ingress as long as the call had time left. Such answers also counted as traffic that the link still had to carry, and the time that they stalled as the duration of requests, so that others were refused for a link and an upstream that were free.

--- a/crates/node/src/sidecar/admit.rs
+++ b/crates/node/src/sidecar/admit.rs
@@ -1,6 +1,10 @@
 //! Acquires and releases slots of an upstream.
 
-use std::{cell::Cell, rc::Rc, time::Instant};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use tokio::{sync::oneshot, time::timeout_at};
 use wagtaillever_coordination::{
@@ -28,6 +32,10 @@
     pending_bytes: Cell<u64>,
     /// Bytes of the answer that were forwarded.
     forwarded_bytes: Cell<u64>,
+    /// Bytes of the answer that its caller does not take, so that they don't wait for the link.
+    stalled_bytes: Cell<u64>,
+    /// Time for which the upstream waited for the caller.
+    stalled_time: Cell<Duration>,
     answered_at: Cell<Option<Instant>>,
     is_good: Cell<bool>,
     result: Cell<SampleResult>,
@@ -50,6 +58,8 @@
             started: Instant::now(),
             pending_bytes: Cell::new(upstream.admission().borrow_mut().expect_response(rank)),
             forwarded_bytes: Cell::new(0),
+            stalled_bytes: Cell::new(0),
+            stalled_time: Cell::new(Duration::ZERO),
             answered_at: Cell::new(None),
             is_good: Cell::new(false),
             result: Cell::new(SampleResult::Abandoned),
@@ -70,10 +80,25 @@
     /// Records that a part of the answer was forwarded.
     pub(super) fn record_forwarded(&self, bytes: u64) {
         self.forwarded_bytes.set(self.forwarded_bytes.get() + bytes);
-        self.set_pending_bytes(self.pending_bytes.get().saturating_sub(bytes));
+        let pending = self.pending_bytes.get() + self.stalled_bytes.take();
+        self.set_pending_bytes(pending.saturating_sub(bytes));
         self.upstream.dispatch_queued();
     }
 
+    /// Records that the caller takes no more of the answer for now. The link is then free for other answers.
+    pub(super) fn record_stall(&self) {
+        let pending = self.stalled_bytes.get() + self.pending_bytes.get();
+        self.stalled_bytes.set(pending);
+        self.set_pending_bytes(0);
+        self.upstream.dispatch_queued();
+    }
+
+    /// Leaves out a time for which the upstream waited for the caller when the duration of the request is
+    /// recorded.
+    pub(super) fn leave_out(&self, stalled: Duration) {
+        self.stalled_time.set(self.stalled_time.get() + stalled);
+    }
+
     /// Records that the complete answer was forwarded.
     pub(super) fn record_completion(&self) {
         let mut admission = self.upstream.admission().borrow_mut();
@@ -113,6 +138,7 @@
             rank: self.rank,
         };
         let held = now.saturating_duration_since(self.started);
+        let held = held.saturating_sub(self.stalled_time.get());
         let is_good = self.is_good.get();
         self.upstream
             .release(sample, held, self.alone, is_good, now);
--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, future::poll_fn, rc::Rc, task::Poll, time::Duration};
 
 use bytes::Bytes;
-use log::warn;
+use log::{info, warn};
 use wagtaillever_coordination::{AdmissionRequest, SampleResult, Suspicion};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -12,7 +12,7 @@
     invariant::check_invariant,
     sidecar::{
         admit::{Permit, admit},
-        answer::{BodyEnd, BodyLimits, stream_body},
+        answer::{BodyEnd, BodyLimits, BodyWatch, stream_body},
         call::Call,
         forward::{Answer, Failure, forward},
         headers, probe,
@@ -219,14 +219,12 @@
         idle: Duration::from_millis(call.head.left_ms).max(MIN_IDLE_TIMEOUT),
         unsized_end: (call.deadline + UNSIZED_BODY_GRACE).into(),
     };
-    let end = stream_body(
-        &mut answer,
-        limits,
-        writer,
-        &mut |part| recorder.part(part),
-        &mut |bytes| permit.record_forwarded(bytes),
-    )
-    .await;
+    let mut watch = AnswerWatch {
+        upstream,
+        permit: &permit,
+        recorder,
+    };
+    let end = stream_body(&mut answer, limits, writer, &mut watch).await;
     match end {
         BodyEnd::Complete => {
             permit.record_completion();
@@ -248,7 +246,46 @@
             upstream.record_broken_connection(permit.in_flight());
             probe::start(upstream);
         }
-        BodyEnd::CallerGone | BodyEnd::CallerIdle => {}
+        BodyEnd::CallerIdle => {
+            if let Some(left_out) = shared.take_log_line() {
+                info!(
+                    call = call.head.call.as_str(), upstream = call.head.upstream.as_str(),
+                    queued = upstream.load().queued, left_out;
+                    "cut off an answer that its caller does not take"
+                );
+            }
+            metrics::counter!("sidecar_answers_not_taken_total").increment(1);
+        }
+        BodyEnd::CallerGone => {}
     }
     Execution::Truncated
 }
+
+/// Watch on the body of an answer.
+struct AnswerWatch<'a, R> {
+    upstream: &'a LocalUpstream,
+    permit: &'a Permit,
+    recorder: &'a mut R,
+}
+
+impl<R: Recorder> BodyWatch for AnswerWatch<'_, R> {
+    fn receive(&mut self, part: &Bytes) {
+        self.recorder.part(part);
+    }
+
+    fn record_forwarded(&mut self, bytes: u64) {
+        self.permit.record_forwarded(bytes);
+    }
+
+    fn record_stall(&self) {
+        self.permit.record_stall();
+    }
+
+    fn record_stalled_time(&self, stalled: Duration) {
+        self.permit.leave_out(stalled);
+    }
+
+    fn is_slot_wanted(&self) -> bool {
+        self.upstream.is_slot_wanted()
+    }
+}
--- a/crates/node/src/sidecar/tests.rs
+++ b/crates/node/src/sidecar/tests.rs
@@ -9,6 +9,7 @@
 mod listed;
 mod memory;
 mod reuse;
+mod stalls;
 mod stated;
 mod status;
 mod stop;
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -235,6 +235,11 @@
         admission.inherit_starts(&earlier.admission.borrow());
     }
 
+    /// Returns whether calls wait for a slot.
+    pub(super) fn is_slot_wanted(&self) -> bool {
+        self.admission.borrow().queued() > 0
+    }
+
     /// Refuses queued and further requests, because another instance counts them since the upstream
     /// restarted, or because the time of a stop is over.
     pub(super) fn retire(&self) {
