Let calls without their whole body leave slots to others

Callers saw: bodies that stop short of their end kept the slots of an upstream, and their calls the share of an address, until their deadline.

Cause: a call took a slot as soon as its first part had come, and kept it.

Change: while no slot is free, a call waits until its body is whole or fills what a stream carries.

--- a/crates/node/src/sidecar/execute.rs
+++ b/crates/node/src/sidecar/execute.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use log::{info, warn};
+use tokio::time::sleep;
 use wagtaillever_coordination::{AdmissionRequest, SampleResult, Suspicion};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -14,7 +15,7 @@
         admit::{Permit, admit},
         answer::{BodyEnd, BodyLimits, BodyWatch, stream_body},
         call::Call,
-        forward::{Answer, Failure, forward},
+        forward::{Answer, Failure, UPLOAD_STALL_TIME, forward},
         headers, probe,
         refuse::{self, did_not_run, refused_by_stop, unknown, with_outcome},
         shared::Shared,
@@ -33,6 +34,9 @@
 /// still get an answer that is late, but not one that never ends.
 const UNSIZED_BODY_GRACE: Duration = Duration::from_secs(1);
 
+/// Interval at which a call without its whole body looks for a free slot.
+const SLOT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How the execution of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Execution {
@@ -86,9 +90,14 @@
     if gate.refuses(call.deadline) {
         return Err(refused_by_stop());
     }
+    let admitted = async {
+        let waited = wait_for_body(shared, upstream, call, body).await;
+        waited.map_err(|NoMemory| refuse::no_memory())?;
+        acquire_permit(shared, upstream, call).await
+    };
     let permit = tokio::select! {
         biased;
-        permit = acquire_permit(shared, upstream, call) => permit?,
+        permit = admitted => permit?,
         NoMemory = collect(body, shared.context().body_budget()) => {
             return Err(refuse::no_memory());
         }
@@ -112,6 +121,9 @@
         Err(failure) => {
             let is_paused = shared.stall_count() != stalls_before;
             record_failure(upstream, &permit, &failure, is_paused);
+            if let Failure::BodyStalled { .. } = failure {
+                permit.leave_out(UPLOAD_STALL_TIME);
+            }
             drop(permit);
             Err(failure.refusal())
         }
@@ -127,6 +139,41 @@
     .await
 }
 
+/// Waits until the body of a call is whole, or there is no room for more of it, as long as other calls need the
+/// slots. Otherwise callers that don't finish their bodies would take them.
+///
+/// # Errors
+///
+/// Returns an error if there is no memory for the body.
+async fn wait_for_body(
+    shared: &Shared,
+    upstream: &LocalUpstream,
+    call: &Call,
+    body: &RequestBody,
+) -> Result<(), NoMemory> {
+    let collected = poll_fn(|_| {
+        let reader = body.borrow();
+        let length = call.head.length;
+        match reader.as_ref().is_none_or(|it| it.is_collected(length)) {
+            true => Poll::Ready(()),
+            // The next part wakes the task, as `collect` waits for it.
+            false => Poll::Pending,
+        }
+    });
+    let has_room = async {
+        while !upstream.has_free_slot() && !call.time_left().is_zero() {
+            sleep(SLOT_CHECK_INTERVAL).await;
+        }
+    };
+    let budget = shared.context().body_budget();
+    tokio::select! {
+        biased;
+        () = has_room => Ok(()),
+        NoMemory = collect(body, budget) => Err(NoMemory),
+        () = collected => Ok(()),
+    }
+}
+
 /// Waits for a slot. A request suspected of crashing upstreams runs alone.
 async fn acquire_permit(
     shared: &Shared,
--- a/crates/node/src/sidecar/forward.rs
+++ b/crates/node/src/sidecar/forward.rs
@@ -15,7 +15,7 @@
 };
 use bytes::Bytes;
 use futures_util::{Stream, stream};
-use tokio::time::timeout_at;
+use tokio::time::{sleep, timeout_at};
 use wagtaillever_coordination::{Dialect, SampleResult};
 
 use crate::{
@@ -38,6 +38,12 @@
 /// Time by which the reuse of a connection ends before its upstream closes it.
 const REUSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time for which a call keeps a slot that other calls wait for, while its caller sends nothing of the body. A lost
+/// packet is sent again within this time.
+pub(super) const UPLOAD_STALL_TIME: Duration = Duration::from_secs(1);
+/// Interval at which a body that is not whole is checked for that.
+const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Head of an answer whose body is not read yet.
 pub(super) struct Answer {
     /// Response from `awc`.
@@ -75,6 +81,11 @@
         /// Whether any part of the request was written.
         written: bool,
     },
+    /// The caller sent no more of the body while other calls waited for the slot.
+    BodyStalled {
+        /// Whether any part of the request was written.
+        written: bool,
+    },
     /// The node stops and does not pass on the rest of the request.
     Stopped {
         /// Whether any part of the request was written.
@@ -103,7 +114,9 @@
             Self::ConnectFailed | Self::Unwritten => RefusalReason::Unreachable,
             Self::Misdirected => RefusalReason::NoUpstream,
             Self::Shed { .. } => RefusalReason::Overloaded,
-            Self::Broken | Self::BodyBroken { .. } => RefusalReason::Broken,
+            Self::Broken | Self::BodyBroken { .. } | Self::BodyStalled { .. } => {
+                RefusalReason::Broken
+            }
             Self::Stopped { .. } => RefusalReason::Draining,
             Self::Deadline { .. } => RefusalReason::Deadline,
             Self::BadAnswer | Self::BadRequest => RefusalReason::BadAnswer,
@@ -122,9 +135,11 @@
             Self::ConnectFailed | Self::Misdirected => SampleResult::Refused,
             Self::Shed { .. } => SampleResult::Shed,
             Self::Broken | Self::BadAnswer | Self::Deadline { .. } => SampleResult::Failed,
-            Self::Unwritten | Self::BodyBroken { .. } | Self::Stopped { .. } | Self::BadRequest => {
-                SampleResult::Abandoned
-            }
+            Self::Unwritten
+            | Self::BodyBroken { .. }
+            | Self::BodyStalled { .. }
+            | Self::Stopped { .. }
+            | Self::BadRequest => SampleResult::Abandoned,
         }
     }
 
@@ -136,6 +151,7 @@
             | Self::Unwritten
             | Self::BadRequest => false,
             Self::BodyBroken { written }
+            | Self::BodyStalled { written }
             | Self::Stopped { written }
             | Self::Deadline { written } => *written,
             Self::Broken | Self::BadAnswer => true,
@@ -166,6 +182,10 @@
     let request = request(upstream, call, dialect)?;
     let upload = Rc::new(Upload::new(call.head.length));
     let sent = Rc::clone(&trace).scope(send(request, call, body, &upload));
+    let abandoned_upload = async {
+        upload.wait_for_stall(|| upstream.is_slot_wanted()).await;
+        metrics::counter!("sidecar_bodies_not_sent_total").increment(1);
+    };
     let refused_in_part = async {
         gate.wait_until_refused(call.deadline).await;
         if upload.is_whole() {
@@ -179,6 +199,10 @@
             let written = trace.is_written();
             return Err(Failure::Stopped { written });
         }
+        () = abandoned_upload => {
+            let written = trace.is_written();
+            return Err(Failure::BodyStalled { written });
+        }
     };
     let Ok(result) = sent else {
         let written = trace.is_written();
@@ -244,6 +268,8 @@
     length: Option<u64>,
     received: Cell<u64>,
     is_ended: Cell<bool>,
+    /// Since when the next part is missing, if the upstream could take it.
+    missing_since: Cell<Option<Instant>>,
 }
 
 impl Upload {
@@ -252,10 +278,27 @@
             length,
             received: Cell::default(),
             is_ended: Cell::default(),
+            missing_since: Cell::default(),
+        }
+    }
+
+    /// Waits until the next part has been missing for [`UPLOAD_STALL_TIME`] while other calls wait for the slot.
+    async fn wait_for_stall(&self, is_slot_wanted: impl Fn() -> bool) {
+        let is_stalled = || {
+            let missing = self.missing_since.get();
+            missing.is_some_and(|since| since.elapsed() >= UPLOAD_STALL_TIME)
+        };
+        while !self.is_whole() {
+            sleep(UPLOAD_CHECK_INTERVAL).await;
+            if is_stalled() && is_slot_wanted() {
+                return;
+            }
         }
+        pending().await
     }
 
     fn record(&self, chunk: Option<&Bytes>) {
+        self.missing_since.set(None);
         match chunk {
             Some(chunk) => self.received.set(self.received.get() + chunk.len() as u64),
             None => self.is_ended.set(true),
@@ -279,6 +322,7 @@
         let upload = Rc::clone(&upload);
         async move {
             let mut reader = reader.ok_or(TransportError::Ended)?;
+            upload.missing_since.set(Some(Instant::now()));
             let chunk = reader.read_bytes().await?;
             upload.record(chunk.as_ref());
             Ok(chunk.map(|chunk| (chunk, Some(reader))))
--- a/crates/node/src/sidecar/tests/stalls.rs
+++ b/crates/node/src/sidecar/tests/stalls.rs
@@ -1,14 +1,15 @@
-//! Callers that keep a slot.
+//! Callers that keep a slot: with an answer that they don't take, or a body that they don't finish.
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 
-use super::fixture::{Fixture, Reply, get, reply};
-use crate::wire::CallHead;
+use super::fixture::{Fixture, Reply, get, post, reply};
+use crate::wire::{CallHead, Outcome, Refusal};
 
 /// Longer than a test, so that no call ends by its deadline.
 const LEFT_MS: u64 = 120_000;
@@ -80,3 +81,49 @@
     let cut = reply(&mut unread).await;
     assert!(matches!(cut, Reply::Truncated { status: 200 }), "{cut:?}");
 }
+
+/// The slot stayed with a caller that did not finish its body.
+#[actix_rt::test]
+async fn a_body_that_stalls_gives_up_its_slot_to_a_waiting_call() {
+    let fixture = Fixture::with_settings(upstream().await, "", 1).await;
+    let (mut writer, mut unfinished) = fixture.open(patient(post(Some(40_001)))).await;
+    writer.write_bytes(vec![b'b'; 40_000].into()).await.unwrap();
+    assert_answered(&fixture.call(patient(get()), b"").await);
+    let refused = reply(&mut unfinished).await;
+    let is_unknown = matches!(
+        refused,
+        Reply::Refused(Refusal {
+            outcome: Outcome::Unknown,
+            ..
+        })
+    );
+    assert!(is_unknown, "{refused:?}");
+}
+
+/// Calls whose bodies were not whole took slots that others could have used, one after the other.
+#[actix_rt::test]
+async fn a_call_without_its_whole_body_leaves_the_slot_to_others() {
+    let fixture = Fixture::with_settings(upstream().await, "", 1).await;
+    let large = CallHead {
+        target: "/large".into(),
+        ..patient(get())
+    };
+    let (_writer, mut running) = fixture.open(large).await;
+    let (mut writer, mut unfinished) = fixture.open(patient(post(Some(5)))).await;
+    writer
+        .write_bytes(Bytes::from_static(b"bbbb"))
+        .await
+        .unwrap();
+    let (mut whole_writer, mut whole) = fixture.open(patient(post(Some(5)))).await;
+    whole_writer
+        .write_bytes(Bytes::from_static(b"bbbbb"))
+        .await
+        .unwrap();
+    whole_writer.finish().unwrap();
+    let large = reply(&mut running).await;
+    assert!(matches!(large, Reply::Complete { .. }), "{large:?}");
+    assert_answered(&reply(&mut whole).await);
+    writer.write_bytes(Bytes::from_static(b"b")).await.unwrap();
+    writer.finish().unwrap();
+    assert_answered(&reply(&mut unfinished).await);
+}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -235,6 +235,12 @@
         admission.inherit_starts(&earlier.admission.borrow());
     }
 
+    /// Returns whether a call would start at once.
+    pub(super) fn has_free_slot(&self) -> bool {
+        let admission = self.admission.borrow();
+        admission.queued() == 0 && admission.active() < admission.limit()
+    }
+
     /// Returns whether calls wait for a slot.
     pub(super) fn is_slot_wanted(&self) -> bool {
         self.admission.borrow().queued() > 0
--- a/crates/node/src/transport/frame.rs
+++ b/crates/node/src/transport/frame.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     body_budget::{BodyBudget, Reservation},
-    transport::error::TransportError,
+    transport::{client::STREAM_WINDOW_BYTES, error::TransportError},
 };
 
 /// Size of the length prefix of a frame.
@@ -21,6 +21,9 @@
 /// Maximum size of a frame: a value of the platform plus its metadata.
 const MAX_FRAME_BYTES: usize = (1 << 20) + (64 << 10);
 
+/// Collected bytes from which on a body counts as large: its sender may wait for the window.
+const COLLECTED_BYTES: usize = STREAM_WINDOW_BYTES as usize * 3 / 4;
+
 /// Reads frames and raw bytes from a stream and releases its flow-control window.
 pub(crate) struct FrameReader {
     stream: RecvStream,
@@ -69,6 +72,13 @@
         Poll::Pending
     }
 
+    /// Returns whether nothing more can be collected: all of a body has arrived, `length` bytes if that is
+    /// known, or the window is full.
+    pub(crate) fn is_collected(&self, length: Option<u64>) -> bool {
+        let is_whole = length == Some(self.buffer.len() as u64) || self.stream.is_end_stream();
+        is_whole || self.unreleased >= COLLECTED_BYTES
+    }
+
     /// Returns the number of bytes received on the stream, including HTTP/2 frame headers.
     pub(crate) fn total_bytes(&self) -> u64 {
         self.total_bytes
--- a/crates/node/tests/hostile/slots.rs
+++ b/crates/node/tests/hostile/slots.rs
@@ -1,4 +1,5 @@
-//! Callers that keep the slots of an upstream busy.
+//! Callers that keep the slots of an upstream busy: with answers that they don't read, and with bodies that
+//! they don't finish.
 
 use std::sync::LazyLock;
 
@@ -12,6 +13,8 @@
 
 /// Callers, several for each slot.
 const CALLERS: usize = 40;
+/// Callers that together exceed the share of the calls, and not the places for connections.
+const MANY_CALLERS: usize = 200;
 /// Requests that the upstream runs at once, as few as upstreams of the platform do.
 const SLOTS: u64 = 8;
 /// Longest time in seconds that a request may take, and idle time of a connection: far above the length of
@@ -73,3 +76,56 @@
     });
     trial("slow readers", &SCRIPT).run().await;
 }
+
+/// A body that stops short of its end kept the slot that its call had got.
+#[actix_rt::test]
+async fn unfinished_bodies() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| {
+        let head = "POST /orders/w0 HTTP/1.1\r\nHost: orders.example\r\nDeadline-Ms: 600000\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        Script {
+            start: head.into(),
+            repeated: format!("2000\r\n{}\r\n", "b".repeat(0x2000)).into(),
+            times: Some(16),
+            reading: Reading::Never,
+            closed: Closed::Reopens,
+        }
+    });
+    trial("unfinished bodies", &SCRIPT).run().await;
+}
+
+/// The same with a body that is small enough to be sent again.
+#[actix_rt::test]
+async fn unfinished_small_bodies() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
+        start: unfinished_small_body(),
+        repeated: Vec::new(),
+        times: Some(0),
+        reading: Reading::Never,
+        closed: Closed::Reopens,
+    });
+    trial("unfinished small bodies", &SCRIPT).run().await;
+}
+
+/// Calls that waited for the rest of a body used up the share of the calls that all callers of an address have.
+#[actix_rt::test]
+async fn unfinished_small_bodies_of_many_callers() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
+        start: unfinished_small_body(),
+        repeated: Vec::new(),
+        times: Some(0),
+        reading: Reading::Never,
+        closed: Closed::Reopens,
+    });
+    let trial = Trial {
+        callers: MANY_CALLERS,
+        ..trial("unfinished small bodies of many callers", &SCRIPT)
+    };
+    trial.run().await;
+}
+
+fn unfinished_small_body() -> Vec<u8> {
+    let head = "POST /orders/w0 HTTP/1.1\r\nHost: orders.example\r\nDeadline-Ms: 600000\r\n\
+                Content-Length: 10000\r\n\r\n";
+    [head.as_bytes(), &[b'b'; 9_999]].concat()
+}
