Believe stated waiting times only of callers that take their answers

Callers saw: beside callers that state a deadline of ten minutes, requests of all others of the route were refused with "overloaded" and age_ms=580000.

Cause: the total time that callers of a route wait was the longest that any of them stated within 10 s. One request with a long deadline made all others look as if they had waited for the rest, and late requests are served last.

The two tests of the module keep their figures; recording and asking are two calls now.

--- a/crates/coordination/src/caller_age/tests.rs
+++ b/crates/coordination/src/caller_age/tests.rs
@@ -15,9 +15,9 @@
 impl Case {
     #[track_caller]
     fn expect_age(mut self, remaining_ms: u64, age_ms: u64) -> Self {
-        let age = self
-            .ages
-            .age(&"r".into(), Duration::from_millis(remaining_ms), self.now);
+        let remaining = Duration::from_millis(remaining_ms);
+        self.ages.record(&"r".into(), remaining, self.now);
+        let age = self.ages.age(&"r".into(), remaining);
         assert_eq!(age, Duration::from_millis(age_ms));
         self
     }
@@ -46,3 +46,13 @@
         .expect_age(2_000, 0)
         .expect_age(1_500, 500);
 }
+
+/// One caller that states any number must not make the requests of all others look late.
+#[test]
+fn a_wait_that_few_callers_state_does_not_count() {
+    let mut case = case();
+    for _ in 0..16 {
+        case = case.expect_age(2_000, 0);
+    }
+    case.expect_age(600_000, 0).expect_age(1_500, 500);
+}
--- a/crates/node/src/ingress/connection/open/input.rs
+++ b/crates/node/src/ingress/connection/open/input.rs
@@ -152,16 +152,17 @@
         } else {
             Payload::empty()
         };
-        let (repeat, call) = handler::handle(request, payload, &self.worker, arrived);
+        let handled = handler::handle(request, payload, &self.worker, arrived);
         if !self.pipeline.is_empty() {
             metrics::counter!("requests_pipelined_total").increment(1);
         }
-        let is_started = self.pipeline.push(repeat);
+        let is_started = self.pipeline.push(handled.repeat);
         if closes {
             self.pipeline.end();
         }
         self.slots.push_back(Slot {
-            progress: Progress::Call(call),
+            progress: Progress::Call(handled.response),
+            wait: handled.wait,
             is_started,
             is_head,
             expects_continue,
--- a/crates/node/src/ingress/connection/open/response.rs
+++ b/crates/node/src/ingress/connection/open/response.rs
@@ -166,6 +166,9 @@
             }
         }
         let status = head.status();
+        if !status.is_success() {
+            first.wait = None;
+        }
         let is_bodiless = status.is_informational()
             || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let size = if is_bodiless {
@@ -184,7 +187,11 @@
 
     /// Removes the first request, whose response is encoded whole.
     fn complete_first(&mut self) {
-        let closes = self.slots.pop_front().and_then(|first| first.closes);
+        let first = self.slots.pop_front();
+        if let Some(wait) = first.as_ref().and_then(|first| first.wait.as_ref()) {
+            self.worker.record_wait(wait);
+        }
+        let closes = first.and_then(|first| first.closes);
         // The next request begins behind the body, whose end is not known.
         let is_unread = self.slots.is_empty() && self.body.is_some();
         if let Some(cause) = closes.or(is_unread.then_some(CloseCause::Answered)) {
--- a/crates/node/src/ingress/connection/slot.rs
+++ b/crates/node/src/ingress/connection/slot.rs
@@ -17,6 +17,7 @@
             answer_body::{AnswerBody, ReadAhead},
             close_cause::CloseCause,
         },
+        request::StatedWait,
     },
 };
 
@@ -42,6 +43,8 @@
 /// Place of one request in the order of its connection.
 pub(super) struct Slot {
     pub(super) progress: Progress,
+    /// Time that the caller is willing to wait, until the response turns out not to be a good one.
+    pub(super) wait: Option<StatedWait>,
     pub(super) is_started: bool,
     /// Whether the response has no body because of the request's method.
     pub(super) is_head: bool,
@@ -56,6 +59,7 @@
     pub(super) fn last(response: CallerResponse, cause: CloseCause, budget: &BodyBudget) -> Self {
         Self {
             progress: Progress::ready(response, budget),
+            wait: None,
             is_started: true,
             is_head: false,
             expects_continue: false,
--- a/crates/node/src/ingress/handler.rs
+++ b/crates/node/src/ingress/handler.rs
@@ -14,7 +14,7 @@
         dispatch::Dispatch,
         guards::Permit,
         refusal::NOT_READY_RETRY_MS,
-        request::{CallerRequest, RequestError, caller_name},
+        request::{CallerRequest, RequestError, StatedWait, caller_name},
         worker::Worker,
     },
     wire::{Outcome, Refusal, RefusalReason},
@@ -23,14 +23,23 @@
 /// Retry-after time of a call that exceeds its caller's share of calls in flight.
 const OVERLOADED_RETRY_MS: u64 = 250;
 
-/// Routes a request that arrived at `arrived`. Returns whether it may run more than once, and the
-/// response to it. The call starts when the response is first polled.
+/// A request that was routed.
+pub(super) struct Handled {
+    /// Whether it may run more than once.
+    pub(super) repeat: Repeat,
+    /// Time that its caller is willing to wait, if it is stated.
+    pub(super) wait: Option<StatedWait>,
+    /// Response to it. Its call starts when the response is first polled.
+    pub(super) response: LocalBoxFuture<'static, CallerResponse>,
+}
+
+/// Routes a request that arrived at `arrived`.
 pub(super) fn handle(
     request: Request,
     payload: Payload,
     worker: &Rc<Worker>,
     arrived: Instant,
-) -> (Repeat, LocalBoxFuture<'static, CallerResponse>) {
+) -> Handled {
     match accept_call(&request, worker, arrived) {
         Ok((call, permit)) => {
             let repeat = if call.idempotent {
@@ -38,14 +47,22 @@
             } else {
                 Repeat::Forbidden
             };
+            let wait = call.stated_wait();
             let response = respond(Rc::clone(worker), call, permit, payload);
-            (repeat, response.boxed_local())
+            Handled {
+                repeat,
+                wait,
+                response: response.boxed_local(),
+            }
         }
         Err(rejection) => {
             // A caller that waits for an interim response learns of the rejection instead.
             let payload = (!request.head().expect()).then_some(payload);
-            let response = reject(rejection, payload);
-            (Repeat::Allowed, response.boxed_local())
+            Handled {
+                repeat: Repeat::Allowed,
+                wait: None,
+                response: reject(rejection, payload).boxed_local(),
+            }
         }
     }
 }
--- a/crates/node/src/ingress/request.rs
+++ b/crates/node/src/ingress/request.rs
@@ -201,6 +201,14 @@
         }
     }
 
+    /// Returns the time that the caller is willing to wait, if it states one.
+    pub(super) fn stated_wait(&self) -> Option<StatedWait> {
+        self.caller_timeout.map(|time| StatedWait {
+            route: self.route.name.clone(),
+            time,
+        })
+    }
+
     /// Returns the time until the deadline, or zero after it.
     pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -234,6 +242,13 @@
     static PREVIOUS_HEADERS: RefCell<Vec<(String, Vec<u8>)>> = const { RefCell::new(Vec::new()) };
 }
 
+/// Time that a caller is willing to wait for a request.
+#[derive(Clone, Debug)]
+pub(super) struct StatedWait {
+    pub(super) route: RouteName,
+    pub(super) time: Duration,
+}
+
 /// Header names of the deployment and the caller service that the node sets.
 #[derive(Clone, Copy)]
 pub(super) struct HeaderRules<'a> {
--- a/crates/node/src/ingress/worker.rs
+++ b/crates/node/src/ingress/worker.rs
@@ -24,7 +24,7 @@
         pool::{self, Pool},
         record::Recorder,
         refusal::did_not_run,
-        request::{CallerRequest, HeaderRules},
+        request::{CallerRequest, HeaderRules, StatedWait},
         routing::RoutingView,
     },
     kernel::StopGate,
@@ -157,8 +157,14 @@
         let Some(caller_timeout) = request.caller_timeout else {
             return Duration::ZERO;
         };
+        let caller_ages = self.caller_ages.borrow();
+        caller_ages.age(&request.route.name, caller_timeout)
+    }
+
+    /// Records the time that a caller was willing to wait, which has taken a good answer.
+    pub(super) fn record_wait(&self, wait: &StatedWait) {
         let mut caller_ages = self.caller_ages.borrow_mut();
-        caller_ages.age(&request.route.name, caller_timeout, request.arrived)
+        caller_ages.record(&wait.route, wait.time, Instant::now());
     }
 
     /// Returns whether the node must not accept new calls yet after a pause of the process. Discards
--- a/crates/node/tests/hostile/slots.rs
+++ b/crates/node/tests/hostile/slots.rs
@@ -64,6 +64,19 @@
     trial("unread answers", &SCRIPT).run().await;
 }
 
+/// An answer larger than what a process may hold for its caller kept its slot.
+#[actix_rt::test]
+async fn unread_answers_beyond_the_memory() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
+        start: download(5_000_000),
+        repeated: Vec::new(),
+        times: Some(0),
+        reading: Reading::Never,
+        closed: Closed::Reopens,
+    });
+    trial("large unread answers", &SCRIPT).run().await;
+}
+
 /// A caller that takes a few bytes now and then kept its slot for as long as it liked.
 #[actix_rt::test]
 async fn slowly_read_answers() {
