Bound the header of a stream between nodes

Seen with a test: 300 connections to the address for other nodes, whose stream header never ends, took 832 MB of a machine of 64 MB. Such a process ends.

Cause: the HTTP/2 library collects a header of up to 16 MiB on each connection by default.

Change: 4 KiB on both sides; a header names a service only.

--- a/crates/node/src/transport/client.rs
+++ b/crates/node/src/transport/client.rs
@@ -35,6 +35,10 @@
 /// Maximum number of concurrent streams of a connection.
 pub(super) const MAX_STREAMS: u32 = 4096;
 
+/// Largest header of a stream in bytes, which names a service only. The library's default is 16 MiB for each
+/// connection.
+pub(super) const HEADER_BYTES: u32 = 4 << 10;
+
 /// Connection to another node, over one TCP connection for all streams.
 pub(crate) struct Connection {
     sender: SendRequest<Bytes>,
@@ -130,6 +134,7 @@
     let handshake = h2::client::Builder::new()
         .initial_window_size(window_bytes)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_header_list_size(HEADER_BYTES)
         .max_send_buffer_size(SEND_BUFFER_BYTES)
         .handshake(stream);
     let (sender, mut connection) = handshake.await?;
--- a/crates/node/src/transport/server.rs
+++ b/crates/node/src/transport/server.rs
@@ -22,7 +22,10 @@
     kernel::{Context, Registry, Service, StartError, StopDeadlines},
     logging::LineBudget,
     transport::{
-        client::{CONNECTION_WINDOW_BYTES, MAX_STREAMS, SEND_BUFFER_BYTES, STREAM_WINDOW_BYTES},
+        client::{
+            CONNECTION_WINDOW_BYTES, HEADER_BYTES, MAX_STREAMS, SEND_BUFFER_BYTES,
+            STREAM_WINDOW_BYTES,
+        },
         frame::{FrameReader, FrameWriter},
     },
 };
@@ -128,6 +131,7 @@
                 .initial_window_size(STREAM_WINDOW_BYTES)
                 .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
                 .max_concurrent_streams(MAX_STREAMS)
+                .max_header_list_size(HEADER_BYTES)
                 .max_send_buffer_size(SEND_BUFFER_BYTES)
                 .handshake(stream);
             self.serve_streams(handshake.await?, peer).await
--- a/crates/node/tests/hostile/main.rs
+++ b/crates/node/tests/hostile/main.rs
@@ -20,6 +20,7 @@
 mod connections;
 mod crowd;
 mod heads;
+mod peers;
 mod process;
 mod slots;
 mod trial;
--- a/crates/node/tests/hostile/trial.rs
+++ b/crates/node/tests/hostile/trial.rs
@@ -1,6 +1,6 @@
 //! A node under a crowd, and what must hold during and after it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::time::sleep;
 use tokio::{
@@ -10,7 +10,7 @@
 
 use crate::{
     crowd::{CALLERS, Crowd, Script},
-    fleet::{Fleet, Machine},
+    fleet::{Fleet, Machine, Vm},
     process::{Bound, Usage},
 };
 
@@ -40,6 +40,8 @@
     /// Largest number of descriptors while the crowd is there.
     pub(crate) max_descriptors: usize,
     pub(crate) callers: usize,
+    /// Address of the node to which the crowd connects.
+    pub(crate) target: fn(&Vm) -> SocketAddr,
     pub(crate) script: &'static Script,
     /// Further contents of the store.
     pub(crate) fill: fn(&Fleet),
@@ -55,6 +57,7 @@
             machine: Machine::default(),
             max_descriptors: CROWD_DESCRIPTORS,
             callers: CALLERS,
+            target: Vm::callers,
             script,
             fill: |_| {},
             serves_beside: false,
@@ -67,13 +70,13 @@
         let _turn: MutexGuard<'_, ()> = TURN.lock().await;
         let fleet = Fleet::start_on(self.machine, &["orders"], self.fill).await;
         let node = &fleet.vms[0];
-        let usage = || Usage::of(node.process(), node.callers()).expect("the node lives");
+        let usage = || Usage::of(node.process(), (self.target)(node)).expect("the node lives");
         let bound = Bound {
             memory_kb: self.machine.memory_mb << 10,
             descriptors: self.max_descriptors,
         };
         let idle = usage();
-        let crowd = Crowd::start(node.callers(), self.callers, self.script);
+        let crowd = Crowd::start((self.target)(node), self.callers, self.script);
         let mut peak = idle;
         let end = Instant::now() + CROWD_TIME;
         while Instant::now() < end {
