Let nodes connect beside silent connections at their address

Callers saw (with a test): while 300 silent connections held all 90 places at the address for other nodes, a node that started could not reach the upstream behind it.

Cause: a connection counted as one of a node before it had sent anything, and for as long as it liked.

Change: a connection without its handshake is closed after 5 s, and the oldest one makes room when all places are taken. A node sends its part at once.

--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -3,6 +3,7 @@
 mod client;
 mod error;
 mod frame;
+mod handshakes;
 mod links;
 mod server;
 
--- a/crates/node/src/transport/server.rs
+++ b/crates/node/src/transport/server.rs
@@ -14,7 +14,7 @@
 use snafu::ResultExt;
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -27,6 +27,7 @@
             STREAM_WINDOW_BYTES,
         },
         frame::{FrameReader, FrameWriter},
+        handshakes::Handshakes,
     },
 };
 
@@ -64,6 +65,7 @@
                 token: token.clone(),
                 connections: self.connections.clone(),
                 max_connections: context.settings().limits.bounds().peer_connections,
+                handshakes: Handshakes::default(),
             };
             actix_rt::spawn(server.accept(listener));
             self.token = Some(token);
@@ -87,6 +89,8 @@
 
 /// Maximum time for which a stop waits until other nodes have closed their connections.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which another node completes the handshake, which it sends as soon as the connection is open.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, for example if there are no free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -98,6 +102,7 @@
     connections: TaskTracker,
     /// Largest number of open connections.
     max_connections: usize,
+    handshakes: Handshakes,
 }
 
 impl Server {
@@ -112,7 +117,7 @@
                 sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            if self.connections.len() >= self.max_connections {
+            if self.connections.len() >= self.max_connections && !self.handshakes.evict_oldest() {
                 metrics::counter!("peer_connections_refused_total").increment(1);
                 if let Some(left_out) = line_budget.take(std::time::Instant::now()) {
                     warn!(peer:% = peer, open = self.connections.len(), left_out; "connection of a node refused");
@@ -126,21 +131,37 @@
 
     async fn serve_connection(self, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
-        let result = async {
-            let handshake = h2::server::Builder::new()
-                .initial_window_size(STREAM_WINDOW_BYTES)
-                .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-                .max_concurrent_streams(MAX_STREAMS)
-                .max_header_list_size(HEADER_BYTES)
-                .max_send_buffer_size(SEND_BUFFER_BYTES)
-                .handshake(stream);
-            self.serve_streams(handshake.await?, peer).await
+        let Some(handshake) = self.handshake(stream).await else {
+            return debug!("no handshake on a connection of {peer}");
         };
+        let result = async { self.serve_streams(handshake?, peer).await };
         if let Err(err) = result.await {
             debug!("connection of {peer} failed: {err}");
         }
     }
 
+    /// Completes the handshake, or returns `None` if it takes too long or others need the place.
+    async fn handshake(
+        &self,
+        stream: TcpStream,
+    ) -> Option<Result<Connection<TcpStream, Bytes>, h2::Error>> {
+        let handshake = h2::server::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(HEADER_BYTES)
+            .max_send_buffer_size(SEND_BUFFER_BYTES)
+            .handshake(stream);
+        let evicted = self.handshakes.begin();
+        let result = tokio::select! {
+            biased;
+            result = timeout(HANDSHAKE_TIMEOUT, handshake) => result.ok(),
+            () = evicted.cancelled() => None,
+        };
+        self.handshakes.end(&evicted);
+        result
+    }
+
     /// Dispatches streams until the other node closes the connection. When this node stops, it
     /// notifies the other node of the last accepted stream, so that the other node knows that later
     /// streams were not processed.
--- a/crates/node/tests/hostile/peers.rs
+++ b/crates/node/tests/hostile/peers.rs
@@ -1,15 +1,19 @@
 //! Connections at the address for other nodes.
 
-use std::{net::SocketAddr, sync::LazyLock};
+use std::{net::SocketAddr, sync::LazyLock, time::Duration};
+
+use actix_rt::time::sleep;
 
 use crate::{
-    crowd::{Closed, Reading, Script},
-    fleet::Vm,
-    trial::Trial,
+    crowd::{CALLERS, Closed, Crowd, Reading, Script},
+    fleet::{Fleet, Vm},
+    trial::{self, Trial},
 };
 
 /// Port for other nodes in the template of the deploy file.
 const PORT: u16 = 7_600;
+/// Time for which the crowd connects before another node starts.
+const CROWD_TIME: Duration = Duration::from_secs(3);
 /// Size of an HTTP/2 frame with a part of a header.
 const FRAME_BYTES: usize = 16 << 10;
 
@@ -48,3 +52,24 @@
     };
     trial.run().await;
 }
+
+/// Connections that had sent nothing took all places of other nodes, and a node that started reached nobody.
+#[actix_rt::test]
+async fn a_node_connects_beside_silent_connections() {
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
+        start: Vec::new(),
+        repeated: Vec::new(),
+        times: Some(0),
+        reading: Reading::Never,
+        closed: Closed::Reopens,
+    });
+    let _turn = trial::TURN.lock().await;
+    let mut fleet = Fleet::start(&["orders", "other"]).await;
+    let crowd = Crowd::start(address(&fleet.vms[0]), CALLERS, &SCRIPT);
+    sleep(CROWD_TIME).await;
+    fleet.vms[1].kill();
+    fleet.start_node(1);
+    fleet.vms[1].wait_until_served("orders").await;
+    drop(crowd);
+    fleet.wait_until_served().await;
+}
--- a/crates/node/tests/hostile/trial.rs
+++ b/crates/node/tests/hostile/trial.rs
@@ -31,7 +31,7 @@
 };
 
 /// Only one crowd runs at a time, so that no test slows down another one.
-static TURN: Mutex<()> = Mutex::const_new(());
+pub(crate) static TURN: Mutex<()> = Mutex::const_new(());
 
 /// A crowd and the node that it meets.
 pub(crate) struct Trial {
