--- a/crates/node/src/ingress/guards.rs
+++ b/crates/node/src/ingress/guards.rs
@@ -17,7 +17,7 @@
     pub(super) fn acquire(worker: &Rc<Worker>, caller: Arc<str>) -> Option<Self> {
         let is_acquired = worker.caller_shares.borrow_mut().try_acquire(&caller);
         if !is_acquired {
-            // The caller is told to come back, and finds the share of the evicted connection then.
+            // The caller finds the share of the evicted connection when it sends its request again.
             worker.connections.evict_stalled(None, Instant::now());
             return None;
         }
--- a/crates/node/tests/hostile/connections.rs
+++ b/crates/node/tests/hostile/connections.rs
@@ -2,11 +2,7 @@
 
 use std::sync::LazyLock;
 
-use crate::{
-    crowd::{Closed, Reading, Script},
-    fleet::Fleet,
-    trial::Trial,
-};
+use crate::{crowd::Script, fleet::Fleet, trial::Trial};
 
 /// Idle time of a connection in seconds, far above the length of a test.
 const ENDLESS_S: u64 = 600;
@@ -29,38 +25,23 @@
 /// Connections that had sent nothing took all places, and new callers waited in the listen queue.
 #[actix_rt::test]
 async fn silent_connections() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: Vec::new(),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script::write_once(Vec::new()));
     trial("silent connections", &SCRIPT).run().await;
 }
 
 /// The same with heads that are not complete.
 #[actix_rt::test]
 async fn unfinished_heads() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: b"GET /orders/w0 HTTP/1.1\r\n".to_vec(),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> =
+        LazyLock::new(|| Script::write_once(b"GET /orders/w0 HTTP/1.1\r\n".to_vec()));
     trial("unfinished heads", &SCRIPT).run().await;
 }
 
 /// Connections that were used once took all places for the whole time in which they may be used again.
 #[actix_rt::test]
 async fn connections_kept_after_one_request() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: b"GET /nowhere HTTP/1.1\r\nHost: orders.example\r\n\r\n".to_vec(),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| {
+        Script::write_once(b"GET /nowhere HTTP/1.1\r\nHost: orders.example\r\n\r\n".to_vec())
     });
     trial("kept connections", &SCRIPT).run().await;
 }
--- a/crates/node/tests/hostile/crowd.rs
+++ b/crates/node/tests/hostile/crowd.rs
@@ -29,6 +29,19 @@
     pub(crate) closed: Closed,
 }
 
+impl Script {
+    /// Returns the script of a caller that writes once, reads nothing and comes back when it is closed.
+    pub(crate) fn write_once(start: Vec<u8>) -> Self {
+        Self {
+            start,
+            repeated: Vec::new(),
+            times: Some(0),
+            reading: Reading::Never,
+            closed: Closed::Reopens,
+        }
+    }
+}
+
 /// How a caller reads.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reading {
--- a/crates/node/tests/hostile/peers.rs
+++ b/crates/node/tests/hostile/peers.rs
@@ -56,13 +56,7 @@
 /// Connections that had sent nothing took all places of other nodes, and a node that started reached nobody.
 #[actix_rt::test]
 async fn a_node_connects_beside_silent_connections() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: Vec::new(),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script::write_once(Vec::new()));
     let _turn = trial::TURN.lock().await;
     let mut fleet = Fleet::start(&["orders", "other"]).await;
     let crowd = Crowd::start(address(&fleet.vms[0]), CALLERS, &SCRIPT);
--- a/crates/node/tests/hostile/slots.rs
+++ b/crates/node/tests/hostile/slots.rs
@@ -54,26 +54,14 @@
 /// Slots stayed with callers that read nothing of their answer, and others were refused or waited.
 #[actix_rt::test]
 async fn unread_answers() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: download(540_000),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script::write_once(download(540_000)));
     trial("unread answers", &SCRIPT).run().await;
 }
 
 /// An answer larger than what a process may hold for its caller kept its slot.
 #[actix_rt::test]
 async fn unread_answers_beyond_the_memory() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: download(5_000_000),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script::write_once(download(5_000_000)));
     trial("large unread answers", &SCRIPT).run().await;
 }
 
@@ -81,11 +69,8 @@
 #[actix_rt::test]
 async fn slowly_read_answers() {
     static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: download(5_000_000),
-        repeated: Vec::new(),
-        times: Some(0),
         reading: Reading::Slow,
-        closed: Closed::Reopens,
+        ..Script::write_once(download(5_000_000))
     });
     trial("slow readers", &SCRIPT).run().await;
 }
@@ -110,26 +95,14 @@
 /// The same with a body that is small enough to be sent again.
 #[actix_rt::test]
 async fn unfinished_small_bodies() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: unfinished_small_body(),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script::write_once(unfinished_small_body()));
     trial("unfinished small bodies", &SCRIPT).run().await;
 }
 
 /// Calls that waited for the rest of a body used up the share of the calls that all callers of an address have.
 #[actix_rt::test]
 async fn unfinished_small_bodies_of_many_callers() {
-    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script {
-        start: unfinished_small_body(),
-        repeated: Vec::new(),
-        times: Some(0),
-        reading: Reading::Never,
-        closed: Closed::Reopens,
-    });
+    static SCRIPT: LazyLock<Script> = LazyLock::new(|| Script::write_once(unfinished_small_body()));
     let trial = Trial {
         callers: MANY_CALLERS,
         ..trial("unfinished small bodies of many callers", &SCRIPT)
